Serve a request from end to end as separate processes

lovagectl compiles one TOML text into content-addressed chunks and a manifest and compare-and-sets it into the store. lovage-entry takes each higher revision, verifies the workspace key of every request, removes it and runs the request on an endpoint of its zone. lovage-lookup follows the zone's entries and answers callers. lovage-standin stands in for the platform and upstreams.

make demo: two zones, six lookups answered by their own zone, one action sent twice and run once, all processes stopped with exit code 0. internal/scenario drives the same path by script.

--- /dev/null
+++ b/cmd/lovage-lookup/main.go
@@ -0,0 +1,21 @@
+// Command lovage-lookup is the process on every entry instance that tells
+// callers which entry instances to use.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/daemon"
+	"lovagescale/internal/lookup"
+)
+
+func main() {
+	var s lookup.Settings
+	os.Exit(daemon.Main("lovage-lookup", "Tells callers which entry instances to use.", &s,
+		func(ctx context.Context, log zerolog.Logger) error {
+			return lookup.NewServer(s, log).Run(ctx)
+		}))
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,68 @@
+// Package daemon is what the commands of the daemons share: the command line,
+// the settings, the logger and the end on a signal.
+//
+// Exit codes: 0 after a clean stop, 1 after a failure while running, 2 when
+// the command line or the settings are wrong and nothing was started.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// arguments is the command line of every daemon.
+type arguments struct {
+	Settings string           `required:"" placeholder:"FILE" help:"Settings file (TOML)."`
+	Version  kong.VersionFlag `help:"Show the version and exit."`
+}
+
+// Version returns the version of the program as the build recorded it.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "devel"
+	}
+	return info.Main.Version
+}
+
+// Main runs a daemon until it ends or a signal asks it to stop, and returns
+// its exit code. The context given to run ends at SIGINT or SIGTERM.
+func Main(name, description string, target settings.Checked, run func(ctx context.Context, log zerolog.Logger) error) int {
+	var args arguments
+	parser, err := kong.New(&args, kong.Name(name), kong.Description(description), kong.Vars{"version": Version()})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return exitUsage
+	}
+	if err := settings.Load(args.Settings, target); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	log := settings.NewLogger(os.Stderr, target.Level(), name)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, log); err != nil {
+		log.Error().Err(err).Msg("daemon failed")
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,223 @@
+// Package entry assembles an entry process: the callers' request path, the
+// control loop of its instance, the link to the system's other processes and
+// the operators' port.
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"lovagescale/internal/action"
+	"lovagescale/internal/call"
+	"lovagescale/internal/configuration"
+	"lovagescale/internal/control"
+	"lovagescale/internal/gateway"
+	"lovagescale/internal/link"
+	"lovagescale/internal/lookup"
+	"lovagescale/internal/membership"
+	"lovagescale/internal/operator"
+	"lovagescale/internal/platform"
+	"lovagescale/internal/routing"
+	"lovagescale/internal/store"
+)
+
+// incarnationBytes is the random part of an incarnation's name.
+const incarnationBytes = 6
+
+// readHeaderTimeout bounds a slow caller.
+const readHeaderTimeout = 5 * time.Second
+
+// Entry is one entry process.
+type Entry struct {
+	settings Settings
+	log      zerolog.Logger
+	registry metrics.Registry
+	store    store.Client
+	list     *platform.Client
+
+	loop     *control.Loop
+	self     membership.Member
+	view     atomic.Pointer[membership.View]
+	current  atomic.Pointer[configuration.Configuration]
+	chunks   configuration.Chunks
+	changes  changes
+	router   *routing.Router
+	actions  *action.Stage
+	gateway  *gateway.Gateway
+	stopping atomic.Bool
+}
+
+// New returns an entry that is not yet listening.
+func New(s Settings, log zerolog.Logger) (*Entry, error) {
+	incarnation, err := newIncarnation(s.Instance)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		settings: s,
+		log:      log.With().Str("instance", s.Instance).Str("availability_zone", s.Zone).Logger(),
+		registry: metrics.NewRegistry(),
+		store:    store.NewHTTPClient(s.Platform, "entry", s.StoreTimeout.Std()),
+		list:     platform.NewClient(s.Platform, s.StoreTimeout.Std()),
+		loop:     control.NewLoop("entry"),
+		chunks:   make(configuration.Chunks),
+		self: membership.Member{
+			Instance:    s.Instance,
+			Incarnation: incarnation,
+			Zone:        s.Zone,
+			Address:     s.Address,
+			Link:        s.Link,
+			State:       platform.Live,
+		},
+	}
+	e.changes.init()
+	e.view.Store(&membership.View{Self: e.self, Members: []membership.Member{e.self}})
+	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
+	e.router = routing.New(s.Instance, s.Zone, random)
+	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
+	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
+		gateway.Options{MaxBodyBytes: s.MaxBodyBytes})
+	return e, nil
+}
+
+// newIncarnation names one run of the instance's process.
+func newIncarnation(instance string) (string, error) {
+	raw := make([]byte, incarnationBytes)
+	if _, err := rand.Read(raw); err != nil {
+		return "", err
+	}
+	return instance + "-" + hex.EncodeToString(raw), nil
+}
+
+// dispatch passes actions through the at-most-once stage.
+func (e *Entry) dispatch(ctx context.Context, c *call.Call) (*call.Result, error) {
+	if c.Kind == configuration.Action {
+		return e.actions.Serve(ctx, c)
+	}
+	return e.router.Serve(ctx, c)
+}
+
+// Run serves until ctx ends, then drains: it leaves the look-up answers first,
+// takes no new connection and waits for the requests in flight.
+func (e *Entry) Run(ctx context.Context) error {
+	listeners, err := e.listen()
+	if err != nil {
+		return err
+	}
+	operators, err := operator.Handler(e.dump, e.registry, nil)
+	if err != nil {
+		return err
+	}
+	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopBackground()
+	links := link.NewServer(e.log, e.registry)
+	links.HandleStream(lookup.TypeFollow, e.follow)
+
+	var group errgroup.Group
+	group.Go(func() error { e.loop.Run(background); return nil })
+	group.Go(func() error { return links.Serve(background, listeners.link) })
+	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
+	group.Go(func() error { e.watchConfiguration(background); return nil })
+	group.Go(func() error {
+		defer stopBackground()
+		return e.serveCallers(ctx, listeners.callers)
+	})
+	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
+	err = group.Wait()
+	e.log.Info().Msg("entry stopped")
+	return err
+}
+
+type listeners struct{ callers, link, operator net.Listener }
+
+func (e *Entry) listen() (listeners, error) {
+	var l listeners
+	for _, open := range []struct {
+		target  *net.Listener
+		address string
+	}{
+		{&l.callers, e.settings.Address},
+		{&l.link, e.settings.Link},
+		{&l.operator, e.settings.Operator},
+	} {
+		listener, err := operator.Listen(open.address)
+		if err != nil {
+			l.close()
+			return l, err
+		}
+		*open.target = listener
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.link, l.operator} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func (e *Entry) serveCallers(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler:           e.gateway,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    e.settings.MaxHeaderBytes,
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	e.announceLeaving()
+	started := time.Now()
+	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.settings.StopGrace.Std())
+	defer cancel()
+	err := server.Shutdown(drain)
+	e.log.Info().Dur("drain_ms", time.Since(started)).Err(err).Msg("entry drained")
+	return err
+}
+
+// announceLeaving takes this entry out of the look-up answers.
+func (e *Entry) announceLeaving() {
+	e.stopping.Store(true)
+	self := e.self
+	self.State = platform.Leaving
+	e.view.Store(&membership.View{Self: self, Members: []membership.Member{self}})
+	e.changes.signal()
+}
+
+// changes wakes the streams that wait for a new state.
+type changes struct {
+	mu      sync.Mutex
+	waiting chan struct{}
+}
+
+func (c *changes) init() { c.waiting = make(chan struct{}) }
+
+// next returns a channel that is closed at the next change.
+func (c *changes) next() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
+
+func (c *changes) signal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.waiting)
+	c.waiting = make(chan struct{})
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"lovagescale/internal/settings"
+	"lovagescale/internal/tomlfile"
+	"lovagescale/internal/unit"
+)
+
+// Settings are the static settings of an entry.
+type Settings struct {
+	// Instance identifies the instance in the platform's list.
+	Instance string `toml:"instance"`
+	Zone     string `toml:"availability_zone"`
+	// Address serves callers, Link the system's own processes and Operator the
+	// operators.
+	Address  string `toml:"address"`
+	Link     string `toml:"link"`
+	Operator string `toml:"operator"`
+	// Platform is the address of the platform's store and instance list.
+	Platform     string        `toml:"platform"`
+	StoreTimeout unit.Duration `toml:"store_timeout"`
+	// StopGrace bounds the drain at a planned stop.
+	StopGrace      unit.Duration `toml:"stop_grace"`
+	MaxBodyBytes   int64         `toml:"max_body_bytes"`
+	MaxHeaderBytes int           `toml:"max_header_bytes"`
+	LogLevel       string        `toml:"log_level"`
+}
+
+// Defaults of Settings.
+const (
+	defaultStoreTimeout   = unit.Duration(2 * time.Second)
+	defaultStopGrace      = unit.Duration(30 * time.Second)
+	defaultMaxHeaderBytes = 32 << 10
+)
+
+// Level implements settings.Checked.
+func (s *Settings) Level() string { return s.LogLevel }
+
+// Check implements settings.Checked.
+func (s *Settings) Check(text *tomlfile.Text) {
+	settings.RequireName(text, s.Instance, "instance")
+	settings.RequireName(text, s.Zone, "availability_zone")
+	settings.RequireAddress(text, s.Address, "address")
+	settings.RequireAddress(text, s.Link, "link")
+	settings.RequireAddress(text, s.Operator, "operator")
+	settings.RequireAddress(text, s.Platform, "platform")
+	if strings.Contains(s.Instance, ".") {
+		text.Add("must not contain a dot, which ends the owner of an idempotency key", "instance")
+	}
+	settings.CheckLogLevel(text, s.LogLevel)
+	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
+	settings.Default(&s.StopGrace, defaultStopGrace)
+	settings.Default(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,88 @@
+// Package platform reads the platform's list of instances. The list lags: it
+// gives identities and announces departures, and is never taken alone as proof
+// that an instance lives or has died.
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// PathInstances is the path of the list.
+const PathInstances = "/v1/instances"
+
+// State is an instance's state in the list.
+type State string
+
+// The states. Gone is never listed: such an instance is left out.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+	Gone    State = "gone"
+)
+
+// Instance is one entry instance of the list.
+type Instance struct {
+	ID   string `json:"id" toml:"id"`
+	Zone string `json:"availability_zone" toml:"availability_zone"`
+	// Address serves callers; Link serves the system's own processes.
+	Address string `json:"address" toml:"address"`
+	Link    string `json:"link" toml:"link"`
+	State   State  `json:"state" toml:"state"`
+}
+
+// UnavailableError reports a list that cannot be read.
+type UnavailableError struct{ Cause error }
+
+// Error implements the error interface.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("instance list is unavailable: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// StatusError reports an answer other than the list.
+type StatusError struct{ Status int }
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("instance list answered with status %d", e.Status)
+}
+
+// Client reads the list.
+type Client struct {
+	url     string
+	timeout time.Duration
+}
+
+// NewClient returns a client of the platform at address ("IP:port").
+func NewClient(address string, timeout time.Duration) *Client {
+	return &Client{url: "http://" + address + PathInstances, timeout: timeout}
+}
+
+// Instances returns the list, or an *UnavailableError.
+func (c *Client) Instances(ctx context.Context) ([]Instance, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return nil, &UnavailableError{Cause: &StatusError{Status: answer.StatusCode}}
+	}
+	var instances []Instance
+	if err := json.NewDecoder(answer.Body).Decode(&instances); err != nil {
+		return nil, &UnavailableError{Cause: err}
+	}
+	return instances, nil
+}
--- /dev/null
+++ b/internal/scenario/commands_test.go
@@ -0,0 +1,228 @@
+package scenario
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"sort"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// awaitLimit bounds a wait for an event.
+const awaitLimit = 60 * time.Second
+
+// awaitPause is the time between two looks.
+const awaitPause = 20 * time.Millisecond
+
+// callTimeout bounds one HTTP request.
+const callTimeout = 20 * time.Second
+
+// processesKey is the key of a script's processes.
+const processesKey = "processes"
+
+type processes struct {
+	mu      sync.Mutex
+	running map[string]*process
+}
+
+type process struct {
+	command *exec.Cmd
+	log     *os.File
+}
+
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, running := range p.running {
+		_ = running.command.Process.Kill()
+		_ = running.command.Wait()
+		_ = running.log.Close()
+	}
+}
+
+func (p *processes) take(ts *testscript.TestScript, name string, remove bool) *process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	running, found := p.running[name]
+	if !found {
+		ts.Fatalf("process %q is not running", name)
+	}
+	if remove {
+		delete(p.running, name)
+	}
+	return running
+}
+
+func processesOf(ts *testscript.TestScript) *processes {
+	return ts.Value(processesKey).(*processes)
+}
+
+// expand FILE... replaces $NAME in files by environment variables.
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, pattern := range args {
+		files, err := filepath.Glob(ts.MkAbs(pattern))
+		ts.Check(err)
+		for _, file := range files {
+			expanded := os.Expand(ts.ReadFile(file), ts.Getenv)
+			ts.Check(os.WriteFile(file, []byte(expanded), 0o600))
+		}
+	}
+}
+
+// start NAME PROGRAM SETTINGS starts a daemon; its log is NAME.log.
+func start(ts *testscript.TestScript, _ bool, args []string) {
+	if len(args) != 3 {
+		ts.Fatalf("usage: start NAME PROGRAM SETTINGS")
+	}
+	log, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	ts.Check(err)
+	command := exec.Command(filepath.Join(programs, args[1]), "--settings", ts.MkAbs(args[2]))
+	command.Stderr = log
+	ts.Check(command.Start())
+	p := processesOf(ts)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running[args[0]] = &process{command: command, log: log}
+}
+
+var signals = map[string]syscall.Signal{
+	"term": syscall.SIGTERM, "freeze": syscall.SIGSTOP, "resume": syscall.SIGCONT,
+}
+
+// signal NAME term|freeze|resume
+func signalProcess(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(processesOf(ts).take(ts, args[0], false).command.Process.Signal(signals[args[1]]))
+}
+
+// stop NAME asks a daemon to end and requires exit code 0.
+func stop(ts *testscript.TestScript, _ bool, args []string) {
+	running := processesOf(ts).take(ts, args[0], true)
+	ts.Check(running.command.Process.Signal(syscall.SIGTERM))
+	ts.Check(running.command.Wait())
+	ts.Check(running.log.Close())
+}
+
+// kill NAME ends a daemon without notice.
+func kill(ts *testscript.TestScript, _ bool, args []string) {
+	running := processesOf(ts).take(ts, args[0], true)
+	ts.Check(running.command.Process.Kill())
+	_ = running.command.Wait() // reports the kill
+	ts.Check(running.log.Close())
+}
+
+// [!] ctl ARGUMENT... runs lovagectl. Its output can be checked with stdout
+// and stderr. After "ctl -code N" the exit code must be N.
+func ctl(ts *testscript.TestScript, neg bool, args []string) {
+	err := ts.Exec(filepath.Join(programs, "lovagectl"), append([]string{"--platform", ts.Getenv("PLATFORM")}, args...)...)
+	if (err != nil) != neg {
+		ts.Fatalf("lovagectl %s: %v", strings.Join(args, " "), err)
+	}
+}
+
+// request sends METHOD URL [HEADER...] [@BODY] and returns the answer as text:
+// the status line, the sorted headers, an empty line and the body.
+func request(ts *testscript.TestScript, args []string) (string, error) {
+	if len(args) < 2 {
+		ts.Fatalf("usage: call METHOD URL [HEADER: VALUE]... [@BODY]")
+	}
+	var body string
+	header := make(http.Header)
+	for _, arg := range args[2:] {
+		if text, isBody := strings.CutPrefix(arg, "@"); isBody {
+			body = text
+			continue
+		}
+		name, value, _ := strings.Cut(arg, ": ")
+		header.Set(name, value)
+	}
+	r, err := http.NewRequest(args[0], "http://"+args[1], strings.NewReader(body))
+	ts.Check(err)
+	r.Header = header
+	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(r)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Body.Close()
+	var out bytes.Buffer
+	out.WriteString(answer.Status + "\n")
+	names := make([]string, 0, len(answer.Header))
+	for name := range answer.Header {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		out.WriteString(name + ": " + strings.Join(answer.Header[name], ", ") + "\n")
+	}
+	out.WriteString("\n")
+	_, err = io.Copy(&out, answer.Body)
+	return out.String(), err
+}
+
+// call METHOD URL [HEADER: VALUE]... [@BODY] prints the answer to stdout.
+func callOnce(ts *testscript.TestScript, neg bool, args []string) {
+	text, err := request(ts, args)
+	if (err != nil) != neg {
+		ts.Fatalf("call %s: %v", strings.Join(args, " "), err)
+	}
+	_, err = io.WriteString(ts.Stdout(), text)
+	ts.Check(err)
+}
+
+// await REGEXP METHOD URL ... repeats a call until its answer matches.
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	pattern, err := regexp.Compile("(?m)" + args[0])
+	ts.Check(err)
+	deadline := time.Now().Add(awaitLimit)
+	var text string
+	for {
+		text, err = request(ts, args[1:])
+		if err == nil && pattern.MatchString(text) {
+			_, err = io.WriteString(ts.Stdout(), text)
+			ts.Check(err)
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("await %q: last answer: %v\n%s", args[0], err, text)
+		}
+		time.Sleep(awaitPause)
+	}
+}
+
+// put URL JSON switches a fault of the stand-in.
+func put(ts *testscript.TestScript, _ bool, args []string) {
+	text, err := request(ts, []string{http.MethodPut, args[0], "@" + args[1]})
+	ts.Check(err)
+	if !strings.HasPrefix(text, "2") {
+		ts.Fatalf("put %s: %s", args[0], text)
+	}
+}
+
+// readenv NAME FILE sets a variable to a file's content without white space at
+// its ends.
+func readEnv(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Setenv(args[0], strings.TrimSpace(ts.ReadFile(args[1])))
+}
+
+// capture NAME REGEXP [FILE] sets a variable to the first group of the
+// expression in a file, by default the last output.
+func capture(ts *testscript.TestScript, _ bool, args []string) {
+	file := "stdout"
+	if len(args) == 3 {
+		file = args[2]
+	}
+	found := regexp.MustCompile("(?m)" + args[1]).FindStringSubmatch(ts.ReadFile(file))
+	if len(found) < 2 {
+		ts.Fatalf("capture: no match for %q", args[1])
+	}
+	ts.Setenv(args[0], found[1])
+}
--- /dev/null
+++ b/internal/settings/log.go
@@ -0,0 +1,26 @@
+package settings
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/tomlfile"
+)
+
+// CheckLogLevel adds a fault unless level is empty or a level of zerolog.
+func CheckLogLevel(text *tomlfile.Text, level string) {
+	if _, err := zerolog.ParseLevel(level); err != nil {
+		text.Addf([]string{"log_level"}, "%q is not a log level (example: \"info\")", level)
+	}
+}
+
+// NewLogger returns a logger that writes JSON lines to out. An empty level is
+// "info".
+func NewLogger(out io.Writer, level, program string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil || level == "" {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(out).Level(parsed).With().Timestamp().Str("program", program).Logger()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,80 @@
+// Package settings reads the static settings of the daemons from TOML. A
+// process learns its addresses and its availability zone from here only.
+// Settings are checked whole before anything starts; every fault names file,
+// line and key.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"lovagescale/internal/tomlfile"
+	"lovagescale/internal/unit"
+)
+
+// FileError reports a settings file that cannot be read.
+type FileError struct {
+	File  string
+	Cause error
+}
+
+// Error implements the error interface.
+func (e *FileError) Error() string {
+	return fmt.Sprintf("cannot read settings file %q: %v", e.File, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *FileError) Unwrap() error { return e.Cause }
+
+// Checked is implemented by the settings of each daemon.
+type Checked interface {
+	// Check adds each fault to the text.
+	Check(text *tomlfile.Text)
+	// Level returns the log level, "" for the default.
+	Level() string
+}
+
+// Load reads file into target and checks it. It returns a *FileError or
+// tomlfile.Problems.
+func Load(file string, target Checked) error {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return &FileError{File: file, Cause: err}
+	}
+	text, err := tomlfile.Decode(file, data, target)
+	if err != nil {
+		return err
+	}
+	target.Check(text)
+	return text.Err()
+}
+
+// RequireAddress adds a fault unless value is an IP address with a port.
+func RequireAddress(text *tomlfile.Text, value string, path ...string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		text.Addf(path, "%q is not an IP address with a port (example: \"127.0.0.1:8080\")", value)
+	}
+}
+
+// RequireName adds a fault if value is empty.
+func RequireName(text *tomlfile.Text, value string, path ...string) {
+	if value == "" {
+		text.Add("must be set", path...)
+	}
+}
+
+// RequirePositive adds a fault unless the duration is above 0.
+func RequirePositive(text *tomlfile.Text, value unit.Duration, path ...string) {
+	if value <= 0 {
+		text.Add("must be above 0", path...)
+	}
+}
+
+// Default sets value to fallback if it is 0.
+func Default[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"lovagescale/internal/platform"
+)
+
+// ListFaults switches the faults of the instance list.
+type ListFaults struct {
+	Down bool `json:"down"`
+	// LagMillis is the age of what the list shows.
+	LagMillis int64 `json:"lag_ms"`
+}
+
+// List is the stand-in of the platform's lagging list of instances.
+type List struct {
+	now func() time.Time
+
+	mu       sync.Mutex
+	faults   ListFaults
+	versions []listVersion
+}
+
+type listVersion struct {
+	since     time.Time
+	instances map[string]platform.Instance
+}
+
+// NewList returns a list that holds the given instances.
+func NewList(now func() time.Time, instances []platform.Instance) *List {
+	first := listVersion{instances: make(map[string]platform.Instance)}
+	for _, instance := range instances {
+		first.instances[instance.ID] = instance
+	}
+	return &List{now: now, versions: []listVersion{first}}
+}
+
+// SetFaults replaces the faults.
+func (l *List) SetFaults(faults ListFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = faults
+}
+
+// Put replaces an instance by its identifier; one in state "gone" is removed.
+func (l *List) Put(instance platform.Instance) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	latest := l.versions[len(l.versions)-1]
+	next := listVersion{since: l.now(), instances: maps.Clone(latest.instances)}
+	if instance.State == platform.Gone {
+		delete(next.instances, instance.ID)
+	} else {
+		next.instances[instance.ID] = instance
+	}
+	l.versions = append(l.versions, next)
+}
+
+// ServeHTTP answers with the list as it was before the lag.
+func (l *List) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	l.mu.Lock()
+	down := l.faults.Down
+	shownAt := l.now().Add(-time.Duration(l.faults.LagMillis) * time.Millisecond)
+	shown := l.versions[0]
+	for _, version := range l.versions {
+		if !version.since.After(shownAt) {
+			shown = version
+		}
+	}
+	l.mu.Unlock()
+	if down {
+		http.Error(w, "instance list is down", http.StatusServiceUnavailable)
+		return
+	}
+	instances := make([]platform.Instance, 0, len(shown.instances))
+	for _, id := range slices.Sorted(maps.Keys(shown.instances)) {
+		instances = append(instances, shown.instances[id])
+	}
+	writeJSON(w, http.StatusOK, instances)
+}
+
+func (l *List) putHandler(w http.ResponseWriter, r *http.Request) {
+	var instance platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Put(instance)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,140 @@
+// Package store is the client side of the platform's key-value service:
+// compare-and-set, leases and watches. Its HTTP binding is in http.go; every
+// other package uses the Client interface, so that a platform with another
+// protocol needs one new file here.
+//
+// Revisions are those of the whole store: each write that takes effect raises
+// the revision by one, and an entry remembers the revision that wrote it. A
+// key that does not exist has revision 0.
+//
+// A call whose reply is lost may have taken effect. The client reports that
+// as *OutcomeUnknownError and never repeats a write by itself.
+package store
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// Entry is one key with its value.
+type Entry struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value"`
+	Revision uint64 `json:"revision"`
+	// Lease is the lease the entry lives under, or "".
+	Lease LeaseID `json:"lease,omitempty"`
+}
+
+// LeaseID identifies a lease.
+type LeaseID string
+
+// Write is a conditional write of one key.
+type Write struct {
+	Key   string
+	Value []byte
+	// Expect is the revision that the key must have; 0 creates it.
+	Expect uint64
+	// Lease removes the key when it lapses. It may be empty.
+	Lease LeaseID
+}
+
+// Client is the platform's key-value service.
+type Client interface {
+	// Get returns the entry, or a *NotFoundError.
+	Get(ctx context.Context, key string) (Entry, error)
+	// List returns the entries whose key starts with prefix, ordered by key.
+	List(ctx context.Context, prefix string) ([]Entry, error)
+	// CompareAndSet writes the key if it has the expected revision and returns
+	// the new revision. It returns *ConflictError when it has another one,
+	// *UnavailableError when the write did not take effect and
+	// *OutcomeUnknownError when it may have.
+	CompareAndSet(ctx context.Context, write Write) (uint64, error)
+	// Watch waits until the key has a revision above after, and returns its
+	// entry. It returns a *NotChangedError when the wait ends without one.
+	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error)
+	// Grant creates a lease that lapses when it is not renewed for ttl.
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// Renew extends the lease by its ttl, or returns a *LeaseLapsedError.
+	Renew(ctx context.Context, lease LeaseID) error
+}
+
+// NotFoundError reports a key that does not exist.
+type NotFoundError struct{ Key string }
+
+// Error implements the error interface.
+func (e *NotFoundError) Error() string {
+	return fmt.Sprintf("key %q does not exist in the store", e.Key)
+}
+
+// NotChangedError reports a watch that ended without a change.
+type NotChangedError struct {
+	Key   string
+	After uint64
+}
+
+// Error implements the error interface.
+func (e *NotChangedError) Error() string {
+	return fmt.Sprintf("key %q has no revision above %d in the store", e.Key, e.After)
+}
+
+// ConflictError reports a conditional write that found another revision.
+type ConflictError struct {
+	Key    string
+	Expect uint64
+	Found  uint64
+}
+
+// Error implements the error interface.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("key %q has revision %d in the store, not the expected %d", e.Key, e.Found, e.Expect)
+}
+
+// LeaseLapsedError reports a lease that no longer exists.
+type LeaseLapsedError struct{ Lease LeaseID }
+
+// Error implements the error interface.
+func (e *LeaseLapsedError) Error() string {
+	return fmt.Sprintf("lease %q has lapsed", e.Lease)
+}
+
+// UnavailableError reports a call that had no effect because the store could
+// not be reached or refused it.
+type UnavailableError struct {
+	Operation string
+	Cause     error
+}
+
+// Error implements the error interface.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("store is unavailable for %q: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// OutcomeUnknownError reports a write whose reply was lost; it may have taken
+// effect.
+type OutcomeUnknownError struct {
+	Operation string
+	Cause     error
+}
+
+// Error implements the error interface.
+func (e *OutcomeUnknownError) Error() string {
+	return fmt.Sprintf("store may have carried out %q, its reply was lost: %v", e.Operation, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
+// StatusError reports an answer that the HTTP binding does not define.
+type StatusError struct {
+	Status int
+	Body   string
+}
+
+// Error implements the error interface.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("store answered with status %d: %s", e.Status, e.Body)
+}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,222 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Headers and paths that upstreams may use.
+const (
+	HeaderRequestID = "Lovage-Request-Id"
+	HeaderWorkspace = "Lovage-Workspace"
+	HeaderOutcome   = "Lovage-Upstream-Outcome"
+	HeaderDraining  = "Lovage-Upstream-Draining"
+	OutcomeNotRun   = "not-run"
+	PathHealth      = "/lovage/health"
+)
+
+// MaxAnswerBytes bounds the body of an answer.
+const MaxAnswerBytes = 8 << 20
+
+// Report is what an upstream says of its health and load. It lags or misleads
+// and only ever lowers trust.
+type Report struct {
+	Healthy  bool `json:"healthy"`
+	InFlight int  `json:"in_flight"`
+	Draining bool `json:"draining"`
+}
+
+// Phase is a step of an exchange.
+type Phase string
+
+// The phases of an exchange.
+const (
+	PhaseDial   Phase = "dial"
+	PhaseWrite  Phase = "write"
+	PhaseRead   Phase = "read"
+	PhaseVerify Phase = "verify"
+)
+
+// ExchangeError reports an exchange without a whole answer.
+type ExchangeError struct {
+	Endpoint string
+	Phase    Phase
+	// Reused is true when the connection had carried another request.
+	Reused bool
+	Cause  error
+}
+
+// Error implements the error interface.
+func (e *ExchangeError) Error() string {
+	return fmt.Sprintf("exchange with endpoint %q failed at %s: %v", e.Endpoint, e.Phase, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ExchangeError) Unwrap() error { return e.Cause }
+
+// MayHaveRun reports whether the upstream can have begun the request.
+func (e *ExchangeError) MayHaveRun() bool { return e.Phase != PhaseDial }
+
+// MismatchError reports an answer that belongs to another request.
+type MismatchError struct{ Want, Found string }
+
+// Error implements the error interface.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("answer belongs to request %q, not %q", e.Found, e.Want)
+}
+
+// AnswerTooLargeError reports an answer above MaxAnswerBytes.
+type AnswerTooLargeError struct{ Limit int }
+
+// Error implements the error interface.
+func (e *AnswerTooLargeError) Error() string {
+	return fmt.Sprintf("answer is above the limit of %d bytes", e.Limit)
+}
+
+// Request is one request to an upstream. Its body is held whole, so that a
+// lookup can be tried again.
+type Request struct {
+	ID     string
+	Method string
+	// Target is the path with its query.
+	Target string
+	Header http.Header
+	Body   []byte
+	// Fresh asks for a new connection.
+	Fresh bool
+}
+
+// Answer is one whole answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// NotRun reports whether the upstream refused the request before work.
+func (a *Answer) NotRun() bool { return a.Header.Get(HeaderOutcome) == OutcomeNotRun }
+
+// Draining reports whether the upstream announced that it leaves.
+func (a *Answer) Draining() bool { return a.Header.Get(HeaderDraining) == "true" }
+
+// Pool holds the idle connections to one endpoint.
+type Pool struct {
+	address string
+	maxIdle int
+
+	mu   sync.Mutex
+	idle []*connection
+}
+
+type connection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+	reused bool
+}
+
+// NewPool returns a pool for the endpoint that keeps at most maxIdle idle
+// connections.
+func NewPool(address string, maxIdle int) *Pool {
+	return &Pool{address: address, maxIdle: maxIdle}
+}
+
+// Close closes the idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.idle {
+		_ = c.conn.Close()
+	}
+	p.idle = nil
+}
+
+// Exchange sends the request and returns its whole answer by the deadline of
+// ctx. When ctx ends the connection is closed, which cancels the request at
+// the upstream. It returns an *ExchangeError.
+func (p *Pool) Exchange(ctx context.Context, request *Request) (*Answer, error) {
+	c, err := p.take(ctx, request.Fresh)
+	if err != nil {
+		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
+	}
+	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
+	answer, keep, phase, err := exchange(c, p.address, request)
+	if !stop() {
+		keep = false
+	}
+	if err != nil || !keep {
+		_ = c.conn.Close()
+	} else {
+		p.put(c)
+	}
+	if err != nil {
+		return nil, &ExchangeError{Endpoint: p.address, Phase: phase, Reused: c.reused, Cause: err}
+	}
+	return answer, nil
+}
+
+func (p *Pool) take(ctx context.Context, fresh bool) (*connection, error) {
+	if !fresh {
+		p.mu.Lock()
+		if n := len(p.idle); n > 0 {
+			c := p.idle[n-1]
+			p.idle = p.idle[:n-1]
+			p.mu.Unlock()
+			c.reused = true
+			return c, nil
+		}
+		p.mu.Unlock()
+	}
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+func (p *Pool) put(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) >= p.maxIdle {
+		_ = c.conn.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+func exchange(c *connection, address string, request *Request) (answer *Answer, keep bool, phase Phase, err error) {
+	outgoing, err := http.NewRequest(request.Method, "http://"+address+request.Target, bytes.NewReader(request.Body))
+	if err != nil {
+		return nil, false, PhaseDial, err
+	}
+	outgoing.Header = request.Header.Clone()
+	outgoing.Header.Set(HeaderRequestID, request.ID)
+	if err := outgoing.Write(c.conn); err != nil {
+		return nil, false, PhaseWrite, err
+	}
+	incoming, err := http.ReadResponse(c.reader, outgoing)
+	if err != nil {
+		return nil, false, PhaseRead, err
+	}
+	defer incoming.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(incoming.Body, MaxAnswerBytes+1))
+	if err != nil {
+		return nil, false, PhaseRead, err
+	}
+	if len(body) > MaxAnswerBytes {
+		return nil, false, PhaseVerify, &AnswerTooLargeError{Limit: MaxAnswerBytes}
+	}
+	if found := incoming.Header.Get(HeaderRequestID); found != "" && found != request.ID {
+		return nil, false, PhaseVerify, &MismatchError{Want: request.ID, Found: found}
+	}
+	whole := incoming.ContentLength >= 0 || len(incoming.TransferEncoding) > 0
+	keep = whole && !incoming.Close && c.reader.Buffered() == 0
+	return &Answer{Status: incoming.StatusCode, Header: incoming.Header, Body: body}, keep, "", nil
+}
