Link entries to one another and make their network cuttable in tests

Entries ask the listed instances who they are and can hand a call over a link. Programs built with the tag faults can be cut off from addresses, so that scenarios can part availability zones; other builds have no such switch.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,7 @@
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/control"
 	"lovagescale/internal/gateway"
+	"lovagescale/internal/handover"
 	"lovagescale/internal/link"
 	"lovagescale/internal/lookup"
 	"lovagescale/internal/membership"
@@ -46,6 +47,7 @@
 	store    store.Client
 	list     *platform.Client
 
+	peers    *link.Peers
 	loop     *control.Loop
 	self     membership.Member
 	view     atomic.Pointer[membership.View]
@@ -70,6 +72,7 @@
 		registry: metrics.NewRegistry(),
 		store:    store.NewHTTPClient(s.Platform, "entry", s.StoreTimeout.Std()),
 		list:     platform.NewClient(s.Platform, s.StoreTimeout.Std()),
+		peers:    link.NewPeers(),
 		loop:     control.NewLoop("entry"),
 		chunks:   make(configuration.Chunks),
 		self: membership.Member{
@@ -123,12 +126,15 @@
 	defer stopBackground()
 	links := link.NewServer(e.log, e.registry)
 	links.HandleStream(lookup.TypeFollow, e.follow)
+	links.Handle(typeHello, e.hello)
+	links.Handle(handover.TypeCall, handover.Handler(call.StageFunc(e.dispatch)))
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
 	group.Go(func() error { e.watchConfiguration(background); return nil })
+	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
 		return e.serveCallers(ctx, listeners.callers)
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lovagescale/internal/dialer"
 	"lovagescale/internal/wire"
 )
 
@@ -124,8 +125,7 @@
 	if c.session != nil && c.session.alive() {
 		return c.session, c.nextID, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.peer)
+	conn, err := dial(ctx, c.peer)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -134,6 +134,12 @@
 	return c.session, c.nextID, nil
 }
 
+func dial(ctx context.Context, peer string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return dialer.DialContext(ctx, peer)
+}
+
 func (s *session) alive() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -196,8 +202,7 @@
 // that comes back to receive, until either returns an error or ctx ends. A
 // peer that is silent for longer than silence ends the stream.
 func Stream(ctx context.Context, peer, messageType string, request any, silence time.Duration, receive func(wire.Envelope) error) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", peer)
+	conn, err := dial(ctx, peer)
 	if err != nil {
 		return &UnreachableError{Peer: peer, Cause: err}
 	}
--- /dev/null
+++ b/internal/link/peers.go
@@ -0,0 +1,41 @@
+package link
+
+import "sync"
+
+// Peers holds one client for each peer address.
+type Peers struct {
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewPeers returns an empty set.
+func NewPeers() *Peers { return &Peers{clients: make(map[string]*Client)} }
+
+// Client returns the client of the peer's link address.
+func (p *Peers) Client(peer string) *Client {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	client, found := p.clients[peer]
+	if !found {
+		client = NewClient(peer)
+		p.clients[peer] = client
+	}
+	return client
+}
+
+// Keep closes and forgets the clients of all other peers.
+func (p *Peers) Keep(peers []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := make(map[string]*Client, len(peers))
+	for _, peer := range peers {
+		if client, found := p.clients[peer]; found {
+			kept[peer] = client
+			delete(p.clients, peer)
+		}
+	}
+	for _, client := range p.clients {
+		client.Close()
+	}
+	p.clients = kept
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,8 @@
 
 	"github.com/kataras/iris/v12"
 	"github.com/rcrowley/go-metrics"
+
+	"lovagescale/internal/dialer"
 )
 
 // readHeaderTimeout bounds a slow reader of the operators' port.
@@ -64,6 +66,9 @@
 		ctx.ContentType("application/json")
 		metrics.WriteJSONOnce(registry, ctx.ResponseWriter())
 	})
+	if faults := dialer.FaultHandler(); faults != nil {
+		app.Put("/faults/network", iris.FromStd(faults))
+	}
 	if extend != nil {
 		extend(app)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"net/http"
 	"time"
+
+	"lovagescale/internal/dialer"
 )
 
 // PathInstances is the path of the list.
@@ -57,11 +59,16 @@
 type Client struct {
 	url     string
 	timeout time.Duration
+	http    *http.Client
 }
 
 // NewClient returns a client of the platform at address ("IP:port").
 func NewClient(address string, timeout time.Duration) *Client {
-	return &Client{url: "http://" + address + PathInstances, timeout: timeout}
+	return &Client{
+		url:     "http://" + address + PathInstances,
+		timeout: timeout,
+		http:    &http.Client{Transport: dialer.NewTransport(1)},
+	}
 }
 
 // Instances returns the list, or an *UnavailableError.
@@ -72,7 +79,7 @@
 	if err != nil {
 		return nil, &UnavailableError{Cause: err}
 	}
-	answer, err := http.DefaultClient.Do(request)
+	answer, err := c.http.Do(request)
 	if err != nil {
 		return nil, &UnavailableError{Cause: err}
 	}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -64,6 +64,7 @@
 	NotConfigured       Kind = "not-configured"
 	Stopping            Kind = "stopping"
 	Quarantined         Kind = "quarantined"
+	PeerFailed          Kind = "peer-failed"
 	Isolated            Kind = "isolated"
 )
 
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -36,7 +36,7 @@
 	}
 	defer os.RemoveAll(directory)
 	programs = directory
-	build := exec.Command("go", "build", "-o", directory, "lovagescale/cmd/...")
+	build := exec.Command("go", "build", "-tags", "faults", "-o", directory, "lovagescale/cmd/...")
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", output, err)
 		return 1
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"github.com/pkg/errors"
+
 	"io"
+	"lovagescale/internal/dialer"
 	"net"
 	"net/http"
 	"net/url"
@@ -27,6 +29,9 @@
 // maxAnswerBytes bounds an answer: a megabyte of value in base64 and framing.
 const maxAnswerBytes = 64 << 20
 
+// maxIdleConnections bounds the idle connections to the store.
+const maxIdleConnections = 8
+
 // watchMargin is added to a watch's wait before the client gives up on it.
 const watchMargin = 2 * time.Second
 
@@ -61,7 +66,7 @@
 		base:    "http://" + address,
 		caller:  caller,
 		timeout: timeout,
-		http:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}},
+		http:    &http.Client{Transport: dialer.NewTransport(maxIdleConnections)},
 	}
 }
 
