Divide each workspace's rate and burst over the entries without excess

Cause: an entry admitted every request of a known workspace; there was no limit stage.

Change: package quota holds the decision core. A quota is a token bucket that is only divided, into reserved shares of the zones and shares of owners. Grants are debited before they are sent and expire first at their holder. A part that changes hands issues nothing until the former grants have expired.

A random walk over cores, a store and a network compares every admission with one true bucket and the tokens in existence with the burst. It found two faults that are mended here: a plan whose reply came after a release or a later plan gave a share back, and a process that resumed after it had left the list took shares again.

--- /dev/null
+++ b/internal/quota/borrow.go
@@ -0,0 +1,364 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Pauses before an issuer that granted less than was asked is asked again.
+const (
+	ownerPause   = 40 * time.Millisecond
+	siblingPause = 200 * time.Millisecond
+	// lostPause follows an ask without an answer.
+	lostPause = time.Second
+)
+
+// shortTime is how long owners count as short after a grant below the ask.
+const shortTime = time.Second
+
+// idleTime is how long an issuer is remembered of which nothing is held.
+const idleTime = 5 * time.Second
+
+// neverRetry is the retry time of a request for which no token can exist until
+// shares change hands.
+const neverRetry = time.Minute
+
+// Request asks for one token. It is admitted, refused or made to wait while
+// tokens are borrowed; the decision is drained.
+func (c *Core) Request(now time.Time, workspace string, id uint64, deadline time.Time) {
+	c.touch(now)
+	s, known := c.spaces[workspace]
+	if !known {
+		c.decisions = append(c.decisions, Decision{ID: id})
+		return
+	}
+	s.queue = append(s.queue, waiter{id: id, deadline: deadline})
+	if len(s.queue) == 1 && now.Before(s.refuseUntil) && s.available(now) < Token {
+		c.refuseAll(s, c.retryAfter(now, s))
+		return
+	}
+	c.settle(now, s)
+}
+
+// Take admits or refuses a request at once.
+func (c *Core) Take(now time.Time, workspace string) bool {
+	c.touch(now)
+	s, known := c.spaces[workspace]
+	if !known {
+		return false
+	}
+	s.attempts++
+	if s.available(now) < Token {
+		return false
+	}
+	s.spend(now, Token)
+	return true
+}
+
+// settle admits waiting requests, borrows for the rest and refuses them when
+// nothing is left to ask.
+func (c *Core) settle(now time.Time, s *space) {
+	for len(s.queue) > 0 && s.available(now) >= Token {
+		s.spend(now, Token)
+		c.decisions = append(c.decisions, Decision{ID: s.queue[0].id, Admitted: true})
+		s.queue = s.queue[1:]
+	}
+	if len(s.queue) == 0 {
+		return
+	}
+	want := Units(len(s.queue))*Token + units(s.demand*c.options.Horizon.Seconds())
+	asked := c.askOwners(now, s, want)
+	if !asked && !s.pending(true) {
+		asked = c.askSiblings(now, s, want)
+	}
+	if asked || s.pending(false) {
+		c.refuseLate(now, s)
+		return
+	}
+	s.refuseUntil = now.Add(refuseTime)
+	c.refuseAll(s, c.retryAfter(now, s))
+}
+
+// refuseLate refuses the requests that are past their deadline or too many.
+func (c *Core) refuseLate(now time.Time, s *space) {
+	kept := s.queue[:0]
+	for i, w := range s.queue {
+		if now.Before(w.deadline) && i < maxQueue {
+			kept = append(kept, w)
+			continue
+		}
+		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: c.retryAfter(now, s)})
+	}
+	s.queue = kept
+}
+
+// pending reports whether an ask is on its way, to any issuer or to owners.
+func (s *space) pending(ownersOnly bool) bool {
+	for _, src := range s.sources {
+		if src.pending && (!ownersOnly || src.part != reservedPart) {
+			return true
+		}
+	}
+	return false
+}
+
+// askOwners asks the owners of the workspace's shares and reports whether it
+// asked any.
+func (c *Core) askOwners(now time.Time, s *space, want Units) bool {
+	asked := false
+	for _, part := range partsOf(s.name) {
+		if _, own := c.shares[part]; own {
+			continue
+		}
+		owner := c.ownerOf(part)
+		if owner == "" {
+			continue
+		}
+		asked = c.ask(now, s, owner, part, want/sharesPerWorkspace+Token) || asked
+	}
+	return asked
+}
+
+// askSiblings asks other entries for tokens of their reserved shares: those of
+// the own zone first, the rest in turn.
+func (c *Core) askSiblings(now time.Time, s *space, want Units) bool {
+	asked := 0
+	for i := range c.peers {
+		if asked == c.options.Fanout {
+			break
+		}
+		peer := c.peers[(c.next+i)%len(c.peers)]
+		if c.ask(now, s, peer.Incarnation, reservedPart, want/2+Token) {
+			asked++
+		}
+	}
+	c.next += asked
+	return asked > 0
+}
+
+func (c *Core) ask(now time.Time, s *space, issuer string, part int, want Units) bool {
+	src := s.source(issuer, part)
+	if src == nil {
+		src = &source{issuer: issuer, part: part}
+		s.sources = append(s.sources, src)
+	}
+	if src.pending || now.Before(src.retryAt) {
+		return false
+	}
+	c.sequence++
+	c.asks = append(c.asks, Outgoing{To: issuer, Ask: src.ask(now, s.name, c.sequence, want)})
+	return true
+}
+
+// Serve answers the asks of a holder.
+func (c *Core) Serve(now time.Time, holder string, asks []Ask) []Grant {
+	c.touch(now)
+	grants := make([]Grant, 0, len(asks))
+	for _, ask := range asks {
+		grants = append(grants, c.serve(now, holder, ask))
+	}
+	return grants
+}
+
+func (c *Core) serve(now time.Time, holder string, ask Ask) Grant {
+	g := Grant{Workspace: ask.Workspace, Part: ask.Part, Sequence: ask.Sequence}
+	if ask.Part >= 0 && ask.Part < ownerShares {
+		g.Owner = c.owners[ask.Part]
+	}
+	s, known := c.spaces[ask.Workspace]
+	if !known || c.released || ask.Held < 0 || ask.Want < 0 {
+		return g
+	}
+	b := s.owned[ask.Part]
+	if ask.Part == reservedPart {
+		b = s.reserved
+	}
+	if b == nil {
+		return g
+	}
+	g.Issues = true
+	level := b.level
+	g.Amount = b.grant(now, holder, ask, c.options.GrantTTL)
+	if c.creditBeforeDebit {
+		b.level = max(0, level-b.unpaid)
+		b.unpaid = g.Amount
+	}
+	return g
+}
+
+// Granted takes the answers of an issuer.
+func (c *Core) Granted(now time.Time, issuer string, grants []Grant) {
+	c.touch(now)
+	for _, g := range grants {
+		s, known := c.spaces[g.Workspace]
+		if !known {
+			continue
+		}
+		src := s.source(issuer, g.Part)
+		if src == nil {
+			continue
+		}
+		if c.leaseFromReply && src.pending {
+			src.askedAt = now
+		}
+		if !src.credit(now, g, c.options.GrantTTL) {
+			continue
+		}
+		c.heard(now, s, src, g)
+		c.settle(now, s)
+	}
+}
+
+// heard notes how well an issuer could serve.
+func (c *Core) heard(now time.Time, s *space, src *source, g Grant) {
+	if g.Part >= 0 && g.Part < ownerShares && !g.Issues && g.Owner != "" {
+		c.owners[g.Part] = g.Owner
+	}
+	if g.Issues && g.Amount >= src.want {
+		src.retryAt = now
+		return
+	}
+	src.retryAt = now.Add(siblingPause)
+	if g.Part == reservedPart {
+		return
+	}
+	s.ownersShortAt = now
+	if g.Issues {
+		src.retryAt = now.Add(ownerPause)
+	}
+}
+
+// Lost reports asks that got no answer.
+func (c *Core) Lost(now time.Time, issuer string, asks []Ask) {
+	c.touch(now)
+	for _, ask := range asks {
+		s, known := c.spaces[ask.Workspace]
+		if !known {
+			continue
+		}
+		src := s.source(issuer, ask.Part)
+		if src == nil || src.sequence != ask.Sequence || !src.pending {
+			continue
+		}
+		src.pending = false
+		src.retryAt = now.Add(lostPause)
+		s.ownersShortAt = now
+		c.settle(now, s)
+	}
+}
+
+// Tick measures demand, gives up on asks without an answer and borrows ahead
+// of demand.
+func (c *Core) Tick(now time.Time, elapsed time.Duration) {
+	c.touch(now)
+	weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
+	for _, name := range sortedNames(c.spaces) {
+		s := c.spaces[name]
+		c.configureReserved(now, s)
+		s.demand += weight * (float64(s.attempts)/elapsed.Seconds() - s.demand)
+		if s.attempts > 0 {
+			s.usedAt = now
+		}
+		s.attempts = 0
+		c.tickSpace(now, s)
+	}
+}
+
+func (c *Core) tickSpace(now time.Time, s *space) {
+	for _, src := range s.sources {
+		if src.pending && now.Sub(src.askedAt) >= c.options.AskTimeout {
+			src.pending = false
+			src.retryAt = now.Add(lostPause)
+			s.ownersShortAt = now
+		}
+	}
+	s.sources = slices.DeleteFunc(s.sources, func(src *source) bool {
+		return !src.pending && src.held(now) == 0 && now.Sub(src.askedAt) > idleTime
+	})
+	c.settle(now, s)
+	c.refuseLate(now, s)
+	if s.demand < 1/c.options.GrantTTL.Seconds() {
+		return
+	}
+	target := units(min(s.demand, s.limit.Rate)*c.options.Horizon.Seconds()) + 2*Token
+	have := s.available(now)
+	if have >= target {
+		return
+	}
+	c.askOwners(now, s, target-have)
+	if now.Sub(s.ownersShortAt) < shortTime {
+		c.askSiblings(now, s, target-have)
+	}
+}
+
+// ownerOf returns the incarnation to ask for an owner share, or "".
+func (c *Core) ownerOf(part int) string {
+	if known := c.owners[part]; known != "" && c.reachable(known) {
+		return known
+	}
+	chosen := c.chosenOwner(part)
+	if chosen == c.self.Instance {
+		return ""
+	}
+	i := slices.IndexFunc(c.peers, func(p Peer) bool { return p.Instance == chosen })
+	return c.peers[i].Incarnation
+}
+
+// retryAfter returns the time until the parts that can be reached have created
+// the tokens for one request.
+func (c *Core) retryAfter(now time.Time, s *space) time.Duration {
+	var rate float64
+	var capacity Units
+	add := func(b *bucket) {
+		rate += b.rate
+		capacity += b.capacity
+	}
+	for _, b := range s.buckets() {
+		add(b)
+	}
+	for _, src := range s.sources {
+		if src.part != reservedPart && now.Sub(src.askedAt) < shortTime && c.reachable(src.issuer) {
+			rate += s.limit.Rate * (1 - c.options.Reserved) / sharesPerWorkspace
+			capacity += units(s.limit.Burst * (1 - c.options.Reserved) / sharesPerWorkspace)
+		}
+	}
+	missing := Token - s.available(now)
+	if rate == 0 || capacity < Token {
+		return neverRetry
+	}
+	return max(time.Millisecond, time.Duration(float64(missing)/float64(Token)/rate*float64(time.Second)))
+}
+
+// CheckOut lends all tokens of a workspace to the request path until expiresAt.
+func (c *Core) CheckOut(now time.Time, workspace string) (amount Units, expiresAt, refuseUntil time.Time, retryAfter time.Duration) {
+	c.touch(now)
+	s := c.spaces[workspace]
+	amount = s.available(now)
+	s.checkedOut = amount
+	expiresAt = now.Add(c.options.PauseLimit)
+	for _, src := range s.sources {
+		if src.tokens > 0 && src.expiresAt.Before(expiresAt) {
+			expiresAt = src.expiresAt
+		}
+	}
+	for part := range s.owned {
+		if until := c.shares[part].until; until.Before(expiresAt) {
+			expiresAt = until
+		}
+	}
+	return amount, expiresAt, s.refuseUntil, c.retryAfter(now, s)
+}
+
+// CheckIn takes back what the request path has left of its tokens and the
+// number of requests that it saw.
+func (c *Core) CheckIn(now time.Time, workspace string, left Units, attempts int) {
+	s, known := c.spaces[workspace]
+	if !known {
+		return
+	}
+	s.available(now)
+	s.spend(now, s.checkedOut-max(0, left))
+	s.checkedOut = 0
+	s.attempts += attempts
+}
--- /dev/null
+++ b/internal/quota/claims.go
@@ -0,0 +1,391 @@
+package quota
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// claims is what an entry has seen in the store of shares that others hold.
+type claims struct {
+	// wanted is true while the zone's record should be read again.
+	wanted bool
+	// zonePlan and ownerPlan number the last plans; earlier ones are void.
+	zonePlan  int
+	ownerPlan int
+	virgin    map[int]bool
+	ceding    map[int]CedeRequest
+	slots     map[int]sighting
+	shares    map[int]sighting
+}
+
+// sighting is a record of a holder and since when it has not changed.
+type sighting struct {
+	incarnation string
+	beat        uint64
+	since       time.Time
+}
+
+func newClaims() claims {
+	return claims{
+		wanted: true,
+		virgin: make(map[int]bool),
+		ceding: make(map[int]CedeRequest),
+		slots:  make(map[int]sighting),
+		shares: make(map[int]sighting),
+	}
+}
+
+// look notes a record and returns how long it has not changed.
+func look(seen map[int]sighting, i int, now time.Time, incarnation string, beat uint64) time.Duration {
+	last, known := seen[i]
+	if !known || last.incarnation != incarnation || last.beat != beat {
+		seen[i] = sighting{incarnation: incarnation, beat: beat, since: now}
+		return 0
+	}
+	return now.Sub(last.since)
+}
+
+// Listed is the platform's list of instances, nil when it is not known.
+type Listed map[string]bool
+
+// ended reports whether the holder of a share has ended: its instance has left
+// the platform's list, or it was an earlier process of this instance.
+func (c *Core) ended(listed Listed, instance string) bool {
+	if instance == c.self.Instance {
+		return true
+	}
+	return listed != nil && !listed[instance]
+}
+
+// ZonePlan is a change of a zone's record that the caller must write, and then
+// report with ZoneStored.
+type ZonePlan struct {
+	Record ZoneRecord
+	Write  bool
+	readAt time.Time
+	number int
+}
+
+// WantsZone reports whether the zone's record should be read now, rather than
+// at the next interval.
+func (c *Core) WantsZone() bool { return c.claims.wanted }
+
+// LeadsZone reports whether this entry renews the record for its zone.
+func (c *Core) LeadsZone() bool {
+	for _, p := range c.peers {
+		if p.Zone == c.self.Zone && p.Instance < c.self.Instance {
+			return false
+		}
+	}
+	return true
+}
+
+// PlanZone decides the next record of the zone. The record was read by a call
+// sent at readAt; live names the incarnations that are reachable.
+func (c *Core) PlanZone(now, readAt time.Time, record ZoneRecord, listed Listed) ZonePlan {
+	c.touch(now)
+	c.seeList(now, listed)
+	c.claims.zonePlan++
+	plan := ZonePlan{readAt: readAt, number: c.claims.zonePlan, Record: ZoneRecord{Slots: make([]Slot, slotsPerZone)}}
+	copy(plan.Record.Slots, record.Slots)
+	leads := c.LeadsZone()
+	for i := range plan.Record.Slots {
+		before := plan.Record.Slots[i]
+		c.planSlot(now, i, &plan.Record.Slots[i], listed, leads)
+		plan.Write = plan.Write || before != plan.Record.Slots[i]
+	}
+	return plan
+}
+
+func (c *Core) planSlot(now time.Time, i int, slot *Slot, listed Listed, leads bool) {
+	unchanged := look(c.claims.slots, i, now, slot.Incarnation, slot.Beat)
+	mine := slot.Incarnation == c.self.Incarnation
+	to, ceding := c.claims.ceding[i]
+	switch {
+	case mine && c.retired():
+		*slot = Slot{Beat: slot.Beat + 1, Divisor: slot.Divisor}
+	case c.retired():
+	case mine && ceding:
+		*slot = Slot{Incarnation: to.Incarnation, Instance: to.Instance, Beat: slot.Beat + 1, Divisor: slot.Divisor}
+	case mine:
+		slot.Divisor = max(slot.Divisor, c.limits.Zones)
+		if leads {
+			slot.Beat++
+		}
+	case slot.Beat == 0 && c.limits.Zones > 0:
+		c.claims.virgin[i] = true
+		*slot = Slot{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Beat: 1, Divisor: c.limits.Zones}
+	case slot.Beat == 0:
+	case slot.Incarnation == "":
+		*slot = Slot{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Beat: slot.Beat + 1, Divisor: slot.Divisor}
+	case c.ended(listed, slot.Instance):
+		if unchanged >= widened(c.options.PauseLimit) {
+			*slot = Slot{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Beat: slot.Beat + 1, Divisor: slot.Divisor}
+		}
+	case leads && c.reachable(slot.Incarnation):
+		slot.Beat++
+	}
+}
+
+// ZoneStored takes the record that the store is known to have held since the
+// plan's read, or by its write. It ignores all but the last plan.
+func (c *Core) ZoneStored(now time.Time, plan ZonePlan) {
+	c.touch(now)
+	if plan.number != c.claims.zonePlan || now.Sub(plan.readAt) > c.options.PauseLimit {
+		return
+	}
+	c.claims.wanted = false
+	if c.retired() {
+		return
+	}
+	for i, slot := range plan.Record.Slots {
+		if slot.Incarnation != c.self.Incarnation {
+			delete(c.slots, i)
+			delete(c.claims.virgin, i)
+			delete(c.claims.ceding, i)
+			continue
+		}
+		if _, ceding := c.claims.ceding[i]; ceding {
+			continue
+		}
+		if _, held := c.slots[i]; !held {
+			c.slots[i] = &slotHold{divisor: max(slot.Divisor, c.limits.Zones), startAt: c.startAt(now, c.claims.virgin[i])}
+		}
+	}
+	c.reconfigure(now)
+}
+
+// startAt returns when a share that was gained may be issued from.
+func (c *Core) startAt(now time.Time, virgin bool) time.Time {
+	if virgin || c.skipHandoverWait {
+		return now
+	}
+	return now.Add(c.options.handoverWait())
+}
+
+// NeedsCheck reports whether gained shares wait for CheckZones.
+func (c *Core) NeedsCheck() bool {
+	for _, hold := range c.slots {
+		if !hold.checked {
+			return true
+		}
+	}
+	return false
+}
+
+// CheckZones takes the records of all zones, read after the last ZoneStored,
+// and permits the shares gained if all recorded shares add up to no more than
+// the reserved part.
+func (c *Core) CheckZones(now time.Time, records []ZoneRecord) {
+	c.touch(now)
+	var sum float64
+	for _, record := range records {
+		for _, slot := range record.Slots {
+			if slot.Divisor > 0 {
+				sum += 1 / float64(slot.Divisor*slotsPerZone)
+			}
+		}
+	}
+	const rounding = 1e-9
+	if sum > 1+rounding {
+		return
+	}
+	for _, hold := range c.slots {
+		hold.checked = true
+	}
+	c.reconfigure(now)
+}
+
+// HoldsReserved reports whether the entry has a reserved share.
+func (c *Core) HoldsReserved() bool { return len(c.slots) > 0 }
+
+// LargestHolder returns the reachable incarnation with most shares in the
+// record, or "".
+func (c *Core) LargestHolder(record ZoneRecord) string {
+	counts := make(map[string]int)
+	largest := ""
+	for _, slot := range record.Slots {
+		if !c.reachable(slot.Incarnation) {
+			continue
+		}
+		counts[slot.Incarnation]++
+		if counts[slot.Incarnation] > counts[largest] {
+			largest = slot.Incarnation
+		}
+	}
+	return largest
+}
+
+// Cede stops issuing half of the reserved shares, to be passed to another entry
+// with the next plan.
+func (c *Core) Cede(now time.Time, to CedeRequest) {
+	c.touch(now)
+	give := len(c.slots) / 2
+	for i := range slotsPerZone {
+		if _, held := c.slots[i]; !held || give == 0 {
+			continue
+		}
+		give--
+		delete(c.slots, i)
+		c.claims.ceding[i] = to
+		c.claims.wanted = true
+	}
+	c.reconfigure(now)
+}
+
+// OwnerPlan is a change of the owner table that the caller must write, and then
+// report with OwnersStored.
+type OwnerPlan struct {
+	Table  OwnerTable
+	Write  bool
+	readAt time.Time
+	number int
+}
+
+// LeadsOwners reports whether this entry owns a share or should own one.
+func (c *Core) LeadsOwners() bool {
+	if len(c.shares) > 0 || c.retired() {
+		return true
+	}
+	for part := range ownerShares {
+		if c.chosenOwner(part) == c.self.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+// renewals is how often an owner renews within its time to live.
+const renewals = 3
+
+// PlanOwners decides the next owner table. The table was read by a call sent at
+// readAt.
+func (c *Core) PlanOwners(now, readAt time.Time, table OwnerTable, listed Listed) OwnerPlan {
+	c.touch(now)
+	c.seeList(now, listed)
+	c.claims.ownerPlan++
+	plan := OwnerPlan{readAt: readAt, number: c.claims.ownerPlan, Table: OwnerTable{Shares: make([]Ownership, ownerShares)}}
+	copy(plan.Table.Shares, table.Shares)
+	for part := range plan.Table.Shares {
+		before := plan.Table.Shares[part]
+		c.planShare(now, part, &plan.Table.Shares[part], listed)
+		plan.Write = plan.Write || before != plan.Table.Shares[part]
+	}
+	return plan
+}
+
+func (c *Core) planShare(now time.Time, part int, share *Ownership, listed Listed) {
+	unchanged := look(c.claims.shares, part, now, share.Incarnation, share.Beat)
+	mine := share.Incarnation == c.self.Incarnation
+	switch {
+	case mine && c.retired():
+		*share = Ownership{Epoch: share.Epoch, Beat: share.Beat + 1}
+	case c.retired():
+	case mine:
+		hold, held := c.shares[part]
+		if !held || now.Sub(hold.beatAt) >= c.options.OwnerTTL/renewals {
+			share.Beat++
+		}
+	case c.chosenOwner(part) != c.self.Instance:
+	case share.Epoch == 0, share.Incarnation == "", unchanged >= widened(c.options.OwnerTTL),
+		c.ended(listed, share.Instance) && unchanged >= widened(c.options.PauseLimit):
+		*share = Ownership{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Epoch: share.Epoch + 1, Beat: share.Beat + 1}
+	}
+}
+
+// OwnersStored takes the table that the store is known to have held since the
+// plan's read, or by its write.
+func (c *Core) OwnersStored(now time.Time, plan OwnerPlan) {
+	c.touch(now)
+	if c.retired() || plan.number != c.claims.ownerPlan || now.Sub(plan.readAt) > c.options.PauseLimit {
+		return
+	}
+	for part, share := range plan.Table.Shares {
+		c.owners[part] = share.Incarnation
+		if share.Incarnation != c.self.Incarnation {
+			delete(c.shares, part)
+			continue
+		}
+		c.renewed(now, part, share, plan.readAt)
+	}
+	c.reconfigure(now)
+}
+
+func (c *Core) renewed(now time.Time, part int, share Ownership, readAt time.Time) {
+	hold, held := c.shares[part]
+	beat := c.claims.shares[part].beat
+	if !held {
+		virgin := share.Epoch == 1 && share.Beat == 1
+		hold = &shareHold{epoch: share.Epoch, startAt: c.startAt(now, virgin)}
+		c.shares[part] = hold
+	} else if share.Beat == beat {
+		return
+	}
+	hold.beatAt = readAt
+	hold.until = readAt.Add(c.options.OwnerTTL)
+}
+
+// chosenOwner returns the instance that should own a share: the one with the
+// highest hash of instance and share among this entry and those reachable.
+func (c *Core) chosenOwner(part int) string {
+	chosen, highest := c.self.Instance, weight(c.self.Instance, part)
+	for _, p := range c.peers {
+		if w := weight(p.Instance, part); w > highest {
+			chosen, highest = p.Instance, w
+		}
+	}
+	return chosen
+}
+
+func weight(instance string, part int) uint64 {
+	return xxhash.Sum64String(instance + "/" + strconv.Itoa(part))
+}
+
+// retired reports whether the entry gives up its shares and takes no others: it
+// stops, it has left the platform's list, or it was paused for so long that it
+// may have been taken for ended.
+func (c *Core) retired() bool { return c.released || c.unlisted || c.paused }
+
+// seeList looks for this entry in the platform's list. An entry that was paused
+// may hold shares again once it is still listed after the handover wait.
+func (c *Core) seeList(now time.Time, listed Listed) {
+	if listed == nil {
+		return
+	}
+	if !listed[c.self.Instance] && !c.unlisted {
+		c.unlisted = true
+		c.dropShares(now)
+	}
+	if c.paused && !c.unlisted && !now.Before(c.rejoinAt) {
+		c.paused = false
+		c.claims.wanted = true
+	}
+}
+
+func (c *Core) dropShares(now time.Time) {
+	clear(c.slots)
+	clear(c.shares)
+	clear(c.claims.virgin)
+	c.claims.wanted = true
+	c.reconfigure(now)
+}
+
+// Release stops issuing and gives up all shares with the next plans.
+func (c *Core) Release(now time.Time) {
+	c.touch(now)
+	c.released = true
+	c.dropShares(now)
+}
+
+// Shares returns the owner shares held, ordered.
+func (c *Core) Shares() []int {
+	parts := make([]int, 0, len(c.shares))
+	for part := range c.shares {
+		parts = append(parts, part)
+	}
+	slices.Sort(parts)
+	return parts
+}
--- /dev/null
+++ b/internal/quota/core.go
@@ -0,0 +1,327 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// refuseTime is how long an entry refuses at once after it has found no token
+// anywhere.
+const refuseTime = 50 * time.Millisecond
+
+// demandTime is the time over which demand is averaged.
+const demandTime = 300 * time.Millisecond
+
+// maxQueue bounds the requests of one workspace that wait for tokens.
+const maxQueue = 4096
+
+// Core holds the quota state of one entry. Its methods must be called from one
+// goroutine, with a time that never goes back.
+type Core struct {
+	options Options
+	self    Peer
+	limits  Limits
+	peers   []Peer
+	spaces  map[string]*space
+
+	lastSeen time.Time
+	// settled is true once the core has had a configuration; quotas that come
+	// later wait out the grants of a quota of the same name that was removed.
+	settled  bool
+	released bool
+	// paused is true from a pause longer than the limit until rejoinAt or later.
+	paused   bool
+	rejoinAt time.Time
+	// unlisted is true once the entry has left the platform's list.
+	unlisted bool
+
+	slots  map[int]*slotHold
+	shares map[int]*shareHold
+	claims claims
+	owners [ownerShares]string // the owner's incarnation as last heard
+	next   int                 // rotates over the other entries
+	// sequence is that of the last ask. It is never used twice, so that no late
+	// grant can be taken for another.
+	sequence uint64
+
+	asks      []Outgoing
+	decisions []Decision
+
+	// These variants are broken on purpose; only tests set them.
+	creditBeforeDebit bool
+	leaseFromReply    bool
+	skipHandoverWait  bool
+}
+
+// slotHold is a reserved share that this entry holds.
+type slotHold struct {
+	divisor int
+	startAt time.Time
+	// checked is true once the shares of all zones were seen to add up.
+	checked bool
+}
+
+// shareHold is an owner share that this entry holds.
+type shareHold struct {
+	epoch   uint64
+	startAt time.Time
+	until   time.Time
+	// beatAt is when the last renewal was sent.
+	beatAt time.Time
+}
+
+// space is the quota state of one workspace.
+type space struct {
+	name     string
+	limit    Limit
+	since    time.Time
+	reserved *bucket
+	owned    map[int]*bucket
+	sources  []*source
+	queue    []waiter
+
+	attempts int
+	demand   float64 // requests per second
+	// ownersShortAt is when an owner last granted less than was asked for.
+	ownersShortAt time.Time
+	refuseUntil   time.Time
+	usedAt        time.Time
+	checkedOut    Units
+}
+
+type waiter struct {
+	id       uint64
+	deadline time.Time
+}
+
+// NewCore returns a core without configuration and shares.
+func NewCore(now time.Time, self Peer, options Options) *Core {
+	return &Core{
+		options:  options.withDefaults(),
+		self:     self,
+		spaces:   make(map[string]*space),
+		lastSeen: now,
+		slots:    make(map[int]*slotHold),
+		shares:   make(map[int]*shareHold),
+		claims:   newClaims(),
+	}
+}
+
+// touch must be called first by every method. After a pause longer than the
+// limit it drops all shares, since they may have passed to others.
+func (c *Core) touch(now time.Time) {
+	if now.Sub(c.lastSeen) > c.options.PauseLimit {
+		c.paused = true
+		c.rejoinAt = now.Add(c.options.handoverWait())
+		c.dropShares(now)
+	}
+	c.lastSeen = now
+	for part, hold := range c.shares {
+		if !now.Before(hold.until) {
+			delete(c.shares, part)
+			c.reconfigure(now)
+		}
+	}
+}
+
+// Configure puts limits in force.
+func (c *Core) Configure(now time.Time, limits Limits) {
+	c.touch(now)
+	since := now
+	if c.settled {
+		since = now.Add(widened(c.options.GrantTTL))
+	}
+	c.settled = true
+	c.claims.wanted = c.claims.wanted || len(c.slots) == 0
+	c.limits = limits
+	for _, name := range sortedNames(c.spaces) {
+		s := c.spaces[name]
+		if _, kept := limits.Workspaces[name]; !kept {
+			c.refuseAll(s, 0)
+			delete(c.spaces, name)
+		}
+	}
+	for name, limit := range limits.Workspaces {
+		s, known := c.spaces[name]
+		if !known {
+			s = &space{name: name, since: since, owned: make(map[int]*bucket)}
+			c.spaces[name] = s
+		}
+		s.limit = limit
+	}
+	for _, hold := range c.slots {
+		if hold.divisor < limits.Zones {
+			hold.divisor = limits.Zones
+			c.claims.wanted = true
+		}
+	}
+	c.reconfigure(now)
+}
+
+// SetPeers replaces the other entries that can be reached.
+func (c *Core) SetPeers(now time.Time, peers []Peer) {
+	c.touch(now)
+	c.peers = slices.Clone(peers)
+	// Entries of the own zone come first.
+	slices.SortFunc(c.peers, func(a, b Peer) int {
+		if near := cmp.Compare(c.distance(a), c.distance(b)); near != 0 {
+			return near
+		}
+		return cmp.Compare(a.Incarnation, b.Incarnation)
+	})
+}
+
+func (c *Core) distance(p Peer) int {
+	if p.Zone == c.self.Zone {
+		return 0
+	}
+	return 1
+}
+
+func (c *Core) reachable(incarnation string) bool {
+	return slices.ContainsFunc(c.peers, func(p Peer) bool { return p.Incarnation == incarnation })
+}
+
+// reconfigure gives each bucket the rate and burst of its part.
+func (c *Core) reconfigure(now time.Time) {
+	for _, s := range c.spaces {
+		c.configureReserved(now, s)
+		for part := range s.owned {
+			if _, held := c.shares[part]; !held {
+				delete(s.owned, part)
+			}
+		}
+		for _, part := range partsOf(s.name) {
+			c.configureOwned(now, s, part)
+		}
+	}
+}
+
+func (c *Core) configureReserved(now time.Time, s *space) {
+	var fraction float64
+	for _, hold := range c.slots {
+		if hold.checked && !now.Before(hold.startAt) {
+			fraction += c.options.Reserved / float64(hold.divisor*slotsPerZone)
+		}
+	}
+	if fraction == 0 && len(c.slots) == 0 {
+		s.reserved = nil
+		return
+	}
+	if s.reserved == nil {
+		s.reserved = newBucket(latest(now, s.since))
+	}
+	s.reserved.configure(now, s.limit.Rate*fraction, units(s.limit.Burst*fraction))
+}
+
+func (c *Core) configureOwned(now time.Time, s *space, part int) {
+	hold, held := c.shares[part]
+	if !held {
+		return
+	}
+	b, known := s.owned[part]
+	if !known {
+		b = newBucket(latest(latest(now, s.since), hold.startAt))
+		s.owned[part] = b
+	}
+	fraction := (1 - c.options.Reserved) / sharesPerWorkspace
+	b.configure(now, s.limit.Rate*fraction, units(s.limit.Burst*fraction))
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func units(tokens float64) Units { return Units(math.Floor(tokens * float64(Token))) }
+
+// partsOf returns the owner shares that serve a workspace.
+func partsOf(workspace string) [sharesPerWorkspace]int {
+	var parts [sharesPerWorkspace]int
+	first := int(xxhash.Sum64String(workspace) % ownerShares)
+	for i := range parts {
+		parts[i] = (first + i*ownerShares/sharesPerWorkspace) % ownerShares
+	}
+	return parts
+}
+
+// available returns the tokens that the entry may spend now.
+func (s *space) available(now time.Time) Units {
+	var sum Units
+	for _, src := range s.sources {
+		sum += src.held(now)
+	}
+	for _, b := range s.buckets() {
+		b.refill(now)
+		sum += b.level
+	}
+	return sum
+}
+
+// buckets returns the parts that this entry issues, the reserved part last.
+func (s *space) buckets() []*bucket {
+	buckets := make([]*bucket, 0, sharesPerWorkspace+1)
+	for _, part := range partsOf(s.name) {
+		if b, owned := s.owned[part]; owned {
+			buckets = append(buckets, b)
+		}
+	}
+	if s.reserved != nil {
+		buckets = append(buckets, s.reserved)
+	}
+	return buckets
+}
+
+// source returns what is held of an issuer's part, or nil.
+func (s *space) source(issuer string, part int) *source {
+	for _, src := range s.sources {
+		if src.issuer == issuer && src.part == part {
+			return src
+		}
+	}
+	return nil
+}
+
+// spend debits what is available: grants first, the reserved share last.
+func (s *space) spend(now time.Time, amount Units) {
+	for _, src := range s.sources {
+		take := min(amount, src.held(now))
+		src.tokens -= take
+		amount -= take
+	}
+	for _, b := range s.buckets() {
+		take := min(amount, b.level)
+		b.level -= take
+		amount -= take
+	}
+}
+
+// Queued reports whether requests of a workspace wait for tokens.
+func (c *Core) Queued(workspace string) bool {
+	s, known := c.spaces[workspace]
+	return known && len(s.queue) > 0
+}
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// refuseAll ends the wait of all requests of a workspace.
+func (c *Core) refuseAll(s *space, retryAfter time.Duration) {
+	for _, w := range s.queue {
+		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: retryAfter})
+	}
+	s.queue = nil
+}
+
+// Drain returns the asks to send and the decisions since the last call.
+func (c *Core) Drain() ([]Outgoing, []Decision) {
+	asks, decisions := c.asks, c.decisions
+	c.asks, c.decisions = nil, nil
+	return asks, decisions
+}
--- /dev/null
+++ b/internal/quota/options.go
@@ -0,0 +1,87 @@
+package quota
+
+import (
+	"time"
+)
+
+// Units counts tokens in millionths. One request costs one Token.
+type Units int64
+
+// Token is the price of a request.
+const Token Units = 1_000_000
+
+// Fixed parameters of the division. All instances must use the same.
+const (
+	// slotsPerZone is the number of reserved shares of a zone.
+	slotsPerZone = 16
+	// ownerShares is the number of owner shares over all workspaces.
+	ownerShares = 16
+	// sharesPerWorkspace is the number of owner shares that serve a workspace.
+	sharesPerWorkspace = 2
+)
+
+// Options configure a Core. The zero value uses the defaults. Reserved,
+// GrantTTL, PauseLimit and OwnerTTL must be equal on all instances.
+type Options struct {
+	// Reserved is the reserved part of each quota; default 1/4.
+	Reserved float64
+	// GrantTTL is how long a grant may be spent; default 3 s.
+	GrantTTL time.Duration
+	// PauseLimit is the longest pause of a process after which it may go on
+	// spending without reading its shares again; default 15 s.
+	PauseLimit time.Duration
+	// OwnerTTL is how long an owner issues after its last renewal; default
+	// 10 min.
+	OwnerTTL time.Duration
+	// Horizon is the time of demand that an entry holds tokens for; default
+	// 200 ms.
+	Horizon time.Duration
+	// AskTimeout bounds the wait for a grant; default 300 ms.
+	AskTimeout time.Duration
+	// Fanout is the number of other entries asked at once; default 16.
+	Fanout int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Reserved, 0.25)
+	setDefault(&o.GrantTTL, 3*time.Second)
+	setDefault(&o.PauseLimit, 15*time.Second)
+	setDefault(&o.OwnerTTL, 10*time.Minute)
+	setDefault(&o.Horizon, 200*time.Millisecond)
+	setDefault(&o.AskTimeout, 300*time.Millisecond)
+	setDefault(&o.Fanout, 16)
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// clockMargin is the part by which clocks of two instances may differ in speed.
+const clockMargin = 20
+
+// widened returns d with the clock margin, for the side that must wait longer.
+func widened(d time.Duration) time.Duration { return d + d/clockMargin }
+
+// handoverWait is how long a new issuer of a part waits before it issues: the
+// longest pause that its former issuer may survive unnoticed, and the grants
+// that the former issuer sent.
+func (o Options) handoverWait() time.Duration { return widened(o.PauseLimit + 2*o.GrantTTL) }
+
+// Limit is the quota of one workspace.
+type Limit struct {
+	// Rate is in requests per second.
+	Rate float64
+	// Burst is in requests.
+	Burst float64
+}
+
+// Limits are the quotas of one revision of the configuration.
+type Limits struct {
+	Revision   uint64
+	Zones      int
+	Workspaces map[string]Limit
+}
