Keep client blocks in a copy-on-write prefix table

Cause: each revision sent every client block as text and rebuilt the table; 610,000 blocks would not have fitted a frame. Change: client blocks are one binary chunk a zone, entries pass them on undecoded, a look-up process takes only zones whose digest changed and applies them by copy-on-write.

--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -15,6 +15,7 @@
 const (
 	chunkRegion    = "region"
 	chunkZone      = "zone"
+	chunkBlocks    = "blocks"
 	chunkService   = "service"
 	chunkWorkspace = "workspace"
 	chunkKeys      = "keys"
@@ -93,7 +94,8 @@
 		})
 	}
 	for name, zone := range t.Zone {
-		c.add(chunkZone, name, Zone{Name: name, Region: zone.Region, ClientBlocks: zone.ClientBlocks})
+		c.add(chunkZone, name, Zone{Name: name, Region: zone.Region})
+		c.addContent(chunkBlocks, name, encodeBlocks(zone.ClientBlocks))
 	}
 	for name, service := range t.Service {
 		c.add(chunkService, name, Service{
@@ -128,12 +130,19 @@
 	if c.err != nil {
 		return
 	}
-	chunkName := kind + "/" + name
 	content, err := encodeChunk(value)
 	if err != nil {
-		c.err = &ChunkMalformedError{Name: chunkName, Cause: err}
+		c.err = &ChunkMalformedError{Name: kind + "/" + name, Cause: err}
 		return
 	}
+	c.addContent(kind, name, content)
+}
+
+func (c *compiler) addContent(kind, name string, content []byte) {
+	if c.err != nil {
+		return
+	}
+	chunkName := kind + "/" + name
 	if len(content) > MaxChunkBytes {
 		c.err = &ChunkTooLargeError{Name: chunkName, Bytes: len(content)}
 		return
@@ -161,6 +170,7 @@
 		Zones:      make(map[string]Zone),
 		Services:   make(map[string]Service),
 		Workspaces: make(map[string]Workspace),
+		Blocks:     make(map[string]EncodedBlocks),
 		Keys:       make(map[string]workspacekey.Record),
 	}
 	for name, digest := range manifest.Chunks {
@@ -168,20 +178,23 @@
 		if !found {
 			return nil, &ChunkMissingError{Name: name, Digest: digest}
 		}
-		if err := c.add(name, content); err != nil {
+		if err := c.add(name, digest, content); err != nil {
 			return nil, &ChunkMalformedError{Name: name, Cause: err}
 		}
 	}
 	return c, nil
 }
 
-func (c *Configuration) add(chunkName string, content []byte) error {
+func (c *Configuration) add(chunkName, digest string, content []byte) error {
 	kind, name, _ := strings.Cut(chunkName, "/")
 	switch kind {
 	case chunkRegion:
 		return decodeInto(c.Regions, name, content)
 	case chunkZone:
 		return decodeInto(c.Zones, name, content)
+	case chunkBlocks:
+		c.Blocks[name] = EncodedBlocks{Digest: digest, Content: content}
+		return nil
 	case chunkService:
 		return decodeInto(c.Services, name, content)
 	case chunkWorkspace:
--- a/internal/configuration/configuration.go
+++ b/internal/configuration/configuration.go
@@ -38,9 +38,8 @@
 
 // Zone is a compiled [zone.NAME] table.
 type Zone struct {
-	Name         string   `msgpack:"n" json:"name"`
-	Region       string   `msgpack:"r" json:"region"`
-	ClientBlocks []string `msgpack:"b" json:"client_blocks"`
+	Name   string `msgpack:"n" json:"name"`
+	Region string `msgpack:"r" json:"region"`
 }
 
 // Service is a compiled [service.NAME] table.
@@ -80,6 +79,9 @@
 	Zones      map[string]Zone
 	Services   map[string]Service
 	Workspaces map[string]Workspace
+	// Blocks maps zones to their client blocks, which stay encoded until a
+	// look-up process needs them.
+	Blocks map[string]EncodedBlocks
 	// Keys maps a key identifier to its record.
 	Keys map[string]workspacekey.Record
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -3,25 +3,20 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/link"
-	"lovagescale/internal/lookup"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/store"
-	"lovagescale/internal/wire"
 )
 
-// Intervals of the configuration watch and of the stream to look-ups.
+// Intervals of the configuration watch.
 const (
-	watchWait      = 25 * time.Second
-	watchRetry     = 200 * time.Millisecond
-	followInterval = time.Second
+	watchWait  = 25 * time.Second
+	watchRetry = 200 * time.Millisecond
 )
 
 // watchConfiguration takes each new revision from the store until ctx ends.
@@ -91,50 +86,6 @@
 	e.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
 }
 
-// follow streams this entry's state to a look-up process.
-func (e *Entry) follow(ctx context.Context, request wire.Envelope, send link.Send) error {
-	var follow lookup.Follow
-	if err := request.Decode(&follow); err != nil {
-		return err
-	}
-	sent := follow.HaveRevision
-	for ctx.Err() == nil {
-		changed := e.changes.next()
-		state := e.lookupState(sent)
-		if err := send(lookup.TypeState, state); err != nil {
-			return err
-		}
-		sent = state.Revision
-		select {
-		case <-changed:
-		case <-time.After(followInterval):
-		case <-ctx.Done():
-		}
-	}
-	return ctx.Err()
-}
-
-func (e *Entry) lookupState(sent uint64) lookup.State {
-	view := e.view.Load()
-	state := lookup.State{Self: view.Self, Members: view.Members}
-	c := e.current.Load()
-	if c == nil {
-		return state
-	}
-	state.Revision = c.Revision
-	state.Services = slices.Sorted(maps.Keys(c.Services))
-	if c.Revision == sent {
-		return state
-	}
-	state.Blocks = make(map[string][]string, len(c.Zones))
-	state.Regions = make(map[string]string, len(c.Zones))
-	for name, zone := range c.Zones {
-		state.Blocks[name] = zone.ClientBlocks
-		state.Regions[name] = zone.Region
-	}
-	return state
-}
-
 // Dump is the state dump of an entry.
 type Dump struct {
 	Self      membership.Member       `json:"self"`
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -3,7 +3,14 @@
 // A look-up process follows the entry processes of its zone over one framed
 // stream each and answers from the last states that it received, with their
 // age. Entries of the caller's zone come first, then those of its region, then
-// the others; leaving entries are left out.
+// the others; leaving entries are left out. The zone of a caller is that of the
+// longest client block that holds its address, or the zone of the look-up
+// process.
+//
+// How it fails: an entry whose stream ends is left out while another entry is
+// heard. When none is heard, answers go on from the last states and their age
+// grows. Before the first state, answers are refused. A revision lower than one
+// that was seen changes nothing.
 package lookup
 
 import (
@@ -12,49 +19,19 @@
 	"slices"
 	"time"
 
-	"github.com/gaissmai/bart"
-
 	"lovagescale/internal/membership"
 	"lovagescale/internal/platform"
 )
 
-// answerTTL is how long callers may cache an answer.
-const answerTTL = 5 * time.Second
-
-// Answer is the body of a look-up answer.
-type Answer struct {
-	Revision  uint64        `json:"revision"`
-	AgeMillis int64         `json:"age_ms"`
-	TTLMillis int64         `json:"ttl_ms"`
-	Entries   []AnswerEntry `json:"entries"`
-}
-
-// AnswerEntry is one entry instance that the caller may use.
-type AnswerEntry struct {
-	Address string `json:"address"`
-	Zone    string `json:"availability_zone"`
-	// Owner starts the idempotency keys of actions sent to this entry.
-	Owner string `json:"owner"`
-}
-
-// Table is an immutable look-up table.
-type Table struct {
-	zone     string
-	revision uint64
-	services []string
-	blocks   *bart.Table[string]
-	regions  map[string]string
-	members  []membership.Member
-}
-
 // Core is the control state of a look-up process. It reads no clock and opens
 // no socket.
 type Core struct {
-	zone     string
-	states   map[string]heard
-	blocks   *bart.Table[string]
-	regions  map[string]string
-	revision uint64
+	zone      string
+	states    map[string]heard
+	catalogue Catalogue
+	blocks    *blockTable
+	// encoded is the client blocks by zone as they were received.
+	encoded map[string]ZoneBlocks
 }
 
 // heard is the last state of one entry.
@@ -67,68 +44,113 @@
 
 // NewCore returns the state of a look-up process of a zone.
 func NewCore(zone string) *Core {
-	return &Core{zone: zone, states: make(map[string]heard), blocks: new(bart.Table[string])}
+	return &Core{
+		zone:    zone,
+		states:  make(map[string]heard),
+		blocks:  newBlockTable(),
+		encoded: make(map[string]ZoneBlocks),
+	}
 }
 
-// Receive takes a state from the entry with the given link address and returns
-// the table that follows from it.
-func (c *Core) Receive(now time.Time, link string, state State) *Table {
-	if state.Blocks != nil && state.Revision > c.revision {
-		c.revision = state.Revision
-		c.regions = state.Regions
-		c.blocks = buildBlocks(state.Blocks)
+// Follow returns the request that opens a stream: it names the client blocks
+// that need not be sent.
+func (c *Core) Follow() Follow {
+	have := make(map[string]string, len(c.encoded))
+	for zone, blocks := range c.encoded {
+		have[zone] = blocks.Digest
 	}
+	return Follow{HaveBlocks: have}
+}
+
+// ReceiveState takes the state of the entry with the given link address.
+func (c *Core) ReceiveState(now time.Time, link string, state State) {
 	c.states[link] = heard{state: state, at: now}
-	return c.table()
 }
 
-// Silent records that the stream of an entry ended and returns the table that
-// follows from it. The entry is left out as long as another one is heard; when
-// all are silent the last states stay in use.
-func (c *Core) Silent(link string) *Table {
+// ReceiveCatalogue takes the catalogue of a higher revision and drops the
+// blocks of zones that it does not list.
+func (c *Core) ReceiveCatalogue(catalogue Catalogue) {
+	if catalogue.Revision <= c.catalogue.Revision {
+		return
+	}
+	c.catalogue = catalogue
+	for zone, blocks := range c.encoded {
+		if _, listed := catalogue.Regions[zone]; listed {
+			continue
+		}
+		if without, err := c.blocks.replace(zone, blocks.Content, nil); err == nil {
+			c.blocks = without
+		}
+		delete(c.encoded, zone)
+	}
+}
+
+// ReceiveBlocks takes the client blocks of a zone unless a higher revision of
+// them was seen. It returns a *configuration.BlockMalformedError.
+func (c *Core) ReceiveBlocks(blocks ZoneBlocks) error {
+	known := c.encoded[blocks.Zone]
+	if blocks.Revision < known.Revision || c.dropped(blocks) {
+		return nil
+	}
+	if blocks.Digest != known.Digest {
+		changed, err := c.blocks.replace(blocks.Zone, known.Content, blocks.Content)
+		if err != nil {
+			return err
+		}
+		c.blocks = changed
+	}
+	c.encoded[blocks.Zone] = blocks
+	return nil
+}
+
+// dropped reports whether the catalogue of the same or a higher revision does
+// not list the zone any more.
+func (c *Core) dropped(blocks ZoneBlocks) bool {
+	_, listed := c.catalogue.Regions[blocks.Zone]
+	return !listed && blocks.Revision <= c.catalogue.Revision
+}
+
+// Silent records that the stream of an entry ended. The entry is left out as
+// long as another one is heard; when all are silent the last states stay in
+// use.
+func (c *Core) Silent(link string) {
 	if h, known := c.states[link]; known {
 		h.silent = true
 		c.states[link] = h
 	}
-	return c.table()
 }
 
-// allSilent reports whether no entry is heard.
-func (c *Core) allSilent() bool {
+// HeardAt returns when an entry was heard last; the zero time if never.
+func (c *Core) HeardAt() time.Time {
+	var last time.Time
 	for _, h := range c.states {
-		if !h.silent {
-			return false
+		if h.at.After(last) {
+			last = h.at
 		}
 	}
-	return true
+	return last
 }
 
-func buildBlocks(blocks map[string][]string) *bart.Table[string] {
-	table := new(bart.Table[string])
-	for zone, prefixes := range blocks {
-		for _, text := range prefixes {
-			if prefix, err := netip.ParsePrefix(text); err == nil {
-				table.Insert(prefix, zone)
-			}
+// Table returns the table that follows from what was received.
+func (c *Core) Table() *Table {
+	var live []membership.Member
+	for _, member := range c.members() {
+		if member.State == platform.Live {
+			live = append(live, member)
 		}
 	}
-	return table
+	slices.SortFunc(live, func(a, b membership.Member) int { return cmp.Compare(a.Instance, b.Instance) })
+	return newTable(c.zone, c.catalogue, c.blocks, live)
 }
 
-func (c *Core) table() *Table {
-	table := &Table{zone: c.zone, revision: c.revision, blocks: c.blocks, regions: c.regions}
+// allSilent reports whether no entry is heard.
+func (c *Core) allSilent() bool {
 	for _, h := range c.states {
-		if h.state.Revision == c.revision {
-			table.services = h.state.Services
-		}
-	}
-	for _, member := range c.members() {
-		if member.State == platform.Live {
-			table.members = append(table.members, member)
+		if !h.silent {
+			return false
 		}
 	}
-	slices.SortFunc(table.members, func(a, b membership.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	return table
+	return true
 }
 
 // members merges what entries say of others with what each says of itself,
@@ -154,51 +176,10 @@
 	return members
 }
 
-// HasService reports whether the configuration lists the service.
-func (t *Table) HasService(service string) bool { return slices.Contains(t.services, service) }
-
-// ZoneOf returns the zone of a client's block, or the table's own zone.
+// ZoneOf returns the zone of the client's block, or that of the table.
 func (t *Table) ZoneOf(client netip.Addr) string {
-	if zone, found := t.blocks.Lookup(client); found {
+	if zone, found := t.blocks.zoneOf(client); found {
 		return zone
 	}
 	return t.zone
 }
-
-// Entries returns the live entries, best first for the client. Draw spreads
-// callers over the entries of one zone.
-func (t *Table) Entries(client netip.Addr, draw uint64) []AnswerEntry {
-	zone := t.ZoneOf(client)
-	entries := make([]AnswerEntry, 0, len(t.members))
-	offset := 0
-	if len(t.members) > 0 {
-		offset = int(draw % uint64(len(t.members)))
-	}
-	for distance := sameZone; distance <= elsewhere; distance++ {
-		for i := range t.members {
-			member := t.members[(i+offset)%len(t.members)]
-			if t.distance(zone, member.Zone) == distance {
-				entries = append(entries, AnswerEntry{Address: member.Address, Zone: member.Zone, Owner: member.Incarnation})
-			}
-		}
-	}
-	return entries
-}
-
-// Distances between a client's zone and an entry's.
-const (
-	sameZone = iota
-	sameRegion
-	elsewhere
-)
-
-func (t *Table) distance(a, b string) int {
-	switch {
-	case a == b:
-		return sameZone
-	case t.regions[a] != "" && t.regions[a] == t.regions[b]:
-		return sameRegion
-	default:
-		return elsewhere
-	}
-}
--- a/internal/lookup/messages.go
+++ b/internal/lookup/messages.go
@@ -8,23 +8,40 @@
 	TypeFollow = "lookup.follow"
 	// TypeState carries a State.
 	TypeState = "lookup.state"
+	// TypeCatalogue carries a Catalogue.
+	TypeCatalogue = "lookup.catalogue"
+	// TypeBlocks carries a ZoneBlocks.
+	TypeBlocks = "lookup.blocks"
 )
 
-// Follow asks for the stream of states.
+// Follow asks for the stream of an entry's state.
 type Follow struct {
-	// HaveRevision is the configuration revision whose blocks the follower has.
-	HaveRevision uint64 `msgpack:"r"`
+	// HaveBlocks maps zones to the digest of the client blocks that the
+	// follower has.
+	HaveBlocks map[string]string `msgpack:"b"`
 }
 
-// State is what an entry tells a look-up process: itself, the members that it
-// knows and, when they changed, the client blocks of the zones.
+// State is what an entry says of itself and the members that it knows.
 type State struct {
 	Revision uint64              `msgpack:"r"`
 	Self     membership.Member   `msgpack:"s"`
 	Members  []membership.Member `msgpack:"m"`
-	Services []string            `msgpack:"v"`
-	// Blocks maps zones to their client blocks. Nil means no change.
-	Blocks map[string][]string `msgpack:"b"`
-	// Regions maps zones to their regions.
+}
+
+// Catalogue is what look-ups need of a configuration revision besides client
+// blocks. It is sent when the revision changes.
+type Catalogue struct {
+	Revision uint64   `msgpack:"r"`
+	Services []string `msgpack:"v"`
+	// Regions maps every zone to its region.
 	Regions map[string]string `msgpack:"g"`
 }
+
+// ZoneBlocks is the client blocks of one zone. It is sent when they changed.
+type ZoneBlocks struct {
+	Revision uint64 `msgpack:"r"`
+	Zone     string `msgpack:"z"`
+	Digest   string `msgpack:"d"`
+	// Content is decoded by configuration.DecodeBlocks.
+	Content []byte `msgpack:"c"`
+}
--- a/internal/lookup/server.go
+++ b/internal/lookup/server.go
@@ -83,7 +83,7 @@
 		core:     NewCore(s.Zone),
 		answers:  metrics.GetOrRegisterMeter("lookup.answers", registry),
 	}
-	server.table.Store(server.core.table())
+	server.table.Store(server.core.Table())
 	return server
 }
 
@@ -103,9 +103,8 @@
 	if err != nil {
 		return err
 	}
-	app := operator.NewApp()
-	app.Get("/v1/entries", s.answer)
-	if err := app.Build(); err != nil {
+	handler, err := s.Handler()
+	if err != nil {
 		return err
 	}
 	var group errgroup.Group
@@ -113,7 +112,7 @@
 	for _, entry := range s.settings.Entries {
 		group.Go(func() error { s.follow(ctx, entry); return nil })
 	}
-	group.Go(func() error { return operator.Serve(ctx, callers, app, stopGrace) })
+	group.Go(func() error { return operator.Serve(ctx, callers, handler, stopGrace) })
 	group.Go(func() error { return operator.Serve(ctx, operators, operatorHandler, time.Second) })
 	s.log.Info().Str("address", s.settings.Address).Msg("look-up started")
 	err = group.Wait()
@@ -121,15 +120,31 @@
 	return err
 }
 
+// Handler returns the callers' port.
+func (s *Server) Handler() (http.Handler, error) {
+	app := operator.NewApp()
+	app.Get("/v1/entries", s.answer)
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	return app, nil
+}
+
 // follow keeps the stream from one entry open until ctx ends.
 func (s *Server) follow(ctx context.Context, entry string) {
 	for ctx.Err() == nil {
-		request := Follow{}
+		var request Follow
+		if err := s.loop.Call(ctx, func() { request = s.core.Follow() }); err != nil {
+			return
+		}
 		err := link.Stream(ctx, entry, TypeFollow, request, streamSilence, func(envelope wire.Envelope) error {
 			return s.receive(ctx, entry, envelope)
 		})
 		s.log.Debug().Err(err).Str("entry", entry).Msg("stream from entry ended")
-		_ = s.loop.TryPost(func() { s.table.Store(s.core.Silent(entry)) })
+		_ = s.loop.Call(ctx, func() { // a stopped loop needs no news
+			s.core.Silent(entry)
+			s.publish()
+		})
 		select {
 		case <-ctx.Done():
 		case <-time.After(streamRetry):
@@ -137,22 +152,62 @@
 	}
 }
 
+// receive passes one message of a stream to the core.
 func (s *Server) receive(ctx context.Context, entry string, envelope wire.Envelope) error {
-	var state State
-	if err := envelope.Decode(&state); err != nil {
+	var err error
+	switch envelope.Type {
+	case TypeState:
+		var state State
+		if err := envelope.Decode(&state); err != nil {
+			return err
+		}
+		err = s.loop.Call(ctx, func() {
+			s.core.ReceiveState(time.Now(), entry, state)
+			s.publish()
+		})
+	case TypeCatalogue:
+		var catalogue Catalogue
+		if err := envelope.Decode(&catalogue); err != nil {
+			return err
+		}
+		err = s.loop.Call(ctx, func() {
+			s.core.ReceiveCatalogue(catalogue)
+			s.publish()
+		})
+	case TypeBlocks:
+		return s.receiveBlocks(ctx, envelope)
+	}
+	return err
+}
+
+func (s *Server) receiveBlocks(ctx context.Context, envelope wire.Envelope) error {
+	var blocks ZoneBlocks
+	if err := envelope.Decode(&blocks); err != nil {
 		return err
 	}
-	now := time.Now()
-	return s.loop.Call(ctx, func() {
-		s.table.Store(s.core.Receive(now, entry, state))
-		s.heardAt.Store(now.UnixNano())
+	var malformed error
+	err := s.loop.Call(ctx, func() {
+		malformed = s.core.ReceiveBlocks(blocks)
+		s.publish()
 	})
+	if err != nil {
+		return err
+	}
+	return malformed
+}
+
+// publish runs on the control goroutine.
+func (s *Server) publish() {
+	s.table.Store(s.core.Table())
+	if heard := s.core.HeardAt(); !heard.IsZero() {
+		s.heardAt.Store(heard.UnixNano())
+	}
 }
 
 func (s *Server) answer(ctx iris.Context) {
 	table := s.table.Load()
 	service := ctx.URLParam("service")
-	if heard := s.heardAt.Load(); heard == 0 {
+	if s.heardAt.Load() == 0 {
 		refuse(ctx, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
 			"no entry has been heard yet").After(time.Second))
 		return
@@ -173,7 +228,7 @@
 	_ = ctx.JSON(Answer{ // the caller may have gone
 		Revision:  table.revision,
 		AgeMillis: age.Milliseconds(),
-		TTLMillis: answerTTL.Milliseconds(),
+		TTLMillis: AnswerTTL.Milliseconds(),
 		Entries:   table.Entries(client, rand.Uint64()),
 	})
 }
@@ -202,10 +257,10 @@
 func (s *Server) dump(ctx context.Context) (any, error) {
 	dump := Dump{Zone: s.settings.Zone}
 	err := s.loop.Call(ctx, func() {
-		dump.Revision = s.core.revision
-		dump.Blocks = s.core.blocks.Size()
+		dump.Revision = s.core.catalogue.Revision
+		dump.Blocks = s.core.blocks.size()
 		dump.Heard = slices.Sorted(maps.Keys(s.core.states))
-		dump.Table = s.core.table().Entries(netip.Addr{}, 0)
+		dump.Table = s.core.Table().Entries(netip.Addr{}, 0)
 	})
 	return dump, err
 }
