Name the live siblings that own endpoints of a service

The stage that hands calls over needs to know which siblings can have free endpoints before it picks one. Router.ApplyView takes a view of the members and Router.Owners lists the live siblings in the zone that rendezvous hashing makes owners of a service's endpoints. It is a read of one atomic pointer.

--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -70,6 +70,8 @@
 	self := e.view.Load().Self
 	members := append([]membership.Member{self}, others...)
 	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	e.view.Store(&membership.View{Self: self, Members: members})
+	view := &membership.View{Self: self, Members: members}
+	e.view.Store(view)
+	e.router.ApplyView(view)
 	e.changes.signal()
 }
--- /dev/null
+++ b/internal/ownership/doc.go
@@ -0,0 +1,3 @@
+// Package ownership decides which entry of an availability zone uses which
+// upstream endpoint.
+package ownership
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -21,6 +21,7 @@
 
 	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/membership"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/upstream"
 )
@@ -60,7 +61,9 @@
 	zone     string
 
 	mu       sync.Mutex // held while a table is built
+	view     *membership.View
 	current  atomic.Pointer[table]
+	siblings atomic.Pointer[owners]
 	random   *rand.Rand
 	randomMu sync.Mutex
 }
@@ -69,6 +72,7 @@
 func New(instance, zone string, random *rand.Rand) *Router {
 	router := &Router{instance: instance, zone: zone, random: random}
 	router.current.Store(&table{services: make(map[string][]*endpoint)})
+	router.siblings.Store(&owners{})
 	return router
 }
 
@@ -93,6 +97,7 @@
 		}
 	}
 	r.current.Store(next)
+	r.rankOwners()
 }
 
 func keepOrCreate(known map[string]*endpoint, address string, service configuration.Service) *endpoint {
