Track members by heartbeats within a zone and gossip between zones

Cause: every entry asked every listed instance who it is each second, so messages grew with the square of the instances, a slow instance vanished at once, and nothing told a paused incarnation from a dead one.

Change: internal/membership is a pure core. Siblings exchange heartbeats that carry hashes of their tables; a silent one is suspected before it is dead and refutes with a higher counter. Two rendezvous-chosen delegates of each zone compare versions of zone summaries and push changed ones. The platform's list gives identities and announces leaving only. Views carry suspicion, silent zones and the time until which siblings count on this incarnation. Look-up answers leave out suspected members.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -50,6 +50,7 @@
 	peers    *link.Peers
 	loop     *control.Loop
 	self     membership.Member
+	members  *membership.Core // owned by loop
 	view     atomic.Pointer[membership.View]
 	current  atomic.Pointer[configuration.Configuration]
 	chunks   configuration.Chunks
@@ -85,7 +86,7 @@
 		},
 	}
 	e.changes.init()
-	e.view.Store(&membership.View{Self: e.self, Members: []membership.Member{e.self}})
+	e.setUpMembers()
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
 	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
@@ -126,7 +127,7 @@
 	defer stopBackground()
 	links := link.NewServer(e.log, e.registry)
 	links.HandleStream(lookup.TypeFollow, e.follow)
-	links.Handle(typeHello, e.hello)
+	links.Handle(membership.TypeExchange, e.exchange)
 	links.Handle(handover.TypeCall, handover.Handler(call.StageFunc(e.dispatch)))
 
 	var group errgroup.Group
@@ -200,10 +201,7 @@
 // announceLeaving takes this entry out of the look-up answers.
 func (e *Entry) announceLeaving() {
 	e.stopping.Store(true)
-	self := e.self
-	self.State = platform.Leaving
-	e.view.Store(&membership.View{Self: self, Members: []membership.Member{self}})
-	e.changes.signal()
+	e.leaveMembers()
 }
 
 // changes wakes the streams that wait for a new state.
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -27,6 +27,8 @@
 	MaxBodyBytes   int64         `toml:"max_body_bytes"`
 	MaxHeaderBytes int           `toml:"max_header_bytes"`
 	LogLevel       string        `toml:"log_level"`
+	// Membership sets the timing of heartbeats and gossip.
+	Membership MembershipSettings `toml:"membership"`
 }
 
 // Defaults of Settings.
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -88,20 +88,23 @@
 
 // Dump is the state dump of an entry.
 type Dump struct {
-	Self      membership.Member       `json:"self"`
-	Members   []membership.Member     `json:"members"`
-	Revision  uint64                  `json:"revision"`
-	Stopping  bool                    `json:"stopping"`
-	Endpoints []routing.EndpointState `json:"endpoints"`
+	Self    membership.Member   `json:"self"`
+	Members []membership.Member `json:"members"`
+	// Membership holds what the view says besides its members.
+	Membership membershipDump          `json:"membership"`
+	Revision   uint64                  `json:"revision"`
+	Stopping   bool                    `json:"stopping"`
+	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
 func (e *Entry) dump(_ context.Context) (any, error) {
 	view := e.view.Load()
 	dump := Dump{
-		Self:      view.Self,
-		Members:   view.Members,
-		Stopping:  e.stopping.Load(),
-		Endpoints: e.router.State(),
+		Self:       view.Self,
+		Members:    view.Members,
+		Membership: dumpMembership(view),
+		Stopping:   e.stopping.Load(),
+		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
 		dump.Revision = c.Revision
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 )
 
 // Core is the control state of a look-up process. It reads no clock and opens
@@ -135,7 +134,7 @@
 func (c *Core) Table() *Table {
 	var live []membership.Member
 	for _, member := range c.members() {
-		if member.State == platform.Live {
+		if member.Usable() {
 			live = append(live, member)
 		}
 	}
--- /dev/null
+++ b/internal/membership/record.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagescale/internal/platform"
+)
+
+// merge returns the later of two records of one incarnation. Leaving is kept
+// from either.
+func merge(a, b Record) Record {
+	later := a
+	if b.Member.Counter > a.Member.Counter ||
+		(b.Member.Counter == a.Member.Counter && b.Status > a.Status) {
+		later = b
+	}
+	if a.Member.State == platform.Leaving || b.Member.State == platform.Leaving {
+		later.Member.State = platform.Leaving
+	}
+	return later
+}
+
+// hashRecords returns a hash of the records that are not dead, in any order.
+func hashRecords(records []Record) uint32 {
+	ordered := slices.Clone(records)
+	slices.SortFunc(ordered, func(a, b Record) int {
+		return cmp.Compare(a.Member.Incarnation, b.Member.Incarnation)
+	})
+	digest := xxhash.New()
+	var number [8]byte
+	for _, r := range ordered {
+		if r.Status == Dead {
+			continue
+		}
+		_, _ = digest.WriteString(r.Member.Incarnation)
+		_, _ = digest.WriteString(string(r.Member.State))
+		binary.BigEndian.PutUint64(number[:], r.Member.Counter<<1|uint64(r.Status&Suspect))
+		_, _ = digest.Write(number[:])
+	}
+	return uint32(digest.Sum64())
+}
+
+// delegatesPerZone is the number of members of a zone that speak to others.
+const delegatesPerZone = 2
+
+// delegates chooses the delegates of a zone by rendezvous hashing among its
+// usable members, or among all when none is usable.
+func delegates(members []Member) []Member {
+	candidates := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !m.Usable() })
+	if len(candidates) == 0 {
+		candidates = slices.Clone(members)
+	}
+	slices.SortFunc(candidates, func(a, b Member) int {
+		return cmp.Or(
+			cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation)),
+			cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return candidates[:min(len(candidates), delegatesPerZone)]
+}
