--- /dev/null
+++ b/internal/action/journaling.go
@@ -0,0 +1,147 @@
+package action
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"lovagescale/internal/store"
+)
+
+// JournalOptions configure a Journaling. The zero value uses the defaults.
+type JournalOptions struct {
+	// Interval is the least time between two writes; default 1 s.
+	Interval time.Duration
+	// FleetWritesPerSecond is the rate of journal writes that all entries
+	// share; default 50.
+	FleetWritesPerSecond float64
+	// Retention is how long a journal outlives its incarnation at least;
+	// default 1 h.
+	Retention time.Duration
+}
+
+// Defaults of JournalOptions.
+const (
+	DefaultJournalInterval      = time.Second
+	DefaultFleetWritesPerSecond = 50
+)
+
+// maxOperations bounds the calls to the store of one round.
+const maxOperations = 5
+
+// Journaling writes the journal of a Stage to the store.
+type Journaling struct {
+	stage    *Stage
+	options  JournalOptions
+	members  func() int
+	writer   *Writer
+	writes   metrics.Counter
+	failures metrics.Counter
+}
+
+// NewJournaling returns the upkeep of the stage's journal. Members returns the
+// number of live entries, which share the write rate.
+func NewJournaling(stage *Stage, members func() int, options JournalOptions) *Journaling {
+	setDefault(&options.Interval, DefaultJournalInterval)
+	setDefault(&options.FleetWritesPerSecond, DefaultFleetWritesPerSecond)
+	setDefault(&options.Retention, DefaultRetention)
+	registry := stage.env.Registry
+	return &Journaling{
+		stage:    stage,
+		options:  options,
+		members:  members,
+		writer:   NewWriter(options.Retention),
+		writes:   metrics.GetOrRegisterCounter("action.journal.writes", registry),
+		failures: metrics.GetOrRegisterCounter("action.journal.failures", registry),
+	}
+}
+
+// interval returns the time between two writes when the given number of
+// entries share the write rate.
+func (o JournalOptions) interval(members int) time.Duration {
+	share := time.Duration(float64(members) / o.FleetWritesPerSecond * float64(time.Second))
+	return max(o.Interval, share)
+}
+
+// Run writes the journal at each interval until ctx ends.
+func (j *Journaling) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(j.options.interval(j.members())):
+			j.round(ctx)
+		}
+	}
+}
+
+// Close writes the journal a last time. The stage must be sealed and Run must
+// have returned. It reports whether the store holds all outcomes.
+func (j *Journaling) Close(ctx context.Context) bool {
+	return j.round(ctx)
+}
+
+// round makes the calls that are due, while the store answers, and reports whether the
+// store holds all outcomes.
+func (j *Journaling) round(ctx context.Context) bool {
+	for range maxOperations {
+		operation := j.writer.Next(j.stage.env.Now(), j.stage.Changes())
+		if operation.Kind == Idle {
+			return true
+		}
+		if !j.carryOut(ctx, operation) {
+			return false
+		}
+	}
+	return j.writer.Next(j.stage.env.Now(), j.stage.Changes()).Kind == Idle
+}
+
+// carryOut makes one call and reports whether the store answered.
+func (j *Journaling) carryOut(ctx context.Context, operation Operation) bool {
+	client := j.stage.env.Store
+	now := j.stage.env.Now()
+	var err error
+	switch operation.Kind {
+	case Grant:
+		var lease store.LeaseID
+		lease, err = client.Grant(ctx, operation.TTL)
+		j.writer.Granted(now, lease, err)
+	case Renew:
+		err = client.Renew(ctx, operation.Lease)
+		j.writer.Renewed(now, err)
+	case Read:
+		var entry store.Entry
+		entry, err = client.Get(ctx, JournalKey(j.stage.env.Incarnation))
+		j.writer.ReadBack(entry, err)
+	case Write:
+		err = j.write(ctx, operation)
+	}
+	if err != nil && !notFound(err) {
+		j.failures.Inc(1)
+	}
+	var unavailable *store.UnavailableError
+	return !errors.As(err, &unavailable)
+}
+
+func notFound(err error) bool {
+	var missing *store.NotFoundError
+	return errors.As(err, &missing)
+}
+
+func (j *Journaling) write(ctx context.Context, operation Operation) error {
+	value, changes, err := j.stage.Journal()
+	if err != nil {
+		return err
+	}
+	j.writes.Inc(1)
+	revision, err := j.stage.env.Store.CompareAndSet(ctx, store.Write{
+		Key:    JournalKey(j.stage.env.Incarnation),
+		Value:  value,
+		Expect: operation.Expect,
+		Lease:  operation.Lease,
+	})
+	j.writer.Wrote(changes, revision, err)
+	return err
+}
--- /dev/null
+++ b/internal/action/stage_test.go
@@ -0,0 +1,288 @@
+package action
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/call"
+	"lovagescale/internal/refusal"
+	"lovagescale/internal/store"
+	"lovagescale/internal/upstream"
+)
+
+func TestAction(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "action")
+}
+
+const ownName = "north-1-a-0123456789ab"
+
+// fixture is a stage with a clock, an upstream that can be told what to do and
+// a store in memory.
+type fixture struct {
+	now   time.Time
+	runs  int
+	serve func() (*call.Result, error)
+	log   bytes.Buffer
+	store *memoryStore
+	stage *Stage
+}
+
+func newFixture(options Options) *fixture {
+	f := &fixture{now: time.Unix(1_700_000_000, 0), store: newMemoryStore()}
+	f.serve = func() (*call.Result, error) { return answerOf("first"), nil }
+	f.stage = NewStage(Environment{
+		Incarnation: ownName,
+		Now:         func() time.Time { return f.now },
+		Next: call.StageFunc(func(context.Context, *call.Call) (*call.Result, error) {
+			f.runs++
+			return f.serve()
+		}),
+		Locate:   func(string) (string, bool) { return "", false },
+		Store:    f.store,
+		Log:      zerolog.New(&f.log),
+		Registry: metrics.NewRegistry(),
+	}, options)
+	return f
+}
+
+func answerOf(body string) *call.Result {
+	return &call.Result{Answer: &upstream.Answer{Status: 201, Header: http.Header{}, Body: []byte(body)}, Endpoint: "10.0.0.1:80"}
+}
+
+func (f *fixture) send(workspace, key, body string) (*call.Result, *refusal.Refusal) {
+	result, err := f.stage.Serve(context.Background(), &call.Call{
+		ID: "request-1", Workspace: workspace, IdempotencyKey: key, Deadline: time.Now().Add(time.Minute),
+		Request: upstream.Request{Method: "POST", Target: "/send", Body: []byte(body)},
+	})
+	if err != nil {
+		return nil, err.(*refusal.Refusal)
+	}
+	return result, nil
+}
+
+// memoryStore is the stand-in's store behind the client's interface.
+type memoryStore struct {
+	store.Client
+	entries map[string]store.Entry
+	writes  int
+	// lose is the number of next writes whose reply is lost.
+	lose int
+	down bool
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{entries: make(map[string]store.Entry)} }
+
+func (m *memoryStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "l", nil }
+
+func (m *memoryStore) Get(_ context.Context, key string) (store.Entry, error) {
+	if m.down {
+		return store.Entry{}, &store.UnavailableError{Operation: "get"}
+	}
+	entry, found := m.entries[key]
+	if !found {
+		return entry, &store.NotFoundError{Key: key}
+	}
+	return entry, nil
+}
+
+func (m *memoryStore) CompareAndSet(_ context.Context, write store.Write) (uint64, error) {
+	if m.down {
+		return 0, &store.UnavailableError{Operation: "set"}
+	}
+	if found := m.entries[write.Key].Revision; found != write.Expect {
+		return 0, &store.ConflictError{Key: write.Key, Expect: write.Expect, Found: found}
+	}
+	m.writes++
+	revision := uint64(m.writes)
+	m.entries[write.Key] = store.Entry{Key: write.Key, Value: write.Value, Revision: revision}
+	if m.lose > 0 {
+		m.lose--
+		return 0, &store.OutcomeUnknownError{Operation: "set"}
+	}
+	return revision, nil
+}
+
+var _ = Describe("Stage", func() {
+	const key = ownName + ".1"
+	var f *fixture
+	BeforeEach(func() { f = newFixture(Options{Capacity: 2, AnswerBytes: 1000}) })
+
+	It("gives a retry the first answer and runs once", func() {
+		f.send("azul", key, "letter")
+		result, refused := f.send("azul", key, "letter")
+		Expect(refused).To(BeNil())
+		Expect(result.Replayed).To(BeTrue())
+		Expect(string(result.Answer.Body)).To(Equal("first"))
+		Expect(f.runs).To(Equal(1))
+	})
+	It("keeps workspaces apart", func() {
+		f.send("azul", key, "letter")
+		result, _ := f.send("verde", key, "letter")
+		Expect(result.Replayed).To(BeFalse())
+		Expect(f.runs).To(Equal(2))
+	})
+	It("says ran with the first status when the answer is too large", func() {
+		f.serve = func() (*call.Result, error) { return answerOf(strings.Repeat("x", 2000)), nil }
+		f.send("azul", key, "letter")
+		_, refused := f.send("azul", key, "letter")
+		Expect(refused.Kind).To(Equal(refusal.AnswerNotKept))
+		Expect(refused.Outcome).To(Equal(refusal.Ran))
+		Expect(refused.Status).To(Equal(201))
+	})
+	It("refuses a key past its retention as unknown instead of forgetting it", func() {
+		old := OwnerToken(ownName, f.now) + "."
+		f.send("azul", old+"1", "letter")
+		f.send("azul", old+"2", "letter")
+		_, refused := f.send("azul", old+"3", "letter")
+		Expect(refused.Kind).To(Equal(refusal.ActionTableFull))
+		Expect(refused.Outcome).To(Equal(refusal.NotRun))
+		f.now = f.now.Add(2 * time.Hour)
+		_, refused = f.send("azul", OwnerToken(ownName, f.now)+".4", "letter")
+		Expect(refused).To(BeNil())
+		_, refused = f.send("azul", old+"1", "letter")
+		Expect(refused.Kind).To(Equal(refusal.KeyOfActionExpired))
+		Expect(refused.Outcome).To(Equal(refusal.Unknown))
+		Expect(f.runs).To(Equal(3))
+	})
+	It("never forgets a key without a stamp", func() {
+		f.send("azul", key, "letter")
+		f.send("azul", ownName+".2", "letter")
+		f.now = f.now.Add(100 * time.Hour)
+		_, refused := f.send("azul", ownName+".3", "letter")
+		Expect(refused.Kind).To(Equal(refusal.ActionTableFull))
+	})
+	It("writes an audit line without the key or the body", func() {
+		f.send("azul", key, "secret letter")
+		line := f.log.String()
+		for _, part := range []string{`"request_id":"request-1"`, `"workspace":"azul"`, `"outcome":"ran"`,
+			`"endpoint":"10.0.0.1:80"`, `"owner":"` + ownName, `"key_digest":"` + DigestOf("azul", key).String()} {
+			Expect(line).To(ContainSubstring(part))
+		}
+		Expect(line).NotTo(ContainSubstring("secret"))
+		Expect(line).NotTo(ContainSubstring(key + `"`))
+	})
+	It("does not start a call whose caller has gone", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := f.stage.Serve(ctx, &call.Call{Workspace: "azul", IdempotencyKey: key, Deadline: time.Now().Add(time.Minute)})
+		Expect(err.(*refusal.Refusal).Outcome).To(Equal(refusal.NotRun))
+		Expect(f.runs).To(BeZero())
+	})
+
+	DescribeTable("outcome of a run and of its retry", func(result *call.Result, failed error, first, second refusal.Outcome, runs int) {
+		f.serve = func() (*call.Result, error) { return result, failed }
+		_, refused := f.send("azul", key, "letter")
+		Expect(refused.Outcome).To(Equal(first))
+		_, refused = f.send("azul", key, "letter")
+		Expect(refused.Outcome).To(Equal(second))
+		Expect(f.runs).To(Equal(runs))
+	},
+		Entry("refused before work by the upstream",
+			&call.Result{Answer: &upstream.Answer{Status: 503, Header: http.Header{upstream.HeaderOutcome: {upstream.OutcomeNotRun}}}},
+			nil, refusal.NotRun, refusal.NotRun, 2),
+		Entry("no connection", nil, refusal.New(503, refusal.UpstreamUnreachable, refusal.NotRun, ""), refusal.NotRun, refusal.NotRun, 2),
+		Entry("answer lost", nil, refusal.New(502, refusal.UpstreamFailed, refusal.Unknown, ""), refusal.Unknown, refusal.Unknown, 1),
+		Entry("untyped failure", nil, context.Canceled, refusal.Unknown, refusal.Unknown, 1),
+	)
+	DescribeTable("key that is refused", func(text string, kind refusal.Kind, outcome refusal.Outcome) {
+		f.send("azul", key, "letter")
+		_, refused := f.send("azul", text, "other letter")
+		Expect(refused.Kind).To(Equal(kind))
+		Expect(refused.Outcome).To(Equal(outcome))
+		Expect(f.runs).To(Equal(1))
+	},
+		Entry("used with another body", key, refusal.KeyOfActionReused, refusal.Unknown),
+		Entry("too long", strings.Repeat("k", MaxKeyBytes+1), refusal.KeyOfActionInvalid, refusal.NotRun),
+		Entry("owner alone", ownName+".", refusal.KeyOfActionInvalid, refusal.NotRun),
+		Entry("owner that cannot be reached", "north-1-b-00112233aabb.1", refusal.OwnerUnreachable, refusal.Unknown),
+	)
+	DescribeTable("outcome of a refusal before the stage", func(workspace, text string, outcome refusal.Outcome) {
+		f.send("azul", key, "letter")
+		Expect(f.stage.Vouch(workspace, text)).To(Equal(outcome))
+	},
+		Entry("own key that ran", "azul", key, refusal.Unknown),
+		Entry("own key that was not started", "azul", ownName+".2", refusal.NotRun),
+		Entry("key of another owner", "azul", "north-1-b-00112233aabb.1", refusal.Unknown),
+		Entry("key without an owner", "azul", "plain", refusal.Unknown),
+	)
+	It("claims a key without an owner once, in spite of a lost reply", func() {
+		f.store.lose = 1
+		_, refused := f.send("azul", "plain", "letter")
+		Expect(refused).To(BeNil())
+		f.store.down = true
+		result, _ := f.send("azul", "plain", "letter")
+		Expect(result.Replayed).To(BeTrue())
+		_, refused = f.send("azul", "plain 2", "letter")
+		Expect(refused.Outcome).To(Equal(refusal.Unknown))
+		Expect(f.runs).To(Equal(1))
+	})
+})
+
+var _ = Describe("Journaling", func() {
+	ctx := context.Background()
+	read := func(f *fixture) *Journal {
+		journal, err := DecodeJournal(f.store.entries[JournalKey(ownName)].Value)
+		Expect(err).NotTo(HaveOccurred())
+		return journal
+	}
+
+	It("writes outcomes in groups and settles a lost reply", func() {
+		f := newFixture(Options{})
+		journaling := NewJournaling(f.stage, func() int { return 1 }, JournalOptions{})
+		Expect(journaling.round(ctx)).To(BeTrue())
+		Expect(f.store.writes).To(BeZero())
+		f.send("azul", ownName+".1", "letter")
+		f.send("azul", ownName+".2", "letter")
+		f.store.lose = 1
+		Expect(journaling.round(ctx)).To(BeTrue())
+		Expect(f.store.writes).To(Equal(2))
+		Expect(read(f).Entries).To(HaveLen(2))
+	})
+	It("lets another entry answer for an owner that is gone", func() {
+		f := newFixture(Options{})
+		f.send("azul", ownName+".1", "letter")
+		f.stage.Seal()
+		_, refused := f.send("azul", ownName+".2", "letter")
+		Expect(refused.Kind).To(Equal(refusal.Stopping))
+		Expect(NewJournaling(f.stage, func() int { return 1 }, JournalOptions{}).Close(ctx)).To(BeTrue())
+
+		other := newFixture(Options{})
+		other.store = f.store
+		other.stage.journals.store = f.store
+		other.stage.core.self = "north-1-b-00112233aabb"
+		result, _ := other.send("azul", ownName+".1", "letter")
+		Expect(string(result.Answer.Body)).To(Equal("first"))
+		_, refused = other.send("azul", ownName+".2", "letter")
+		Expect(refused.Kind).To(Equal(refusal.OwnerGone))
+		Expect(refused.Outcome).To(Equal(refusal.NotRun))
+		Expect(other.runs).To(BeZero())
+	})
+	It("stays within its bound and says what it left out", func() {
+		f := newFixture(Options{JournalBytes: 4000})
+		for i := range 500 {
+			f.send("azul", ownName+"."+strings.Repeat("k", i%100)+string(rune('a'+i/100)), "letter")
+		}
+		value, _, err := f.stage.Journal()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(value)).To(BeNumerically("<=", 4000+200))
+		f.stage.Seal()
+		Expect(NewJournaling(f.stage, func() int { return 1 }, JournalOptions{}).Close(ctx)).To(BeTrue())
+		Expect(read(f).ProvesNotRun(0)).To(BeFalse())
+	})
+	DescribeTable("interval", func(members int, want time.Duration) {
+		Expect(JournalOptions{Interval: time.Second, FleetWritesPerSecond: 50}.interval(members)).To(Equal(want))
+	},
+		Entry("small fleet", 11, time.Second),
+		Entry("large fleet", 2300, 46*time.Second),
+	)
+})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -59,6 +59,8 @@
 	actions  *action.Stage
 	gateway  *gateway.Gateway
 	stopping atomic.Bool
+
+	journaling *action.Journaling // keeps the journal of actions
 }
 
 // New returns an entry that is not yet listening.
@@ -89,9 +91,9 @@
 	e.setUpMembers()
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
-	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
+	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes})
+		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, Vouch: e.actions.Vouch})
 	return e, nil
 }
 
@@ -128,7 +130,8 @@
 	links := link.NewServer(e.log, e.registry)
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
-	links.Handle(handover.TypeCall, handover.Handler(call.StageFunc(e.dispatch)))
+	links.Handle(handover.TypeCall, handover.Handler(e.router))
+	endActions := e.serveActions(background, links)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
@@ -138,6 +141,7 @@
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
+		defer endActions()
 		return e.serveCallers(ctx, listeners.callers)
 	})
 	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -29,6 +29,8 @@
 	LogLevel       string        `toml:"log_level"`
 	// Membership sets the timing of heartbeats and gossip.
 	Membership MembershipSettings `toml:"membership"`
+	// Action bounds the memory of actions.
+	Action ActionSettings `toml:"action"`
 }
 
 // Defaults of Settings.
@@ -52,6 +54,7 @@
 	if strings.Contains(s.Instance, ".") {
 		text.Add("must not contain a dot, which ends the owner of an idempotency key", "instance")
 	}
+	s.Action.check(text)
 	settings.CheckLogLevel(text, s.LogLevel)
 	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
 	settings.Default(&s.StopGrace, defaultStopGrace)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagescale/internal/action"
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/routing"
@@ -94,6 +95,7 @@
 	Membership membershipDump          `json:"membership"`
 	Revision   uint64                  `json:"revision"`
 	Stopping   bool                    `json:"stopping"`
+	Actions    action.State            `json:"actions"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -104,6 +106,7 @@
 		Members:    view.Members,
 		Membership: dumpMembership(view),
 		Stopping:   e.stopping.Load(),
+		Actions:    e.actions.State(),
 		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
