Stamp the owner of idempotency keys in look-up answers

An owner cannot remember every key for ever, and a key that it has forgotten must not run again. The owner now carries the minute in which it was given out, so that the owner refuses keys of forgotten minutes instead of taking them for new ones.

--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -139,7 +139,7 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b membership.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	return newTable(c.zone, c.catalogue, c.blocks, live)
+	return newTable(c.zone, c.HeardAt(), c.catalogue, c.blocks, live)
 }
 
 // allSilent reports whether no entry is heard.
--- a/internal/lookup/table.go
+++ b/internal/lookup/table.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lovagescale/internal/action"
 	"lovagescale/internal/membership"
 )
 
@@ -38,6 +39,7 @@
 // Table is an immutable look-up table. It may be read by several goroutines.
 type Table struct {
 	zone     string
+	heardAt  time.Time
 	revision uint64
 	services map[string]bool
 	blocks   *blockTable
@@ -54,9 +56,10 @@
 	elsewhere []AnswerEntry
 }
 
-func newTable(zone string, catalogue Catalogue, blocks *blockTable, members []membership.Member) *Table {
+func newTable(zone string, heardAt time.Time, catalogue Catalogue, blocks *blockTable, members []membership.Member) *Table {
 	table := &Table{
 		zone:     zone,
+		heardAt:  heardAt,
 		revision: catalogue.Revision,
 		services: make(map[string]bool, len(catalogue.Services)),
 		blocks:   blocks,
@@ -115,7 +118,8 @@
 	var c choice
 	var far []AnswerEntry
 	for _, member := range t.members {
-		entry := AnswerEntry{Address: member.Address, Zone: member.Zone, Owner: member.Incarnation}
+		owner := action.OwnerToken(member.Incarnation, t.heardAt)
+		entry := AnswerEntry{Address: member.Address, Zone: member.Zone, Owner: owner}
 		switch {
 		case member.Zone == zone:
 			c.near = append(c.near, entry)
