Say not-run before the action stage only when it is sure

A retry of an action that had run was refused as "not-run" when its workspace key had been withdrawn meanwhile or its body was too large. Such refusals now say "unknown", unless this entry owns the key and has not started it.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -58,6 +58,8 @@
 type Options struct {
 	// MaxBodyBytes bounds a request's body; default 1 MiB.
 	MaxBodyBytes int64
+	// Vouch corrects the outcome of refused actions; nil leaves it.
+	Vouch Vouch
 }
 
 // defaultMaxBodyBytes is the default of Options.MaxBodyBytes.
@@ -69,6 +71,7 @@
 	next    call.Stage
 	log     zerolog.Logger
 	maxBody int64
+	vouch   Vouch
 	current atomic.Pointer[configuration.Configuration]
 	answers metrics.Meter
 	refused metrics.Registry
@@ -82,6 +85,7 @@
 		next:    next,
 		log:     log,
 		maxBody: options.MaxBodyBytes,
+		vouch:   options.Vouch,
 		answers: metrics.GetOrRegisterMeter("gateway.answers", registry),
 		refused: metrics.NewPrefixedChildRegistry(registry, "gateway.refused."),
 		latency: metrics.GetOrRegisterTimer("gateway.latency", registry),
@@ -102,7 +106,7 @@
 	w.Header().Set(refusal.HeaderRequestID, id)
 	c, refused := g.read(w, r, id)
 	if refused != nil {
-		g.refuse(w, refused)
+		g.refuse(w, g.vouched(r, refused))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
