--- a/internal/action/journaling.go
+++ b/internal/action/journaling.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,6 +40,8 @@
 	writer   *Writer
 	writes   metrics.Counter
 	failures metrics.Counter
+	// written is the writer's count of changes in the store, for dumps.
+	written atomic.Uint64
 }
 
 // NewJournaling returns the upkeep of the stage's journal. Members returns the
@@ -83,6 +86,9 @@
 	return j.round(ctx)
 }
 
+// Unwritten returns the number of changes that the store does not hold yet.
+func (j *Journaling) Unwritten() uint64 { return j.stage.Changes() - j.written.Load() }
+
 // round makes the calls that are due, while the store answers, and reports whether the
 // store holds all outcomes.
 func (j *Journaling) round(ctx context.Context) bool {
@@ -91,7 +97,9 @@
 		if operation.Kind == Idle {
 			return true
 		}
-		if !j.carryOut(ctx, operation) {
+		answered := j.carryOut(ctx, operation)
+		j.written.Store(j.writer.written)
+		if !answered {
 			return false
 		}
 	}
--- a/internal/entry/action.go
+++ b/internal/entry/action.go
@@ -135,3 +135,14 @@
 	written := e.journaling.Close(ctx)
 	e.log.Info().Bool("written", written).Int("in_progress", e.actions.State().InProgress).Msg("journal of actions closed")
 }
+
+// actionDump is the state dump of actions.
+type actionDump struct {
+	action.State
+	// JournalUnwritten counts the changes that would be lost with the process.
+	JournalUnwritten uint64 `json:"journal_unwritten"`
+}
+
+func (e *Entry) dumpActions() actionDump {
+	return actionDump{State: e.actions.State(), JournalUnwritten: e.journaling.Unwritten()}
+}
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"lovagescale/internal/action"
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/routing"
@@ -95,7 +94,7 @@
 	Membership membershipDump          `json:"membership"`
 	Revision   uint64                  `json:"revision"`
 	Stopping   bool                    `json:"stopping"`
-	Actions    action.State            `json:"actions"`
+	Actions    actionDump              `json:"actions"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -106,7 +105,7 @@
 		Members:    view.Members,
 		Membership: dumpMembership(view),
 		Stopping:   e.stopping.Load(),
-		Actions:    e.actions.State(),
+		Actions:    e.dumpActions(),
 		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -111,8 +111,8 @@
 	ts.Check(running.log.Close())
 }
 
-// kill NAME ends a daemon without notice.
-func kill(ts *testscript.TestScript, _ bool, args []string) {
+// crash NAME ends a daemon without notice.
+func crash(ts *testscript.TestScript, _ bool, args []string) {
 	running := processesOf(ts).take(ts, args[0], true)
 	ts.Check(running.command.Process.Kill())
 	_ = running.command.Wait() // reports the kill
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -54,7 +54,7 @@
 			"start":   start,
 			"signal":  signalProcess,
 			"stop":    stop,
-			"kill":    kill,
+			"crash":   crash,
 			"ctl":     ctl,
 			"call":    callOnce,
 			"await":   await,
