Remove keys from the store by expected revision

Cause: chunks that no manifest names any more stay in the store for good, since its client could not remove a key.

Change: store.Client gets Delete with an expected revision, in the HTTP binding and the stand-in.

--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -135,6 +135,8 @@
 	switch {
 	case strings.HasPrefix(r.URL.Path, store.PathKey) && r.Method == http.MethodPut:
 		return "set", s.set
+	case strings.HasPrefix(r.URL.Path, store.PathKey) && r.Method == http.MethodDelete:
+		return "delete", s.remove
 	case strings.HasPrefix(r.URL.Path, store.PathKey) && r.URL.Query().Has("after"):
 		return "watch", s.watch
 	case strings.HasPrefix(r.URL.Path, store.PathKey):
@@ -241,6 +243,29 @@
 	s.reply(w, store.Entry{Key: entry.Key, Revision: entry.Revision})
 }
 
+func (s *Store) remove(w http.ResponseWriter, r *http.Request) {
+	key := strings.TrimPrefix(r.URL.Path, store.PathKey)
+	expect, _ := strconv.ParseUint(r.URL.Query().Get("expect"), 10, 64)
+	s.mu.Lock()
+	s.dropLapsed()
+	entry, found := s.entries[key]
+	if !found {
+		s.mu.Unlock()
+		http.NotFound(w, r)
+		return
+	}
+	if entry.Revision != expect {
+		s.mu.Unlock()
+		writeJSON(w, http.StatusConflict, store.ConflictReply{Found: entry.Revision})
+		return
+	}
+	s.revision++
+	delete(s.entries, key)
+	s.wake()
+	s.mu.Unlock()
+	s.reply(w, store.Entry{Key: key})
+}
+
 func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
 	var request store.LeaseRequest
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -161,6 +161,25 @@
 	}
 }
 
+// Delete implements Client.
+func (c *HTTPClient) Delete(ctx context.Context, key string, expect uint64) error {
+	path := PathKey + key + "?expect=" + strconv.FormatUint(expect, 10)
+	status, body, err := c.call(ctx, http.MethodDelete, path, nil, c.timeout)
+	if err != nil {
+		return writeError("delete "+key, err)
+	}
+	switch status {
+	case http.StatusOK, http.StatusNotFound:
+		return nil
+	case http.StatusConflict:
+		var conflict ConflictReply
+		_ = json.Unmarshal(body, &conflict) // the found revision is informative only
+		return &ConflictError{Key: key, Expect: expect, Found: conflict.Found}
+	default:
+		return &UnavailableError{Operation: "delete " + key, Cause: &StatusError{Status: status, Body: string(body)}}
+	}
+}
+
 // Grant implements Client.
 func (c *HTTPClient) Grant(ctx context.Context, ttl time.Duration) (LeaseID, error) {
 	reply, err := c.lease(ctx, PathLeases, LeaseRequest{TTLMillis: ttl.Milliseconds()})
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -50,6 +50,9 @@
 	// *UnavailableError when the write did not take effect and
 	// *OutcomeUnknownError when it may have.
 	CompareAndSet(ctx context.Context, write Write) (uint64, error)
+	// Delete removes the key if it has the expected revision. A key that does
+	// not exist is removed already. It returns the errors of CompareAndSet.
+	Delete(ctx context.Context, key string, expect uint64) error
 	// Watch waits until the key has a revision above after, and returns its
 	// entry. It returns a *NotChangedError when the wait ends without one.
 	Watch(ctx context.Context, key string, after uint64, wait time.Duration) (Entry, error)
