--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -148,11 +148,10 @@
 // ownerOf returns the longest client block with the address and its zone.
 func ownerOf(c *configuration.Configuration, client netip.Addr) (block, zone string) {
 	longest := -1
-	for name, candidate := range c.Zones {
-		for _, text := range candidate.ClientBlocks {
-			prefix, err := netip.ParsePrefix(text)
-			if err == nil && prefix.Contains(client) && prefix.Bits() > longest {
-				longest, block, zone = prefix.Bits(), text, name
+	for name := range c.Blocks {
+		for _, prefix := range c.ClientBlocks(name) {
+			if prefix.Contains(client) && prefix.Bits() > longest {
+				longest, block, zone = prefix.Bits(), prefix.String(), name
 			}
 		}
 	}
--- a/internal/configuration/assemble.go
+++ b/internal/configuration/assemble.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"net/netip"
 	"slices"
 	"strings"
 
@@ -28,7 +29,7 @@
 // chunks they come from.
 type zoneBlocks struct {
 	digests []string
-	joined  []string
+	joined  EncodedBlocks
 }
 
 // Assemble builds the configuration that a manifest names. It returns a
@@ -46,6 +47,7 @@
 		Zones:      make(map[string]Zone),
 		Services:   make(map[string]Service),
 		Workspaces: make(map[string]Workspace),
+		Blocks:     make(map[string]EncodedBlocks),
 		Keys:       make(map[string]workspacekey.Record),
 	}
 	next := make(map[string]decoded, len(manifest.Chunks))
@@ -86,26 +88,30 @@
 // joinBlocks gives each zone its client blocks and reuses unchanged lists.
 func (a *Assembler) joinBlocks(c *Configuration, parts map[string][]string) {
 	next := make(map[string]zoneBlocks, len(parts))
-	for name, zone := range c.Zones {
-		digests := make([]string, 0, len(parts[name]))
-		for _, part := range parts[name] {
-			digests = append(digests, a.decoded[part].digest)
+	for zone, names := range parts {
+		digests := make([]string, 0, len(names))
+		for _, name := range names {
+			digests = append(digests, a.decoded[name].digest)
 		}
-		known, found := a.blocks[name]
+		known, found := a.blocks[zone]
 		if !found || !slices.Equal(known.digests, digests) {
-			known = zoneBlocks{digests: digests}
-			for _, part := range parts[name] {
-				known.joined = append(known.joined, a.decoded[part].value.([]string)...)
-			}
-			slices.Sort(known.joined)
+			known = zoneBlocks{digests: digests, joined: a.join(names, digests)}
 		}
-		next[name] = known
-		zone.ClientBlocks = known.joined
-		c.Zones[name] = zone
+		next[zone] = known
+		c.Blocks[zone] = known.joined
 	}
 	a.blocks = next
 }
 
+// join puts the parts of a zone's client blocks together.
+func (a *Assembler) join(names, digests []string) EncodedBlocks {
+	var content []byte
+	for _, name := range names {
+		content = append(content, a.decoded[name].value.([]byte)...)
+	}
+	return EncodedBlocks{Digest: Digest([]byte(strings.Join(digests, " "))), Content: content}
+}
+
 // decodeChunk reads a chunk; a kind of a later version gives nil.
 func decodeChunk(chunkName string, content []byte) (any, error) {
 	kind, _, _ := strings.Cut(chunkName, "/")
@@ -121,7 +127,7 @@
 	case chunkKeys:
 		return decodeAs[[]workspacekey.Record](content)
 	case chunkBlocks:
-		return decodeAs[[]string](content)
+		return content, nil
 	}
 	return nil, nil
 }
@@ -161,3 +167,12 @@
 	}
 	return &copied
 }
+
+// ClientBlocks returns the client blocks of a zone.
+func (c *Configuration) ClientBlocks(zone string) []netip.Prefix {
+	blocks, err := DecodeBlocks(c.Blocks[zone].Content)
+	if err != nil {
+		return nil // what Parse has accepted can be read
+	}
+	return blocks
+}
--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -14,13 +14,13 @@
 
 // Kinds of chunk, the first part of a chunk's name.
 const (
-	chunkRegion    = "region"
-	chunkZone      = "zone"
+	chunkRegion = "region"
+	chunkZone   = "zone"
+	// chunkBlocks holds a part of a zone's client blocks: "blocks/ZONE/PART".
+	chunkBlocks    = "blocks"
 	chunkService   = "service"
 	chunkWorkspace = "workspace"
 	chunkKeys      = "keys"
-	// chunkBlocks holds a part of a zone's client blocks: "blocks/ZONE/PART".
-	chunkBlocks = "blocks"
 )
 
 // blocksPerChunk is the most client blocks that a chunk holds on average, so
@@ -183,12 +183,19 @@
 	if c.err != nil {
 		return
 	}
-	chunkName := kind + "/" + name
 	content, err := encodeChunk(value)
 	if err != nil {
-		c.err = &ChunkMalformedError{Name: chunkName, Cause: err}
+		c.err = &ChunkMalformedError{Name: kind + "/" + name, Cause: err}
 		return
 	}
+	c.addContent(kind, name, content)
+}
+
+func (c *compiler) addContent(kind, name string, content []byte) {
+	if c.err != nil {
+		return
+	}
+	chunkName := kind + "/" + name
 	if len(content) > MaxChunkBytes {
 		c.err = &ChunkTooLargeError{Name: chunkName, Bytes: len(content)}
 		return
@@ -224,6 +231,6 @@
 			continue
 		}
 		slices.Sort(held)
-		c.add(chunkBlocks, zone+"/"+strconv.Itoa(part), held)
+		c.addContent(chunkBlocks, zone+"/"+strconv.Itoa(part), encodeBlocks(held))
 	}
 }
--- a/internal/configuration/difference.go
+++ b/internal/configuration/difference.go
@@ -149,9 +149,9 @@
 
 func blockOwners(c *Configuration) map[string]string {
 	owners := make(map[string]string)
-	for name, zone := range c.Zones {
-		for _, block := range zone.ClientBlocks {
-			owners[block] = name
+	for zone := range c.Blocks {
+		for _, block := range c.ClientBlocks(zone) {
+			owners[block.String()] = zone
 		}
 	}
 	return owners
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -29,6 +29,8 @@
 	LogLevel       string        `toml:"log_level"`
 	// Isolation is the isolation time of workspaces that give none.
 	Isolation unit.Duration `toml:"isolation"`
+	// Membership sets the timing of heartbeats and gossip.
+	Membership MembershipSettings `toml:"membership"`
 }
 
 // Defaults of Settings.
--- a/internal/spread/fuzz_test.go
+++ b/internal/spread/fuzz_test.go
@@ -165,7 +165,7 @@
 	if fresh, err := configuration.Assemble(n.core.manifest, n.core.chunks); err != nil {
 		w.failf("%s holds a mix of revisions: %v", n.member.Instance, err)
 	} else if fresh.Services["files"].Endpoints["a"][0] != n.installed.Services["files"].Endpoints["a"][0] ||
-		fresh.Zones["a"].ClientBlocks[0] != n.installed.Zones["a"].ClientBlocks[0] {
+		fresh.ClientBlocks("a")[0] != n.installed.ClientBlocks("a")[0] {
 		w.failf("%s put a mix of revisions in force", n.member.Instance)
 	}
 	for identifier, key := range w.keys {
--- a/internal/spread/topology.go
+++ b/internal/spread/topology.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 )
 
 // Numbers of chosen members.
@@ -47,7 +46,7 @@
 		found = append(found, c.self)
 	}
 	for _, member := range c.members {
-		if member.State == platform.Live && keep(member) {
+		if member.Usable() && keep(member) {
 			found = append(found, member)
 		}
 	}
