--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,18 +47,18 @@
 	store    store.Client
 	list     *platform.Client
 
-	peers    *link.Peers
-	loop     *control.Loop
-	self     membership.Member
-	members  *membership.Core // owned by loop
-	view     atomic.Pointer[membership.View]
-	current  atomic.Pointer[configuration.Configuration]
-	chunks   configuration.Chunks
-	changes  changes
-	router   *routing.Router
-	actions  *action.Stage
-	gateway  *gateway.Gateway
-	stopping atomic.Bool
+	peers     *link.Peers
+	loop      *control.Loop
+	self      membership.Member
+	members   *membership.Core // owned by loop
+	view      atomic.Pointer[membership.View]
+	current   atomic.Pointer[configuration.Configuration]
+	changes   changes
+	router    *routing.Router
+	actions   *action.Stage
+	gateway   *gateway.Gateway
+	spreading *spreading
+	stopping  atomic.Bool
 
 	journaling *action.Journaling // keeps the journal of actions
 }
@@ -77,7 +77,6 @@
 		list:     platform.NewClient(s.Platform, s.StoreTimeout.Std()),
 		peers:    link.NewPeers(),
 		loop:     control.NewLoop("entry"),
-		chunks:   make(configuration.Chunks),
 		self: membership.Member{
 			Instance:    s.Instance,
 			Incarnation: incarnation,
@@ -93,7 +92,8 @@
 	e.router = routing.New(s.Instance, s.Zone, random)
 	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, Vouch: e.actions.Vouch})
+		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, Isolation: s.Isolation.Std(), Vouch: e.actions.Vouch})
+	e.spreading = newSpreading(e)
 	return e, nil
 }
 
@@ -130,6 +130,7 @@
 	links := link.NewServer(e.log, e.registry)
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
+	e.spreading.handle(links)
 	links.Handle(handover.TypeCall, handover.Handler(e.router))
 	endActions := e.serveActions(background, links)
 
@@ -137,7 +138,7 @@
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
-	group.Go(func() error { e.watchConfiguration(background); return nil })
+	group.Go(func() error { return e.spreading.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
