Limit workspaces at the entry that received the request

Cause: the quota core was not part of an entry process.

Change: entries serve and send asks for tokens over their links, keep their shares in step with the store, take limits from the configuration in force and give their shares up at a planned stop. An owner that stops or hands a share to another writes what is left of it, so that the next owner goes on at once. The shares of a fleet that never ran start full. An entry that has just started lets requests wait up to 3 s for its shares and the other entries.

A refusal of an action whose earlier tries are not known says so instead of not-run.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -58,6 +58,7 @@
 	actions   *action.Stage
 	gateway   *gateway.Gateway
 	spreading *spreading
+	quotas    *quotas
 	stopping  atomic.Bool
 
 	journaling *action.Journaling // keeps the journal of actions
@@ -91,7 +92,8 @@
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
 	e.setUpActions()
-	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
+	e.quotas = newQuotas(e, call.StageFunc(e.dispatch))
+	e.gateway = gateway.New(time.Now, e.quotas.stage, e.log, e.registry,
 		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, Isolation: s.Isolation.Std(), Vouch: e.actions.Vouch})
 	e.spreading = newSpreading(e)
 	return e, nil
@@ -131,6 +133,7 @@
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
+	e.quotas.handle(links)
 	links.Handle(handover.TypeCall, handover.Handler(e.router))
 	endActions := e.serveActions(background, links)
 
@@ -139,10 +142,12 @@
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
 	group.Go(func() error { return e.spreading.run(background) })
+	group.Go(func() error { return e.quotas.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
 		defer endActions()
+		defer e.quotas.release(background)
 		return e.serveCallers(ctx, listeners.callers)
 	})
 	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -119,6 +119,7 @@
 			failures.Inc(1)
 		} else {
 			listed = len(instances)
+			e.quotas.setListed(instances)
 			_ = e.loop.Post(func() { e.putList(instances) })
 		}
 		wait(ctx, e.settings.Membership.listInterval(listed))
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -33,6 +33,8 @@
 	Membership MembershipSettings `toml:"membership"`
 	// Action bounds the memory of actions.
 	Action ActionSettings `toml:"action"`
+	// Quota sets the division of workspaces' quotas.
+	Quota QuotaSettings `toml:"quota"`
 }
 
 // Defaults of Settings.
@@ -58,6 +60,7 @@
 		text.Add("must not contain a dot, which ends the owner of an idempotency key", "instance")
 	}
 	s.Action.check(text)
+	s.Quota.check(text)
 	settings.CheckLogLevel(text, s.LogLevel)
 	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
 	settings.Default(&s.StopGrace, defaultStopGrace)
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -6,6 +6,7 @@
 
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/membership"
+	"lovagescale/internal/quota"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/spread"
 )
@@ -25,6 +26,7 @@
 	}
 	e.current.Store(c)
 	e.router.Apply(c)
+	e.quotas.apply(c)
 	e.gateway.Apply(c)
 	e.changes.signal()
 	e.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
@@ -40,6 +42,7 @@
 	Spread     spread.StatusReply      `json:"spread"`
 	Stopping   bool                    `json:"stopping"`
 	Actions    actionDump              `json:"actions"`
+	Quotas     quota.Dump              `json:"quotas"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -56,6 +59,9 @@
 	if c := e.current.Load(); c != nil {
 		dump.Revision = c.Revision
 	}
-	err := e.loop.Call(ctx, func() { dump.Spread = e.spreading.state() })
+	err := e.loop.Call(ctx, func() {
+		dump.Spread = e.spreading.state()
+		dump.Quotas = e.quotas.dump()
+	})
 	return dump, err
 }
--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -17,6 +17,10 @@
 // shortTime is how long owners count as short after a grant below the ask.
 const shortTime = time.Second
 
+// startTime is how long an entry that has just started may take to find shares
+// and other entries. Requests wait for that.
+const startTime = 3 * time.Second
+
 // idleTime is how long an issuer is remembered of which nothing is held.
 const idleTime = 5 * time.Second
 
@@ -72,7 +76,7 @@
 	if !asked && !s.pending(true) {
 		asked = c.askSiblings(now, s, want)
 	}
-	if asked || s.pending(false) {
+	if asked || s.pending(false) || now.Sub(c.settledAt) < startTime {
 		c.refuseLate(now, s)
 		return
 	}
--- a/internal/quota/claims.go
+++ b/internal/quota/claims.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -15,8 +16,17 @@
 	// zonePlan and ownerPlan number the last plans; earlier ones are void.
 	zonePlan  int
 	ownerPlan int
-	virgin    map[int]bool
-	ceding    map[int]CedeRequest
+	// handedAt is when an owner share was last handed to another entry.
+	handedAt time.Time
+	ceding   map[int]CedeRequest
+	// slotWaits and shareWaits hold how long a share that this entry tries to
+	// gain must not issue.
+	slotWaits  map[int]time.Duration
+	shareWaits map[int]time.Duration
+	// left holds the remainders of shares given up, inherited those of shares
+	// that this entry tries to gain.
+	left      map[int][]Remainder
+	inherited map[int][]Remainder
 	slots     map[int]sighting
 	shares    map[int]sighting
 }
@@ -30,11 +40,14 @@
 
 func newClaims() claims {
 	return claims{
-		wanted: true,
-		virgin: make(map[int]bool),
-		ceding: make(map[int]CedeRequest),
-		slots:  make(map[int]sighting),
-		shares: make(map[int]sighting),
+		wanted:     true,
+		ceding:     make(map[int]CedeRequest),
+		slotWaits:  make(map[int]time.Duration),
+		shareWaits: make(map[int]time.Duration),
+		left:       make(map[int][]Remainder),
+		inherited:  make(map[int][]Remainder),
+		slots:      make(map[int]sighting),
+		shares:     make(map[int]sighting),
 	}
 }
 
@@ -76,7 +89,7 @@
 // LeadsZone reports whether this entry renews the record for its zone.
 func (c *Core) LeadsZone() bool {
 	for _, p := range c.peers {
-		if p.Zone == c.self.Zone && p.Instance < c.self.Instance {
+		if p.Zone == c.self.Zone && !p.Leaving && p.Instance < c.self.Instance {
 			return false
 		}
 	}
@@ -115,21 +128,28 @@
 		if leads {
 			slot.Beat++
 		}
-	case slot.Beat == 0 && c.limits.Zones > 0:
-		c.claims.virgin[i] = true
-		*slot = Slot{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Beat: 1, Divisor: c.limits.Zones}
+	case slot.Beat == 0 && c.limits.Zones == 0:
 	case slot.Beat == 0:
+		slot.Divisor = c.limits.Zones
+		c.claimSlot(i, slot, 0)
 	case slot.Incarnation == "":
-		*slot = Slot{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Beat: slot.Beat + 1, Divisor: slot.Divisor}
+		c.claimSlot(i, slot, c.options.grantWait())
 	case c.ended(listed, slot.Instance):
 		if unchanged >= widened(c.options.PauseLimit) {
-			*slot = Slot{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Beat: slot.Beat + 1, Divisor: slot.Divisor}
+			c.claimSlot(i, slot, c.options.handoverWait())
 		}
 	case leads && c.reachable(slot.Incarnation):
 		slot.Beat++
 	}
 }
 
+func (c *Core) claimSlot(i int, slot *Slot, wait time.Duration) {
+	c.claims.slotWaits[i] = wait
+	slot.Incarnation = c.self.Incarnation
+	slot.Instance = c.self.Instance
+	slot.Beat++
+}
+
 // ZoneStored takes the record that the store is known to have held since the
 // plan's read, or by its write. It ignores all but the last plan.
 func (c *Core) ZoneStored(now time.Time, plan ZonePlan) {
@@ -144,7 +164,7 @@
 	for i, slot := range plan.Record.Slots {
 		if slot.Incarnation != c.self.Incarnation {
 			delete(c.slots, i)
-			delete(c.claims.virgin, i)
+			delete(c.claims.slotWaits, i)
 			delete(c.claims.ceding, i)
 			continue
 		}
@@ -152,18 +172,29 @@
 			continue
 		}
 		if _, held := c.slots[i]; !held {
-			c.slots[i] = &slotHold{divisor: max(slot.Divisor, c.limits.Zones), startAt: c.startAt(now, c.claims.virgin[i])}
+			wait, claimed := c.claims.slotWaits[i]
+			c.slots[i] = &slotHold{
+				divisor: max(slot.Divisor, c.limits.Zones),
+				startAt: c.startAt(now, c.claims.slotWaits, i),
+				virgin:  claimed && wait == 0,
+			}
 		}
 	}
 	c.reconfigure(now)
 }
 
-// startAt returns when a share that was gained may be issued from.
-func (c *Core) startAt(now time.Time, virgin bool) time.Time {
-	if virgin || c.skipHandoverWait {
+// startAt returns when a share that was gained may be issued from. One that was
+// ceded or was this entry's before waits for the grants of then.
+func (c *Core) startAt(now time.Time, waits map[int]time.Duration, share int) time.Time {
+	if c.skipHandoverWait {
 		return now
 	}
-	return now.Add(c.options.handoverWait())
+	wait, claimed := waits[share]
+	if !claimed {
+		wait = c.options.grantWait()
+	}
+	delete(waits, share)
+	return now.Add(wait)
 }
 
 // NeedsCheck reports whether gained shares wait for CheckZones.
@@ -193,10 +224,19 @@
 	if sum > 1+rounding {
 		return
 	}
+	filled := 0.0
 	for _, hold := range c.slots {
+		if hold.virgin && !hold.checked {
+			filled += c.options.Reserved / float64(hold.divisor*slotsPerZone)
+		}
 		hold.checked = true
 	}
 	c.reconfigure(now)
+	for _, s := range c.spaces {
+		if s.reserved != nil && !s.since.After(now) {
+			s.reserved.level += units(s.limit.Burst * filled)
+		}
+	}
 }
 
 // HoldsReserved reports whether the entry has a reserved share.
@@ -247,6 +287,9 @@
 
 // LeadsOwners reports whether this entry owns a share or should own one.
 func (c *Core) LeadsOwners() bool {
+	if !c.settled {
+		return false
+	}
 	if len(c.shares) > 0 || c.retired() {
 		return true
 	}
@@ -258,6 +301,9 @@
 	return false
 }
 
+// handOverInterval is the shortest time between two shares handed over.
+const handOverInterval = 2 * time.Second
+
 // renewals is how often an owner renews within its time to live.
 const renewals = 3
 
@@ -269,20 +315,25 @@
 	c.claims.ownerPlan++
 	plan := OwnerPlan{readAt: readAt, number: c.claims.ownerPlan, Table: OwnerTable{Shares: make([]Ownership, ownerShares)}}
 	copy(plan.Table.Shares, table.Shares)
+	plan.Table.Left = maps.Clone(table.Left)
+	if plan.Table.Left == nil {
+		plan.Table.Left = make(map[int][]Remainder)
+	}
 	for part := range plan.Table.Shares {
 		before := plan.Table.Shares[part]
-		c.planShare(now, part, &plan.Table.Shares[part], listed)
+		c.planShare(now, part, &plan.Table, listed)
 		plan.Write = plan.Write || before != plan.Table.Shares[part]
 	}
 	return plan
 }
 
-func (c *Core) planShare(now time.Time, part int, share *Ownership, listed Listed) {
+func (c *Core) planShare(now time.Time, part int, table *OwnerTable, listed Listed) {
+	share := &table.Shares[part]
 	unchanged := look(c.claims.shares, part, now, share.Incarnation, share.Beat)
 	mine := share.Incarnation == c.self.Incarnation
 	switch {
-	case mine && c.retired():
-		*share = Ownership{Epoch: share.Epoch, Beat: share.Beat + 1}
+	case mine && (c.retired() || c.handOver(now, part)):
+		c.giveUp(part, table)
 	case c.retired():
 	case mine:
 		hold, held := c.shares[part]
@@ -290,12 +341,65 @@
 			share.Beat++
 		}
 	case c.chosenOwner(part) != c.self.Instance:
-	case share.Epoch == 0, share.Incarnation == "", unchanged >= widened(c.options.OwnerTTL),
-		c.ended(listed, share.Instance) && unchanged >= widened(c.options.PauseLimit):
-		*share = Ownership{Incarnation: c.self.Incarnation, Instance: c.self.Instance, Epoch: share.Epoch + 1, Beat: share.Beat + 1}
+	case share.Epoch == 0:
+		c.claimShare(part, share, 0)
+	case share.Incarnation == "" && table.Left[part] != nil:
+		c.claims.inherited[part] = table.Left[part]
+		delete(table.Left, part)
+		c.claimShare(part, share, 0)
+	case share.Incarnation == "", unchanged >= widened(c.options.OwnerTTL):
+		c.claimShare(part, share, c.options.grantWait())
+	case c.ended(listed, share.Instance) && unchanged >= widened(c.options.PauseLimit):
+		c.claimShare(part, share, c.options.handoverWait())
 	}
 }
 
+// giveUp writes that a share has no owner, with what is left of it.
+func (c *Core) giveUp(part int, table *OwnerTable) {
+	share := &table.Shares[part]
+	*share = Ownership{Epoch: share.Epoch, Beat: share.Beat + 1}
+	if left, known := c.claims.left[part]; known {
+		table.Left[part] = left
+	}
+}
+
+// handOver stops issuing a share that another entry should own, at most one in
+// an interval.
+func (c *Core) handOver(now time.Time, part int) bool {
+	if _, given := c.claims.left[part]; given {
+		return true
+	}
+	_, held := c.shares[part]
+	if !held || c.chosenOwner(part) == c.self.Instance || now.Sub(c.claims.handedAt) < handOverInterval {
+		return false
+	}
+	c.claims.handedAt = now
+	c.leave(now, part)
+	c.reconfigure(now)
+	return true
+}
+
+// leave stops issuing a share and notes what is left of it.
+func (c *Core) leave(now time.Time, part int) {
+	left := []Remainder{}
+	for _, name := range sortedNames(c.spaces) {
+		if b, owned := c.spaces[name].owned[part]; owned {
+			b.refill(now)
+			left = append(left, Remainder{Workspace: name, Level: b.level, Outstanding: b.outstanding()})
+		}
+	}
+	delete(c.shares, part)
+	c.claims.left[part] = left
+}
+
+func (c *Core) claimShare(part int, share *Ownership, wait time.Duration) {
+	c.claims.shareWaits[part] = wait
+	share.Incarnation = c.self.Incarnation
+	share.Instance = c.self.Instance
+	share.Epoch++
+	share.Beat++
+}
+
 // OwnersStored takes the table that the store is known to have held since the
 // plan's read, or by its write.
 func (c *Core) OwnersStored(now time.Time, plan OwnerPlan) {
@@ -307,19 +411,45 @@
 		c.owners[part] = share.Incarnation
 		if share.Incarnation != c.self.Incarnation {
 			delete(c.shares, part)
+			delete(c.claims.shareWaits, part)
+			delete(c.claims.inherited, part)
+			delete(c.claims.left, part)
 			continue
 		}
 		c.renewed(now, part, share, plan.readAt)
 	}
 	c.reconfigure(now)
+	c.inherit(now)
+}
+
+// inherit continues the buckets of shares that their owners gave up.
+func (c *Core) inherit(now time.Time) {
+	for part, remainders := range c.claims.inherited {
+		delete(c.claims.inherited, part)
+		for _, r := range remainders {
+			s, known := c.spaces[r.Workspace]
+			if !known || s.owned[part] == nil {
+				continue
+			}
+			b := s.owned[part]
+			if !c.skipHandoverWait {
+				b.accounts[""] = &account{outstanding: r.Outstanding, expiresAt: now.Add(c.options.grantWait())}
+			}
+			b.level = max(0, min(r.Level, b.capacity-b.outstanding()))
+		}
+	}
 }
 
 func (c *Core) renewed(now time.Time, part int, share Ownership, readAt time.Time) {
 	hold, held := c.shares[part]
 	beat := c.claims.shares[part].beat
 	if !held {
-		virgin := share.Epoch == 1 && share.Beat == 1
-		hold = &shareHold{epoch: share.Epoch, startAt: c.startAt(now, virgin)}
+		_, claimed := c.claims.shareWaits[part]
+		hold = &shareHold{
+			epoch:   share.Epoch,
+			startAt: c.startAt(now, c.claims.shareWaits, part),
+			fill:    claimed && share.Epoch == 1,
+		}
 		c.shares[part] = hold
 	} else if share.Beat == beat {
 		return
@@ -329,10 +459,14 @@
 }
 
 // chosenOwner returns the instance that should own a share: the one with the
-// highest hash of instance and share among this entry and those reachable.
+// highest hash of instance and share among this entry and the reachable ones
+// that do not leave.
 func (c *Core) chosenOwner(part int) string {
 	chosen, highest := c.self.Instance, weight(c.self.Instance, part)
 	for _, p := range c.peers {
+		if p.Leaving {
+			continue
+		}
 		if w := weight(p.Instance, part); w > highest {
 			chosen, highest = p.Instance, w
 		}
@@ -368,7 +502,8 @@
 func (c *Core) dropShares(now time.Time) {
 	clear(c.slots)
 	clear(c.shares)
-	clear(c.claims.virgin)
+	clear(c.claims.slotWaits)
+	clear(c.claims.shareWaits)
 	c.claims.wanted = true
 	c.reconfigure(now)
 }
@@ -377,6 +512,9 @@
 func (c *Core) Release(now time.Time) {
 	c.touch(now)
 	c.released = true
+	for _, part := range c.Shares() {
+		c.leave(now, part)
+	}
 	c.dropShares(now)
 }
 
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -32,8 +32,9 @@
 	lastSeen time.Time
 	// settled is true once the core has had a configuration; quotas that come
 	// later wait out the grants of a quota of the same name that was removed.
-	settled  bool
-	released bool
+	settled   bool
+	settledAt time.Time
+	released  bool
 	// paused is true from a pause longer than the limit until rejoinAt or later.
 	paused   bool
 	rejoinAt time.Time
@@ -64,6 +65,8 @@
 	startAt time.Time
 	// checked is true once the shares of all zones were seen to add up.
 	checked bool
+	// virgin is true of a share that nobody held before. It starts full.
+	virgin bool
 }
 
 // shareHold is an owner share that this entry holds.
@@ -73,6 +76,9 @@
 	until   time.Time
 	// beatAt is when the last renewal was sent.
 	beatAt time.Time
+	// fill is true until the buckets of a share that nobody held before were
+	// filled.
+	fill bool
 }
 
 // space is the quota state of one workspace.
@@ -135,6 +141,8 @@
 	since := now
 	if c.settled {
 		since = now.Add(widened(c.options.GrantTTL))
+	} else {
+		c.settledAt = now
 	}
 	c.settled = true
 	c.claims.wanted = c.claims.wanted || len(c.slots) == 0
@@ -200,6 +208,9 @@
 			c.configureOwned(now, s, part)
 		}
 	}
+	for _, hold := range c.shares {
+		hold.fill = false
+	}
 }
 
 func (c *Core) configureReserved(now time.Time, s *space) {
@@ -231,6 +242,9 @@
 	}
 	fraction := (1 - c.options.Reserved) / sharesPerWorkspace
 	b.configure(now, s.limit.Rate*fraction, units(s.limit.Burst*fraction))
+	if hold.fill && !s.since.After(now) {
+		b.level = b.capacity
+	}
 }
 
 func latest(a, b time.Time) time.Time {
--- /dev/null
+++ b/internal/quota/errors.go
@@ -0,0 +1,17 @@
+package quota
+
+import "fmt"
+
+// RecordMalformedError reports a value of the store that cannot be read.
+type RecordMalformedError struct {
+	Key   string
+	Cause error
+}
+
+// Error implements the error interface.
+func (e *RecordMalformedError) Error() string {
+	return fmt.Sprintf("quota record %q is malformed: %v", e.Key, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RecordMalformedError) Unwrap() error { return e.Cause }
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -73,6 +73,8 @@
 	Incarnation string
 	Instance    string
 	Zone        string
+	// Leaving is true for an entry that takes no new work.
+	Leaving bool
 }
 
 // Slot is the record of one reserved share in the store.
@@ -100,7 +102,17 @@
 	Beat uint64 `msgpack:"b"`
 }
 
+// Remainder is what an owner that gave up a share left of a workspace's part.
+type Remainder struct {
+	Workspace string `msgpack:"w"`
+	// Level can still be spent; Outstanding may be spent by holders of grants.
+	Level       Units `msgpack:"l"`
+	Outstanding Units `msgpack:"o"`
+}
+
 // OwnerTable holds all owner shares.
 type OwnerTable struct {
 	Shares []Ownership `msgpack:"s"`
+	// Left holds the remainders of shares that were given up.
+	Left map[int][]Remainder `msgpack:"l"`
 }
--- a/internal/quota/options.go
+++ b/internal/quota/options.go
@@ -66,9 +66,13 @@
 // widened returns d with the clock margin, for the side that must wait longer.
 func widened(d time.Duration) time.Duration { return d + d/clockMargin }
 
-// handoverWait is how long a new issuer of a part waits before it issues: the
-// longest pause that its former issuer may survive unnoticed, and the grants
-// that the former issuer sent.
+// grantWait is how long a new issuer of a part waits before it issues if the
+// former one has stopped: until the grants of the former have expired.
+func (o Options) grantWait() time.Duration { return widened(o.GrantTTL) }
+
+// handoverWait is the wait of a new issuer if the former one was taken for
+// ended. Within it a process that was paused, or that still runs although it
+// has left the platform's list, notices and stops.
 func (o Options) handoverWait() time.Duration { return widened(o.PauseLimit + 2*o.GrantTTL) }
 
 // Limit is the quota of one workspace.
--- a/internal/quota/stage.go
+++ b/internal/quota/stage.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"lovagescale/internal/call"
+	"lovagescale/internal/configuration"
 	"lovagescale/internal/control"
 	"lovagescale/internal/refusal"
 )
@@ -26,6 +27,7 @@
 	now    control.Clock
 	loop   *control.Loop
 	driver *Driver
+	vouch  Vouch
 	pools  atomic.Pointer[map[string]*pool]
 	lastID atomic.Uint64
 
@@ -34,10 +36,15 @@
 	waited   metrics.Timer
 }
 
+// Vouch returns the outcome that a refusal may state of an action. An earlier
+// try of the same action may have run.
+type Vouch func(workspace, idempotencyKey string) refusal.Outcome
+
 // New returns a stage that passes the calls it admits on to next. It refuses
 // everything until a Driver has filled its pools.
-func New(next call.Stage, now control.Clock, loop *control.Loop, registry metrics.Registry) *Stage {
+func New(next call.Stage, now control.Clock, loop *control.Loop, registry metrics.Registry, vouch Vouch) *Stage {
 	s := &Stage{
+		vouch:    vouch,
 		next:     next,
 		now:      now,
 		loop:     loop,
@@ -49,7 +56,15 @@
 	return s
 }
 
-// Serve implements call.Stage. Its own refusals are "not-run".
+func (s *Stage) outcome(c *call.Call) refusal.Outcome {
+	if c.Kind != configuration.Action {
+		return refusal.NotRun
+	}
+	return s.vouch(c.Workspace, c.IdempotencyKey)
+}
+
+// Serve implements call.Stage. Its own refusals are "not-run", but for an
+// action whose earlier tries are not known.
 func (s *Stage) Serve(ctx context.Context, c *call.Call) (*call.Result, error) {
 	if c.Hops > 0 || c.Workspace == "" {
 		return s.next.Serve(ctx, c)
@@ -57,7 +72,7 @@
 	admitted, retryAfter := s.charge(ctx, c)
 	if !admitted {
 		s.refused.Inc(1)
-		return nil, refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, refusal.NotRun,
+		return nil, refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, s.outcome(c),
 			fmt.Sprintf("workspace %q is above its rate and burst", c.Workspace)).After(retryAfter)
 	}
 	s.admitted.Inc(1)
