Measure refusals within rate and ask other entries no more than needed

Tokens from many issuers were asked for twice over and expired unspent.

Change: the tokens that expire first are spent first, asks that are on their way count as tokens, idle entries are asked before owners, and entries that had nothing are asked again after a pause that doubles.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -6,23 +6,32 @@
 	"time"
 )
 
-// Pauses before an issuer that granted less than was asked is asked again.
+// Pauses before an issuer that granted less than was asked is asked again. Those
+// between asks of another entry double from the first to the last.
 const (
-	ownerPause   = 40 * time.Millisecond
-	siblingPause = 200 * time.Millisecond
+	ownerPause        = 50 * time.Millisecond
+	firstSiblingPause = 200 * time.Millisecond
+	lastSiblingPause  = 8 * time.Second
 	// lostPause follows an ask without an answer.
 	lostPause = time.Second
 )
 
-// shortTime is how long owners count as short after a grant below the ask.
-const shortTime = time.Second
+// Rounds of asks of other entries: ahead of demand a few at each tick, and many
+// at once, not too often, while requests wait.
+const (
+	aheadFanout    = 2
+	urgentInterval = 200 * time.Millisecond
+)
+
+// recentTime is how long an owner counts as reachable after an ask.
+const recentTime = time.Second
 
 // startTime is how long an entry that has just started may take to find shares
 // and other entries. Requests wait for that.
 const startTime = 3 * time.Second
 
 // idleTime is how long an issuer is remembered of which nothing is held.
-const idleTime = 5 * time.Second
+const idleTime = 30 * time.Second
 
 // neverRetry is the retry time of a request for which no token can exist until
 // shares change hands.
@@ -73,8 +82,9 @@
 	}
 	want := Units(len(s.queue))*Token + units(s.demand*c.options.Horizon.Seconds())
 	asked := c.askOwners(now, s, want)
-	if !asked && !s.pending(true) {
-		asked = c.askSiblings(now, s, want)
+	if !asked && !s.pending(true) && !now.Before(s.urgentAt) {
+		s.urgentAt = now.Add(urgentInterval)
+		asked = c.askSiblings(now, s, want, c.options.Fanout, true)
 	}
 	if asked || s.pending(false) || now.Sub(c.settledAt) < startTime {
 		c.refuseLate(now, s)
@@ -107,6 +117,17 @@
 	return false
 }
 
+// expected returns the amount that was asked for and may still come.
+func (s *space) expected() Units {
+	var sum Units
+	for _, src := range s.sources {
+		if src.pending && !src.lost {
+			sum += src.want
+		}
+	}
+	return sum
+}
+
 // askOwners asks the owners of the workspace's shares and reports whether it
 // asked any.
 func (c *Core) askOwners(now time.Time, s *space, want Units) bool {
@@ -125,14 +146,18 @@
 }
 
 // askSiblings asks other entries for tokens of their reserved shares: those of
-// the own zone first, the rest in turn.
-func (c *Core) askSiblings(now time.Time, s *space, want Units) bool {
+// the own zone first, the rest in turn. Urgent asks ignore most of the pauses.
+func (c *Core) askSiblings(now time.Time, s *space, want Units, fanout int, urgent bool) bool {
 	asked := 0
 	for i := range c.peers {
-		if asked == c.options.Fanout {
+		if asked == fanout {
 			break
 		}
 		peer := c.peers[(c.next+i)%len(c.peers)]
+		src := s.source(peer.Incarnation, reservedPart)
+		if urgent && src != nil && now.Sub(src.askedAt) >= firstSiblingPause && !src.lost {
+			src.retryAt = now
+		}
 		if c.ask(now, s, peer.Incarnation, reservedPart, want/2+Token) {
 			asked++
 		}
@@ -219,18 +244,25 @@
 	if g.Part >= 0 && g.Part < ownerShares && !g.Issues && g.Owner != "" {
 		c.owners[g.Part] = g.Owner
 	}
-	if g.Issues && g.Amount >= src.want {
+	src.lost = false
+	if g.Issues && g.Amount >= src.want/2 {
 		src.retryAt = now
+		src.pause = 0
 		return
 	}
-	src.retryAt = now.Add(siblingPause)
-	if g.Part == reservedPart {
+	if g.Part == reservedPart || !g.Issues {
+		src.pause = min(lastSiblingPause, max(firstSiblingPause, 2*src.pause))
+		src.retryAt = now.Add(src.pause)
 		return
 	}
-	s.ownersShortAt = now
-	if g.Issues {
-		src.retryAt = now.Add(ownerPause)
-	}
+	src.retryAt = now.Add(ownerPause)
+}
+
+// noAnswer notes an ask that was lost.
+func (s *source) noAnswer(now time.Time) {
+	s.pending = false
+	s.lost = true
+	s.retryAt = now.Add(lostPause)
 }
 
 // Lost reports asks that got no answer.
@@ -245,9 +277,7 @@
 		if src == nil || src.sequence != ask.Sequence || !src.pending {
 			continue
 		}
-		src.pending = false
-		src.retryAt = now.Add(lostPause)
-		s.ownersShortAt = now
+		src.noAnswer(now)
 		c.settle(now, s)
 	}
 }
@@ -272,9 +302,7 @@
 func (c *Core) tickSpace(now time.Time, s *space) {
 	for _, src := range s.sources {
 		if src.pending && now.Sub(src.askedAt) >= c.options.AskTimeout {
-			src.pending = false
-			src.retryAt = now.Add(lostPause)
-			s.ownersShortAt = now
+			src.noAnswer(now)
 		}
 	}
 	s.sources = slices.DeleteFunc(s.sources, func(src *source) bool {
@@ -286,13 +314,15 @@
 		return
 	}
 	target := units(min(s.demand, s.limit.Rate)*c.options.Horizon.Seconds()) + 2*Token
-	have := s.available(now)
+	have := s.available(now) + s.expected()
 	if have >= target {
 		return
 	}
-	c.askOwners(now, s, target-have)
-	if now.Sub(s.ownersShortAt) < shortTime {
-		c.askSiblings(now, s, target-have)
+	// Tokens of idle entries go first: at their burst they would be lost, while
+	// owners have room to collect theirs.
+	c.askSiblings(now, s, target-have, aheadFanout, false)
+	if have = s.available(now) + s.expected(); have < target {
+		c.askOwners(now, s, target-have)
 	}
 }
 
@@ -322,7 +352,7 @@
 		add(b)
 	}
 	for _, src := range s.sources {
-		if src.part != reservedPart && now.Sub(src.askedAt) < shortTime && c.reachable(src.issuer) {
+		if src.part != reservedPart && now.Sub(src.askedAt) < recentTime && c.reachable(src.issuer) {
 			rate += s.limit.Rate * (1 - c.options.Reserved) / sharesPerWorkspace
 			capacity += units(s.limit.Burst * (1 - c.options.Reserved) / sharesPerWorkspace)
 		}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -95,6 +95,9 @@
 	expiresAt time.Time
 	// retryAt is when the issuer is worth asking again.
 	retryAt time.Time
+	pause   time.Duration
+	// lost is true after an ask without an answer.
+	lost bool
 }
 
 // held returns the amount that may be spent, dropping what has expired.
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -93,11 +93,11 @@
 
 	attempts int
 	demand   float64 // requests per second
-	// ownersShortAt is when an owner last granted less than was asked for.
-	ownersShortAt time.Time
-	refuseUntil   time.Time
-	usedAt        time.Time
-	checkedOut    Units
+	// urgentAt is when many other entries may be asked at once again.
+	urgentAt    time.Time
+	refuseUntil time.Time
+	usedAt      time.Time
+	checkedOut  Units
 }
 
 type waiter struct {
@@ -303,10 +303,15 @@
 	return nil
 }
 
-// spend debits what is available: grants first, the reserved share last.
+// spend debits what is available: the grants that expire first, then the parts
+// that this entry issues, the reserved share last.
 func (s *space) spend(now time.Time, amount Units) {
-	for _, src := range s.sources {
-		take := min(amount, src.held(now))
+	for amount > 0 {
+		src := s.expiresFirst(now)
+		if src == nil {
+			break
+		}
+		take := min(amount, src.tokens)
 		src.tokens -= take
 		amount -= take
 	}
@@ -317,6 +322,17 @@
 	}
 }
 
+// expiresFirst returns the source whose tokens expire first, or nil.
+func (s *space) expiresFirst(now time.Time) *source {
+	var first *source
+	for _, src := range s.sources {
+		if src.held(now) > 0 && (first == nil || src.expiresAt.Before(first.expiresAt)) {
+			first = src
+		}
+	}
+	return first
+}
+
 // Queued reports whether requests of a workspace wait for tokens.
 func (c *Core) Queued(workspace string) bool {
 	s, known := c.spaces[workspace]
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"sort"
 	"time"
 )
@@ -30,6 +29,8 @@
 	cut         map[string]bool
 	lossPercent int
 	maxDelay    time.Duration
+	// latency replaces the random delays.
+	latency func(from, to *node) time.Duration
 	// syncInterval is the time between looks at peers and the store.
 	syncInterval time.Duration
 	quiet        bool // no random faults on messages
@@ -38,6 +39,7 @@
 	violation  string
 	admitted   int
 	refused    int
+	refusedOf  map[string]int
 	storeCalls int
 	messages   int
 	nextID     uint64
@@ -57,6 +59,7 @@
 	pausedAt  time.Time
 	nextTick  time.Time
 	nextSync  time.Time
+	nextZone  time.Time
 	revision  uint64
 	held      []event // what arrived during a pause
 	workspace map[uint64]string
@@ -82,7 +85,7 @@
 		now: time.Unix(1000, 0), options: options.withDefaults(), draw: draw, zones: zones,
 		limits:  Limits{Revision: 1, Zones: zones, Workspaces: limits},
 		records: make(map[string]ZoneRecord), revisions: make(map[string]int), listed: make(Listed),
-		cut: make(map[string]bool), oracles: make(map[string]*oracle), maxDelay: 2 * time.Millisecond, quiet: true,
+		cut: make(map[string]bool), oracles: make(map[string]*oracle), refusedOf: make(map[string]int), maxDelay: 2 * time.Millisecond, quiet: true,
 		syncInterval: time.Second,
 	}
 	for z := range zones {
@@ -214,6 +217,7 @@
 			w.admit(n.workspace[d.ID])
 		} else {
 			w.refused++
+			w.refusedOf[n.workspace[d.ID]]++
 		}
 		delete(n.workspace, d.ID)
 	}
@@ -245,6 +249,9 @@
 	}
 	for range copies {
 		delay := time.Duration(1+w.draw(int(w.maxDelay/time.Millisecond))) * time.Millisecond
+		if w.latency != nil {
+			delay = w.latency(from, to)
+		}
 		w.after(delay, to, func() {
 			if from.Zone == to.Zone || !w.cut[from.Zone] && !w.cut[to.Zone] {
 				do()
@@ -310,7 +317,9 @@
 	}
 	n.nextSync = w.now.Add(w.syncInterval)
 	w.syncPeers(n)
-	if n.core.WantsZone() || n.core.LeadsZone() {
+	if n.core.WantsZone() || n.core.LeadsZone() && !w.now.Before(n.nextZone) {
+		const zoneSyncs = 5
+		n.nextZone = w.now.Add(zoneSyncs * w.syncInterval)
 		w.syncZone(n)
 	}
 	if n.core.LeadsOwners() {
@@ -436,13 +445,3 @@
 	}
 	w.nodes = kept
 }
-
-// poisson returns the number of arrivals for a mean.
-func poisson(mean float64, uniform func() float64) int {
-	limit, product, count := math.Exp(-mean), uniform(), 0
-	for product > limit {
-		product *= uniform()
-		count++
-	}
-	return count
-}
