Close a link connection that sends a malformed frame

Cause: the server stopped reading after a malformed frame but left the connection open, so that the peer waited and the descriptor leaked; found by the new test of the link. Change: the connection is closed when its reader ends. The gateway refuses large headers by itself, with the outcome not-run, and tells a cut body from a large one.

Before: the malformed-frame rows waited for ever.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,10 @@
 // incarnationBytes is the random part of an incarnation's name.
 const incarnationBytes = 6
 
+// hardHeaderFactor times the limit of headers is where the HTTP library cuts a
+// caller off; up to there the gateway refuses by itself and says so.
+const hardHeaderFactor = 8
+
 // readHeaderTimeout bounds a slow caller.
 const readHeaderTimeout = 5 * time.Second
 
@@ -90,7 +94,7 @@
 	e.router = routing.New(s.Instance, s.Zone, random)
 	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes})
+		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes})
 	return e, nil
 }
 
@@ -179,7 +183,7 @@
 	server := &http.Server{
 		Handler:           e.gateway,
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    e.settings.MaxHeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * e.settings.MaxHeaderBytes,
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,15 +8,8 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
-	"net/url"
-	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
-	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -27,8 +20,7 @@
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/control"
 	"lovagescale/internal/refusal"
-	"lovagescale/internal/upstream"
-	"lovagescale/internal/workspacekey"
+	"lovagescale/internal/settings"
 )
 
 // Headers of callers' requests.
@@ -58,10 +50,15 @@
 type Options struct {
 	// MaxBodyBytes bounds a request's body; default 1 MiB.
 	MaxBodyBytes int64
+	// MaxHeaderBytes bounds a request's line and headers; default 32 KiB.
+	MaxHeaderBytes int
 }
 
-// defaultMaxBodyBytes is the default of Options.MaxBodyBytes.
-const defaultMaxBodyBytes = 1 << 20
+// Defaults of Options.
+const (
+	defaultMaxBodyBytes   = 1 << 20
+	defaultMaxHeaderBytes = 32 << 10
+)
 
 // Gateway is the http.Handler of callers' requests.
 type Gateway struct {
@@ -69,26 +66,28 @@
 	next    call.Stage
 	log     zerolog.Logger
 	maxBody int64
-	current atomic.Pointer[configuration.Configuration]
-	answers metrics.Meter
-	refused metrics.Registry
-	latency metrics.Timer
+	// maxHeader is in bytes.
+	maxHeader int
+	current   atomic.Pointer[configuration.Configuration]
+	answers   metrics.Meter
+	refused   metrics.Registry
+	latency   metrics.Timer
 }
 
 // New returns a gateway that passes calls to next.
 func New(now control.Clock, next call.Stage, log zerolog.Logger, registry metrics.Registry, options Options) *Gateway {
 	gateway := &Gateway{
-		now:     now,
-		next:    next,
-		log:     log,
-		maxBody: options.MaxBodyBytes,
-		answers: metrics.GetOrRegisterMeter("gateway.answers", registry),
-		refused: metrics.NewPrefixedChildRegistry(registry, "gateway.refused."),
-		latency: metrics.GetOrRegisterTimer("gateway.latency", registry),
-	}
-	if gateway.maxBody == 0 {
-		gateway.maxBody = defaultMaxBodyBytes
-	}
+		now:       now,
+		next:      next,
+		log:       log,
+		maxBody:   options.MaxBodyBytes,
+		maxHeader: options.MaxHeaderBytes,
+		answers:   metrics.GetOrRegisterMeter("gateway.answers", registry),
+		refused:   metrics.NewPrefixedChildRegistry(registry, "gateway.refused."),
+		latency:   metrics.GetOrRegisterTimer("gateway.latency", registry),
+	}
+	settings.Default(&gateway.maxBody, defaultMaxBodyBytes)
+	settings.Default(&gateway.maxHeader, defaultMaxHeaderBytes)
 	return gateway
 }
 
@@ -114,7 +113,7 @@
 		return
 	}
 	g.answers.Mark(1)
-	writeResult(w, result)
+	writeResult(w, result, r.Method == http.MethodHead)
 }
 
 func asRefusal(err error) *refusal.Refusal {
@@ -129,174 +128,3 @@
 	metrics.GetOrRegisterCounter(string(refused.Kind), g.refused).Inc(1)
 	refused.Write(w)
 }
-
-// read makes a call of the request, or refuses it.
-func (g *Gateway) read(w http.ResponseWriter, r *http.Request, id string) (*call.Call, *refusal.Refusal) {
-	current := g.current.Load()
-	if current == nil {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
-			"no configuration is in force yet").After(time.Second)
-	}
-	service, route, path, refused := match(current, r)
-	if refused != nil {
-		return nil, refused
-	}
-	workspace, refused := authenticate(current, r, service, route)
-	if refused != nil {
-		return nil, refused
-	}
-	timeout, refused := timeoutOf(r, service.Timeout)
-	if refused != nil {
-		return nil, refused
-	}
-	idempotencyKey := r.Header.Get(HeaderIdempotencyKey)
-	if route.Kind == configuration.Action && idempotencyKey == "" {
-		return nil, refusal.New(http.StatusBadRequest, refusal.KeyOfActionMissing, refusal.NotRun,
-			"an action needs an Idempotency-Key header")
-	}
-	body, refused := g.readBody(w, r)
-	if refused != nil {
-		return nil, refused
-	}
-	return &call.Call{
-		ID:             id,
-		Workspace:      workspace,
-		Service:        service.Name,
-		Route:          route.Name,
-		Kind:           route.Kind,
-		IdempotencyKey: idempotencyKey,
-		Deadline:       g.now().Add(timeout),
-		Request: upstream.Request{
-			ID:     id,
-			Method: r.Method,
-			Target: target(path, r.URL.RawQuery),
-			Header: upstreamHeader(r.Header, workspace),
-			Body:   body,
-		},
-	}, nil
-}
-
-// match finds the service and route of a request and the path below the
-// service.
-func match(c *configuration.Configuration, r *http.Request) (configuration.Service, configuration.Route, string, *refusal.Refusal) {
-	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
-	service, known := c.Services[name]
-	if !known {
-		return configuration.Service{}, configuration.Route{}, "", refusal.New(http.StatusNotFound,
-			refusal.ServiceUnknown, refusal.NotRun, fmt.Sprintf("service %q does not exist", name))
-	}
-	path := "/" + rest
-	route, found := service.Match(r.Method, path)
-	if !found {
-		return service, route, path, refusal.New(http.StatusNotFound, refusal.RouteUnknown, refusal.NotRun,
-			fmt.Sprintf("service %q has no route for %s %q", name, r.Method, path))
-	}
-	return service, route, path, nil
-}
-
-// authenticate returns the workspace of the request's key, or "" on a route
-// that is open to all.
-func authenticate(c *configuration.Configuration, r *http.Request, service configuration.Service, route configuration.Route) (string, *refusal.Refusal) {
-	if route.Open {
-		return "", nil
-	}
-	key, found := strings.CutPrefix(r.Header.Get(HeaderAuthorization), bearer)
-	if !found {
-		return "", refusal.New(http.StatusUnauthorized, refusal.KeyMissing, refusal.NotRun,
-			"request needs an Authorization header with a workspace key")
-	}
-	record, known := c.Keys[workspacekey.Identifier(key)]
-	verdict := workspacekey.Unknown
-	if known {
-		verdict = record.Verify(key)
-	}
-	switch verdict {
-	case workspacekey.Withdrawn:
-		return "", refusal.New(http.StatusForbidden, refusal.KeyWithdrawn, refusal.NotRun, "workspace key was withdrawn")
-	case workspacekey.Unknown:
-		return "", refusal.New(http.StatusUnauthorized, refusal.KeyUnknown, refusal.NotRun, "workspace key is unknown")
-	}
-	if !slices.Contains(c.Workspaces[record.Workspace].Services, service.Name) {
-		return "", refusal.New(http.StatusForbidden, refusal.ServiceNotPermitted, refusal.NotRun,
-			fmt.Sprintf("workspace %q may not use service %q", record.Workspace, service.Name))
-	}
-	return record.Workspace, nil
-}
-
-// timeoutOf returns the caller's timeout, at most the service's.
-func timeoutOf(r *http.Request, limit time.Duration) (time.Duration, *refusal.Refusal) {
-	text := r.Header.Get(HeaderTimeout)
-	if text == "" {
-		return limit, nil
-	}
-	millis, err := strconv.ParseInt(text, 10, 32)
-	if err != nil || millis <= 0 {
-		return 0, refusal.New(http.StatusBadRequest, refusal.DeadlineInvalid, refusal.NotRun,
-			fmt.Sprintf("%s must be a positive number of milliseconds", HeaderTimeout))
-	}
-	return min(limit, time.Duration(millis)*time.Millisecond), nil
-}
-
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, refusal.NotRun,
-			fmt.Sprintf("body is above the limit of %d bytes", g.maxBody))
-	}
-	if err != nil {
-		return nil, refusal.New(http.StatusBadRequest, refusal.BodyTooLarge, refusal.NotRun, "body was cut short")
-	}
-	return body, nil
-}
-
-func target(path, query string) string {
-	if query == "" {
-		return path
-	}
-	return path + "?" + query
-}
-
-// upstreamHeader returns what an upstream may see: everything but the key and
-// the headers of the caller's connection.
-func upstreamHeader(from http.Header, workspace string) http.Header {
-	header := from.Clone()
-	for _, named := range header.Values("Connection") {
-		for _, name := range strings.Split(named, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	header.Del(HeaderAuthorization)
-	header.Del("Cookie")
-	header.Del(upstream.HeaderWorkspace)
-	if workspace != "" {
-		header.Set(upstream.HeaderWorkspace, url.PathEscape(workspace))
-	}
-	return header
-}
-
-func writeResult(w http.ResponseWriter, result *call.Result) {
-	header := w.Header()
-	id := header.Get(refusal.HeaderRequestID)
-	for name, values := range result.Answer.Header {
-		header[name] = values
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	header.Del(upstream.HeaderOutcome)
-	header.Del(upstream.HeaderDraining)
-	header.Set(refusal.HeaderRequestID, id)
-	header.Set(refusal.HeaderOutcome, string(refusal.Ran))
-	header.Set(HeaderZone, result.Zone)
-	header.Set(HeaderEndpoint, result.Endpoint)
-	header.Set("Content-Length", strconv.Itoa(len(result.Answer.Body)))
-	if result.Replayed {
-		header.Set(HeaderReplayed, "true")
-	}
-	w.WriteHeader(result.Answer.Status)
-	_, _ = w.Write(result.Answer.Body) // the caller may have gone
-}
--- /dev/null
+++ b/internal/gateway/read.go
@@ -0,0 +1,199 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"lovagescale/internal/call"
+	"lovagescale/internal/configuration"
+	"lovagescale/internal/refusal"
+	"lovagescale/internal/upstream"
+	"lovagescale/internal/workspacekey"
+)
+
+// read makes a call of the request, or refuses it.
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, id string) (*call.Call, *refusal.Refusal) {
+	current := g.current.Load()
+	if current == nil {
+		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
+			"no configuration is in force yet").After(time.Second)
+	}
+	if size := headerBytes(r); size > g.maxHeader {
+		return nil, refusal.New(http.StatusRequestHeaderFieldsTooLarge, refusal.HeaderTooLarge, refusal.NotRun,
+			fmt.Sprintf("headers have %d bytes, above the limit of %d", size, g.maxHeader))
+	}
+	service, route, path, refused := match(current, r)
+	if refused != nil {
+		return nil, refused
+	}
+	workspace, refused := authenticate(current, r, service, route)
+	if refused != nil {
+		return nil, refused
+	}
+	timeout, refused := timeoutOf(r, service.Timeout)
+	if refused != nil {
+		return nil, refused
+	}
+	idempotencyKey, refused := idempotencyKeyOf(r, route)
+	if refused != nil {
+		return nil, refused
+	}
+	body, refused := g.readBody(w, r)
+	if refused != nil {
+		return nil, refused
+	}
+	return &call.Call{
+		ID:             id,
+		Workspace:      workspace,
+		Service:        service.Name,
+		Route:          route.Name,
+		Kind:           route.Kind,
+		IdempotencyKey: idempotencyKey,
+		Deadline:       g.now().Add(timeout),
+		Request: upstream.Request{
+			ID:     id,
+			Method: r.Method,
+			Target: target(path, r.URL.RawQuery),
+			Header: upstreamHeader(r.Header, workspace),
+			Body:   body,
+		},
+	}, nil
+}
+
+// headerBytes returns the size of the request line and the headers.
+func headerBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
+// match finds the service and route of a request and the path below the
+// service.
+func match(c *configuration.Configuration, r *http.Request) (configuration.Service, configuration.Route, string, *refusal.Refusal) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	service, known := c.Services[name]
+	if !known {
+		return configuration.Service{}, configuration.Route{}, "", refusal.New(http.StatusNotFound,
+			refusal.ServiceUnknown, refusal.NotRun, fmt.Sprintf("service %q does not exist", name))
+	}
+	path := "/" + rest
+	route, found := service.Match(r.Method, path)
+	if !found {
+		return service, route, path, refusal.New(http.StatusNotFound, refusal.RouteUnknown, refusal.NotRun,
+			fmt.Sprintf("service %q has no route for %s %q", name, r.Method, path))
+	}
+	return service, route, path, nil
+}
+
+// authenticate returns the workspace of the request's key, or "" on a route
+// that is open to all.
+func authenticate(c *configuration.Configuration, r *http.Request, service configuration.Service, route configuration.Route) (string, *refusal.Refusal) {
+	if route.Open {
+		return "", nil
+	}
+	key, found := strings.CutPrefix(r.Header.Get(HeaderAuthorization), bearer)
+	if !found {
+		return "", refusal.New(http.StatusUnauthorized, refusal.KeyMissing, refusal.NotRun,
+			"request needs an Authorization header with a workspace key")
+	}
+	record, known := c.Keys[workspacekey.Identifier(key)]
+	verdict := workspacekey.Unknown
+	if known {
+		verdict = record.Verify(key)
+	}
+	switch verdict {
+	case workspacekey.Withdrawn:
+		return "", refusal.New(http.StatusForbidden, refusal.KeyWithdrawn, refusal.NotRun, "workspace key was withdrawn")
+	case workspacekey.Unknown:
+		return "", refusal.New(http.StatusUnauthorized, refusal.KeyUnknown, refusal.NotRun, "workspace key is unknown")
+	}
+	if !slices.Contains(c.Workspaces[record.Workspace].Services, service.Name) {
+		return "", refusal.New(http.StatusForbidden, refusal.ServiceNotPermitted, refusal.NotRun,
+			fmt.Sprintf("workspace %q may not use service %q", record.Workspace, service.Name))
+	}
+	return record.Workspace, nil
+}
+
+// timeoutOf returns the caller's timeout, at most the service's.
+func timeoutOf(r *http.Request, limit time.Duration) (time.Duration, *refusal.Refusal) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return limit, nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || millis <= 0 {
+		return 0, refusal.New(http.StatusBadRequest, refusal.DeadlineInvalid, refusal.NotRun,
+			fmt.Sprintf("%s must be a positive number of milliseconds", HeaderTimeout))
+	}
+	return min(limit, time.Duration(millis)*time.Millisecond), nil
+}
+
+// idempotencyKeyOf returns the key of an action, which must have exactly one.
+func idempotencyKeyOf(r *http.Request, route configuration.Route) (string, *refusal.Refusal) {
+	if route.Kind != configuration.Action {
+		return "", nil
+	}
+	values := r.Header.Values(HeaderIdempotencyKey)
+	switch {
+	case len(values) == 0 || values[0] == "":
+		return "", refusal.New(http.StatusBadRequest, refusal.KeyOfActionMissing, refusal.NotRun,
+			"an action needs an Idempotency-Key header")
+	case len(values) > 1:
+		return "", refusal.New(http.StatusBadRequest, refusal.KeyOfActionInvalid, refusal.NotRun,
+			"an action needs exactly one Idempotency-Key header")
+	}
+	return values[0], nil
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, refusal.NotRun,
+			fmt.Sprintf("body is above the limit of %d bytes", g.maxBody))
+	}
+	if err != nil {
+		return nil, refusal.New(http.StatusBadRequest, refusal.BodyCut, refusal.NotRun, "body was cut short")
+	}
+	return body, nil
+}
+
+func target(path, query string) string {
+	if query == "" {
+		return path
+	}
+	return path + "?" + query
+}
+
+// upstreamHeader returns what an upstream may see: everything but the key and
+// the headers of the caller's connection.
+func upstreamHeader(from http.Header, workspace string) http.Header {
+	header := from.Clone()
+	for _, named := range header.Values("Connection") {
+		for _, name := range strings.Split(named, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	header.Del(HeaderAuthorization)
+	header.Del("Cookie")
+	header.Del(upstream.HeaderWorkspace)
+	if workspace != "" {
+		header.Set(upstream.HeaderWorkspace, url.PathEscape(workspace))
+	}
+	return header
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,131 @@
+package link
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/wire"
+)
+
+func TestLink(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "link")
+}
+
+type text struct{ Text string }
+
+// serve runs a server with an echo and a handler that waits for release.
+func serve(ctx context.Context, release <-chan struct{}) (address string, malformed metrics.Counter, ended <-chan error) {
+	registry := metrics.NewRegistry()
+	server := NewServer(zerolog.Nop(), registry)
+	server.Handle("echo", func(_ context.Context, request wire.Envelope) (any, error) {
+		var t text
+		if err := request.Decode(&t); err != nil {
+			return nil, err
+		}
+		return t, nil
+	})
+	server.Handle("wait", func(ctx context.Context, _ wire.Envelope) (any, error) {
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		return text{}, nil
+	})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, listener) }()
+	return listener.Addr().String(), metrics.GetOrRegisterCounter("link.malformed_frames", registry), done
+}
+
+var _ = Describe("link", func() {
+	var (
+		ctx     context.Context
+		cancel  context.CancelFunc
+		release chan struct{}
+		address string
+		counted metrics.Counter
+		ended   <-chan error
+	)
+
+	BeforeEach(func() {
+		ctx, cancel = context.WithCancel(context.Background())
+		release = make(chan struct{})
+		address, counted, ended = serve(ctx, release)
+	})
+	AfterEach(func() {
+		cancel()
+		Eventually(ended, "10s").Should(Receive(BeNil()))
+	})
+
+	It("pairs replies with requests while another request waits", func() {
+		client := NewClient(address)
+		defer client.Close()
+		waited := make(chan error, 1)
+		go func() { waited <- client.Call(ctx, "wait", text{}, &text{}) }()
+		var reply text
+		Expect(client.Call(ctx, "echo", text{"a"}, &reply)).To(Succeed())
+		Expect(reply.Text).To(Equal("a"))
+		close(release)
+		Eventually(waited, "10s").Should(Receive(BeNil()))
+	})
+
+	It("reports an unknown type as a remote error and goes on", func() {
+		client := NewClient(address)
+		defer client.Close()
+		err := client.Call(ctx, "none", text{}, &text{})
+		Expect(err).To(BeAssignableToTypeOf(&RemoteError{}))
+		Expect(client.Call(ctx, "echo", text{"b"}, &text{})).To(Succeed())
+	})
+
+	It("says that a request was not sent when nobody listens", func() {
+		client := NewClient("127.0.0.1:1")
+		defer client.Close()
+		err := client.Call(ctx, "echo", text{}, &text{})
+		Expect(err).To(BeAssignableToTypeOf(&UnreachableError{}))
+		Expect(err.(*UnreachableError).Sent).To(BeFalse())
+	})
+
+	It("says that a request may have arrived when the deadline passes", func() {
+		client := NewClient(address)
+		defer client.Close()
+		Expect(client.Call(ctx, "echo", text{}, &text{})).To(Succeed())
+		short, stop := context.WithTimeout(ctx, time.Millisecond)
+		defer stop()
+		err := client.Call(short, "wait", text{}, &text{})
+		Expect(err).To(BeAssignableToTypeOf(&UnreachableError{}))
+		Expect(err.(*UnreachableError).Sent).To(BeTrue())
+	})
+
+	DescribeTable("drops the connection of a malformed frame and serves others",
+		func(frame []byte) {
+			before := counted.Count()
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			defer conn.Close()
+			_, err = conn.Write(frame)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+			_, err = conn.Read(make([]byte, 1))
+			Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
+			Expect(err).To(HaveOccurred())
+			Eventually(func() int64 { return counted.Count() - before }, "10s").Should(BeEquivalentTo(1))
+			client := NewClient(address)
+			defer client.Close()
+			Expect(client.Call(ctx, "echo", text{"c"}, &text{})).To(Succeed())
+		},
+		Entry("too large", append(binary.BigEndian.AppendUint32(nil, 1<<31), wire.Version)),
+		Entry("another version", []byte{0, 0, 0, 1, 99, 0}),
+		Entry("no msgpack", []byte{0, 0, 0, 1, wire.Version, 0xc1}),
+	)
+})
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -87,6 +87,7 @@
 
 func (s *Server) serveConnection(ctx context.Context, conn *wire.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
+	defer conn.Close()
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	defer cancel()
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -54,6 +54,8 @@
 	ActionUnknown       Kind = "action-outcome-unknown"
 	OwnerUnreachable    Kind = "action-owner-unreachable"
 	BodyTooLarge        Kind = "body-too-large"
+	BodyCut             Kind = "body-cut"
+	HeaderTooLarge      Kind = "headers-too-large"
 	RateExceeded        Kind = "rate-exceeded"
 	NoCapacity          Kind = "no-capacity"
 	UpstreamUnreachable Kind = "upstream-unreachable"
--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"os"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"regexp"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -120,7 +122,7 @@
 }
 
 // [!] ctl ARGUMENT... runs lovagectl. Its output can be checked with stdout
-// and stderr. After "ctl -code N" the exit code must be N.
+// and stderr. Use run to check an exit code.
 func ctl(ts *testscript.TestScript, neg bool, args []string) {
 	err := ts.Exec(filepath.Join(programs, "lovagectl"), append([]string{"--platform", ts.Getenv("PLATFORM")}, args...)...)
 	if (err != nil) != neg {
@@ -128,6 +130,25 @@
 	}
 }
 
+// run [-code N] PROGRAM ARGUMENT... runs a program to its end.
+func run(ts *testscript.TestScript, neg bool, args []string) {
+	code := 0
+	if len(args) > 1 && args[0] == "-code" {
+		var err error
+		code, err = strconv.Atoi(args[1])
+		ts.Check(err)
+		args = args[2:]
+	}
+	err := ts.Exec(filepath.Join(programs, args[0]), args[1:]...)
+	if (err != nil) != neg {
+		ts.Fatalf("%s: %v", strings.Join(args, " "), err)
+	}
+	var exit *exec.ExitError
+	if errors.As(err, &exit) && exit.ExitCode() != code {
+		ts.Fatalf("%s: exit code %d, want %d", strings.Join(args, " "), exit.ExitCode(), code)
+	}
+}
+
 // request sends METHOD URL [HEADER...] [@BODY] and returns the answer as text:
 // the status line, the sorted headers, an empty line and the body.
 func request(ts *testscript.TestScript, args []string) (string, error) {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -55,6 +55,7 @@
 			"signal":  signalProcess,
 			"stop":    stop,
 			"kill":    kill,
+			"run":     run,
 			"ctl":     ctl,
 			"call":    callOnce,
 			"await":   await,
