--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -51,17 +51,20 @@
 	store    store.Client
 	list     *platform.Client
 
-	peers    *link.Peers
-	loop     *control.Loop
-	self     membership.Member
-	view     atomic.Pointer[membership.View]
-	current  atomic.Pointer[configuration.Configuration]
-	chunks   configuration.Chunks
-	changes  changes
-	router   *routing.Router
-	actions  *action.Stage
-	gateway  *gateway.Gateway
-	stopping atomic.Bool
+	peers     *link.Peers
+	loop      *control.Loop
+	self      membership.Member
+	members   *membership.Core // owned by loop
+	view      atomic.Pointer[membership.View]
+	current   atomic.Pointer[configuration.Configuration]
+	changes   changes
+	router    *routing.Router
+	actions   *action.Stage
+	gateway   *gateway.Gateway
+	spreading *spreading
+	stopping  atomic.Bool
+
+	journaling *action.Journaling // keeps the journal of actions
 }
 
 // New returns an entry that is not yet listening.
@@ -78,7 +81,6 @@
 		list:     platform.NewClient(s.Platform, s.StoreTimeout.Std()),
 		peers:    link.NewPeers(),
 		loop:     control.NewLoop("entry"),
-		chunks:   make(configuration.Chunks),
 		self: membership.Member{
 			Instance:    s.Instance,
 			Incarnation: incarnation,
@@ -89,12 +91,18 @@
 		},
 	}
 	e.changes.init()
-	e.view.Store(&membership.View{Self: e.self, Members: []membership.Member{e.self}})
+	e.setUpMembers()
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
-	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
+	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, MaxHeaderBytes: s.MaxHeaderBytes})
+		gateway.Options{
+			MaxBodyBytes:   s.MaxBodyBytes,
+			MaxHeaderBytes: s.MaxHeaderBytes,
+			Isolation:      s.Isolation.Std(),
+			Vouch:          e.actions.Vouch,
+		})
+	e.spreading = newSpreading(e)
 	return e, nil
 }
 
@@ -130,17 +138,20 @@
 	defer stopBackground()
 	links := link.NewServer(e.log, e.registry)
 	links.HandleStream(lookup.TypeFollow, e.follow)
-	links.Handle(typeHello, e.hello)
-	links.Handle(handover.TypeCall, handover.Handler(call.StageFunc(e.dispatch)))
+	links.Handle(membership.TypeExchange, e.exchange)
+	e.spreading.handle(links)
+	links.Handle(handover.TypeCall, handover.Handler(e.router))
+	endActions := e.serveActions(background, links)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
-	group.Go(func() error { e.watchConfiguration(background); return nil })
+	group.Go(func() error { return e.spreading.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
+		defer endActions()
 		return e.serveCallers(ctx, listeners.callers)
 	})
 	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
@@ -204,10 +215,7 @@
 // announceLeaving takes this entry out of the look-up answers.
 func (e *Entry) announceLeaving() {
 	e.stopping.Store(true)
-	self := e.self
-	self.State = platform.Leaving
-	e.view.Store(&membership.View{Self: self, Members: []membership.Member{self}})
-	e.changes.signal()
+	e.leaveMembers()
 }
 
 // changes wakes the streams that wait for a new state.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"context"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -52,6 +53,11 @@
 	MaxBodyBytes int64
 	// MaxHeaderBytes bounds a request's line and headers; default 32 KiB.
 	MaxHeaderBytes int
+	// Isolation is the isolation time of workspaces that give none; 0 is no
+	// bound.
+	Isolation time.Duration
+	// Vouch corrects the outcome of refused actions; nil leaves it.
+	Vouch Vouch
 }
 
 // Defaults of Options.
@@ -68,10 +74,14 @@
 	maxBody int64
 	// maxHeader is in bytes.
 	maxHeader int
+	vouch     Vouch
 	current   atomic.Pointer[configuration.Configuration]
 	answers   metrics.Meter
 	refused   metrics.Registry
 	latency   metrics.Timer
+	isolation
+	// authenticate finds the workspace of each request.
+	authenticate authenticator
 }
 
 // New returns a gateway that passes calls to next.
@@ -82,10 +92,14 @@
 		log:       log,
 		maxBody:   options.MaxBodyBytes,
 		maxHeader: options.MaxHeaderBytes,
+		vouch:     options.Vouch,
 		answers:   metrics.GetOrRegisterMeter("gateway.answers", registry),
 		refused:   metrics.NewPrefixedChildRegistry(registry, "gateway.refused."),
 		latency:   metrics.GetOrRegisterTimer("gateway.latency", registry),
+
+		authenticate: authenticate,
 	}
+	gateway.isolation.standard = options.Isolation
 	settings.Default(&gateway.maxBody, defaultMaxBodyBytes)
 	settings.Default(&gateway.maxHeader, defaultMaxHeaderBytes)
 	return gateway
@@ -101,7 +115,7 @@
 	w.Header().Set(refusal.HeaderRequestID, id)
 	c, refused := g.read(w, r, id)
 	if refused != nil {
-		g.refuse(w, refused)
+		g.refuse(w, g.vouched(r, refused))
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -34,10 +34,13 @@
 	if refused != nil {
 		return nil, refused
 	}
-	workspace, refused := authenticate(current, r, service, route)
+	workspace, refused := g.authenticate(current, r, service, route)
 	if refused != nil {
 		return nil, refused
 	}
+	if workspace != "" && g.Isolated(current, workspace) {
+		return nil, isolatedRefusal(workspace)
+	}
 	timeout, refused := timeoutOf(r, service.Timeout)
 	if refused != nil {
 		return nil, refused
@@ -97,6 +100,9 @@
 	return service, route, path, nil
 }
 
+// authenticator finds the workspace of a request.
+type authenticator func(*configuration.Configuration, *http.Request, configuration.Service, configuration.Route) (string, *refusal.Refusal)
+
 // authenticate returns the workspace of the request's key, or "" on a route
 // that is open to all.
 func authenticate(c *configuration.Configuration, r *http.Request, service configuration.Service, route configuration.Route) (string, *refusal.Refusal) {
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 )
 
 // Core is the control state of a look-up process. It reads no clock and opens
@@ -135,12 +134,12 @@
 func (c *Core) Table() *Table {
 	var live []membership.Member
 	for _, member := range c.members() {
-		if member.State == platform.Live {
+		if member.Usable() {
 			live = append(live, member)
 		}
 	}
 	slices.SortFunc(live, func(a, b membership.Member) int { return cmp.Compare(a.Instance, b.Instance) })
-	return newTable(c.zone, c.catalogue, c.blocks, live)
+	return newTable(c.zone, c.HeardAt(), c.catalogue, c.blocks, live)
 }
 
 // allSilent reports whether no entry is heard.
