--- a/internal/action/journaling.go
+++ b/internal/action/journaling.go
@@ -18,6 +18,9 @@
 	// FleetWritesPerSecond is the rate of journal writes that all entries
 	// share; default 50.
 	FleetWritesPerSecond float64
+	// BytesPerSecond is the rate of bytes of this entry's writes; default
+	// 32 KiB/s.
+	BytesPerSecond int
 	// Retention is how long a journal outlives its incarnation at least;
 	// default 1 h.
 	Retention time.Duration
@@ -27,6 +30,7 @@
 const (
 	DefaultJournalInterval      = time.Second
 	DefaultFleetWritesPerSecond = 50
+	DefaultJournalBytesRate     = 32 << 10
 )
 
 // maxOperations bounds the calls to the store of one round.
@@ -38,6 +42,7 @@
 	options  JournalOptions
 	members  func() int
 	writer   *Writer
+	bytes    int // of the last write
 	writes   metrics.Counter
 	failures metrics.Counter
 	// written is the writer's count of changes in the store, for dumps.
@@ -49,6 +54,7 @@
 func NewJournaling(stage *Stage, members func() int, options JournalOptions) *Journaling {
 	setDefault(&options.Interval, DefaultJournalInterval)
 	setDefault(&options.FleetWritesPerSecond, DefaultFleetWritesPerSecond)
+	setDefault(&options.BytesPerSecond, DefaultJournalBytesRate)
 	setDefault(&options.Retention, DefaultRetention)
 	registry := stage.env.Registry
 	return &Journaling{
@@ -61,11 +67,12 @@
 	}
 }
 
-// interval returns the time between two writes when the given number of
-// entries share the write rate.
-func (o JournalOptions) interval(members int) time.Duration {
-	share := time.Duration(float64(members) / o.FleetWritesPerSecond * float64(time.Second))
-	return max(o.Interval, share)
+// pause returns the time to the next write when the given number of entries
+// share the write rate and the last write had some bytes.
+func (o JournalOptions) pause(members, bytes int) time.Duration {
+	share := float64(members) / o.FleetWritesPerSecond
+	transfer := float64(bytes) / float64(o.BytesPerSecond)
+	return max(o.Interval, time.Duration(max(share, transfer)*float64(time.Second)))
 }
 
 // Run writes the journal at each interval until ctx ends.
@@ -74,7 +81,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(j.options.interval(j.members())):
+		case <-time.After(j.options.pause(j.members(), j.bytes)):
 			j.round(ctx)
 		}
 	}
@@ -144,6 +151,7 @@
 		return err
 	}
 	j.writes.Inc(1)
+	j.bytes = len(value)
 	revision, err := j.stage.env.Store.CompareAndSet(ctx, store.Write{
 		Key:    JournalKey(j.stage.env.Incarnation),
 		Value:  value,
--- a/internal/action/stage_test.go
+++ b/internal/action/stage_test.go
@@ -16,6 +16,7 @@
 	"lovagescale/internal/call"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/store"
+	"lovagescale/internal/store/storetest"
 	"lovagescale/internal/upstream"
 )
 
@@ -33,12 +34,12 @@
 	runs  int
 	serve func() (*call.Result, error)
 	log   bytes.Buffer
-	store *memoryStore
+	store *leasingStore
 	stage *Stage
 }
 
 func newFixture(options Options) *fixture {
-	f := &fixture{now: time.Unix(1_700_000_000, 0), store: newMemoryStore()}
+	f := &fixture{now: time.Unix(1_700_000_000, 0), store: &leasingStore{Store: storetest.New()}}
 	f.serve = func() (*call.Result, error) { return answerOf("first"), nil }
 	f.stage = NewStage(Environment{
 		Incarnation: ownName,
@@ -70,46 +71,27 @@
 	return result, nil
 }
 
-// memoryStore is the stand-in's store behind the client's interface.
-type memoryStore struct {
-	store.Client
-	entries map[string]store.Entry
-	writes  int
-	// lose is the number of next writes whose reply is lost.
-	lose int
-	down bool
+// leasingStore is a store in memory that grants leases and counts calls.
+type leasingStore struct {
+	*storetest.Store
+	writes, bytes, calls int
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{entries: make(map[string]store.Entry)} }
-
-func (m *memoryStore) Grant(context.Context, time.Duration) (store.LeaseID, error) { return "l", nil }
+func (s *leasingStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
+	s.calls++
+	return "lease", nil
+}
 
-func (m *memoryStore) Get(_ context.Context, key string) (store.Entry, error) {
-	if m.down {
-		return store.Entry{}, &store.UnavailableError{Operation: "get"}
-	}
-	entry, found := m.entries[key]
-	if !found {
-		return entry, &store.NotFoundError{Key: key}
-	}
-	return entry, nil
+func (s *leasingStore) Renew(context.Context, store.LeaseID) error {
+	s.calls++
+	return nil
 }
 
-func (m *memoryStore) CompareAndSet(_ context.Context, write store.Write) (uint64, error) {
-	if m.down {
-		return 0, &store.UnavailableError{Operation: "set"}
-	}
-	if found := m.entries[write.Key].Revision; found != write.Expect {
-		return 0, &store.ConflictError{Key: write.Key, Expect: write.Expect, Found: found}
-	}
-	m.writes++
-	revision := uint64(m.writes)
-	m.entries[write.Key] = store.Entry{Key: write.Key, Value: write.Value, Revision: revision}
-	if m.lose > 0 {
-		m.lose--
-		return 0, &store.OutcomeUnknownError{Operation: "set"}
-	}
-	return revision, nil
+func (s *leasingStore) CompareAndSet(ctx context.Context, write store.Write) (uint64, error) {
+	s.calls++
+	s.writes++
+	s.bytes += len(write.Value)
+	return s.Store.CompareAndSet(ctx, write)
 }
 
 var _ = Describe("Stage", func() {
@@ -216,10 +198,10 @@
 		Entry("key without an owner", "azul", "plain", refusal.Unknown),
 	)
 	It("claims a key without an owner once, in spite of a lost reply", func() {
-		f.store.lose = 1
+		f.store.Lose = 1
 		_, refused := f.send("azul", "plain", "letter")
 		Expect(refused).To(BeNil())
-		f.store.down = true
+		f.store.Down = true
 		result, _ := f.send("azul", "plain", "letter")
 		Expect(result.Replayed).To(BeTrue())
 		_, refused = f.send("azul", "plain 2", "letter")
@@ -231,7 +213,9 @@
 var _ = Describe("Journaling", func() {
 	ctx := context.Background()
 	read := func(f *fixture) *Journal {
-		journal, err := DecodeJournal(f.store.entries[JournalKey(ownName)].Value)
+		entry, err := f.store.Get(ctx, JournalKey(ownName))
+		Expect(err).NotTo(HaveOccurred())
+		journal, err := DecodeJournal(entry.Value)
 		Expect(err).NotTo(HaveOccurred())
 		return journal
 	}
@@ -243,7 +227,7 @@
 		Expect(f.store.writes).To(BeZero())
 		f.send("azul", ownName+".1", "letter")
 		f.send("azul", ownName+".2", "letter")
-		f.store.lose = 1
+		f.store.Lose = 1
 		Expect(journaling.round(ctx)).To(BeTrue())
 		Expect(f.store.writes).To(Equal(2))
 		Expect(read(f).Entries).To(HaveLen(2))
@@ -279,10 +263,12 @@
 		Expect(NewJournaling(f.stage, func() int { return 1 }, JournalOptions{}).Close(ctx)).To(BeTrue())
 		Expect(read(f).ProvesNotRun(0)).To(BeFalse())
 	})
-	DescribeTable("interval", func(members int, want time.Duration) {
-		Expect(JournalOptions{Interval: time.Second, FleetWritesPerSecond: 50}.interval(members)).To(Equal(want))
+	DescribeTable("interval", func(members, bytes int, want time.Duration) {
+		options := JournalOptions{Interval: time.Second, FleetWritesPerSecond: 50, BytesPerSecond: 1000}
+		Expect(options.pause(members, bytes)).To(Equal(want))
 	},
-		Entry("small fleet", 11, time.Second),
-		Entry("large fleet", 2300, 46*time.Second),
+		Entry("small fleet", 11, 100, time.Second),
+		Entry("large fleet", 2300, 100, 46*time.Second),
+		Entry("large journal", 11, 4000, 4*time.Second),
 	)
 })
--- a/internal/action/table.go
+++ b/internal/action/table.go
@@ -8,7 +8,7 @@
 
 // Options configure a Core. The zero value uses the defaults.
 type Options struct {
-	// Capacity bounds the remembered keys; default 200,000.
+	// Capacity bounds the remembered keys; default 400,000.
 	Capacity int
 	// Retention is how long a finished key is remembered at least; default 1 h.
 	Retention time.Duration
@@ -24,7 +24,7 @@
 
 // Defaults of Options.
 const (
-	DefaultCapacity           = 200_000
+	DefaultCapacity           = 400_000
 	DefaultRetention          = time.Hour
 	DefaultAnswerBytes        = 64 << 10
 	DefaultAnswersBytes       = 16 << 20
@@ -49,6 +49,13 @@
 	}
 }
 
+// Sweeping starts when all but a part of the capacity is in use, and is not
+// repeated within an interval, since it reads the whole table.
+const (
+	sweepMargin   = 8 // a part of the capacity
+	sweepInterval = 10 * time.Second
+)
+
 // maxStampAhead is how far a stamp may be ahead of the owner's clock. A key
 // with a later one is kept like a key without a stamp.
 const maxStampAhead = Stamp(time.Hour / stampUnit)
@@ -92,7 +99,7 @@
 
 // start records a key. It reports false when the table is full.
 func (t *table) start(now time.Time, digest Digest, request uint64, stamp Stamp) bool {
-	if len(t.records) >= t.options.Capacity {
+	if len(t.records) >= t.options.Capacity-t.options.Capacity/sweepMargin {
 		t.sweep(now)
 	}
 	if len(t.records) >= t.options.Capacity {
@@ -147,7 +154,7 @@
 		t.answers.drop(digest)
 	}
 	t.answers.compact()
-	t.nextSweep = later(t.nextSweep, now.Add(time.Second))
+	t.nextSweep = later(t.nextSweep, now.Add(sweepInterval))
 }
 
 // expiry is a retention after the end of the action or after its stamp,
--- a/internal/entry/action.go
+++ b/internal/entry/action.go
@@ -27,6 +27,8 @@
 	JournalInterval unit.Duration `toml:"journal_interval"`
 	// JournalFleetWritesPerSecond is shared by all live entries.
 	JournalFleetWritesPerSecond float64 `toml:"journal_fleet_writes_per_second"`
+	// JournalBytesPerSecond bounds the bytes of this entry's journal writes.
+	JournalBytesPerSecond int `toml:"journal_bytes_per_second"`
 	// JournalBytes bounds the journal value, JournalAnswerBytes one answer in it.
 	JournalBytes       int `toml:"journal_bytes"`
 	JournalAnswerBytes int `toml:"journal_answer_bytes"`
@@ -50,6 +52,7 @@
 		{"answer_bytes", s.AnswerBytes},
 		{"answers_bytes", s.AnswersBytes},
 		{"journal_bytes", s.JournalBytes},
+		{"journal_bytes_per_second", s.JournalBytesPerSecond},
 		{"journal_answer_bytes", s.JournalAnswerBytes},
 	} {
 		if bound.value < 0 {
@@ -97,6 +100,7 @@
 	e.journaling = action.NewJournaling(e.actions, members, action.JournalOptions{
 		Interval:             s.JournalInterval.Std(),
 		FleetWritesPerSecond: s.JournalFleetWritesPerSecond,
+		BytesPerSecond:       s.JournalBytesPerSecond,
 		Retention:            s.Retention.Std(),
 	})
 }
--- /dev/null
+++ b/internal/entry/action_bench_test.go
@@ -0,0 +1,157 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/configuration"
+	"lovagescale/internal/platform"
+	"lovagescale/internal/standin"
+	"lovagescale/internal/store"
+	"lovagescale/internal/unit"
+	"lovagescale/internal/workspacekey"
+)
+
+// Addresses of the benchmark's estate.
+const (
+	benchPlatform = "127.90.0.1:7100"
+	benchControl  = "127.90.0.1:7101"
+	benchUpstream = "127.90.1.10:8080"
+	benchText     = `
+[region.north]
+link_bandwidth = "1Gbit/s"
+shift_cap = "1000/s"
+[zone.north-1]
+region = "north"
+client_blocks = ["10.1.0.0/16"]
+[service.letters]
+depends_on = []
+slots = 64
+connections = 200
+timeout = "5s"
+[service.letters.endpoints]
+north-1 = ["127.90.1.10:8080"]
+[service.letters.route.status]
+path = "/status"
+methods = ["GET"]
+kind = "lookup"
+open = true
+[service.letters.route.send]
+path = "/send"
+methods = ["POST"]
+kind = "action"
+[workspace.azul]
+rate = "1000000/s"
+burst = 1000000
+services = ["letters"]
+isolation = "10m"
+`
+)
+
+// startEstate runs the stand-in and two entries of a zone in this process and
+// returns the entries once they see each other.
+func startEstate(b *testing.B) (entries [2]*Entry, key string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.Cleanup(cancel)
+	var instances []platform.Instance
+	for i := range 2 {
+		instances = append(instances, platform.Instance{ID: fmt.Sprintf("north-1-%d", i), Zone: "north-1",
+			Address: fmt.Sprintf("127.90.1.%d:7001", i+1), Link: fmt.Sprintf("127.90.1.%d:7002", i+1), State: platform.Live})
+	}
+	surroundings := standin.NewServer(standin.Settings{Platform: benchPlatform, Control: benchControl, Instance: instances,
+		Upstream: []standin.UpstreamSettings{{Service: "letters", Zone: "north-1", Addresses: []string{benchUpstream}, Slots: 64}}})
+	go func() { _ = surroundings.Run(ctx) }()
+	text, err := configuration.Parse("bench", []byte(benchText))
+	if err != nil {
+		b.Fatal(err)
+	}
+	publisher := &configuration.Publisher{Store: store.NewHTTPClient(benchPlatform, "bench", time.Second), ChangeID: "bench"}
+	for _, err = publisher.Apply(ctx, configuration.Published{}, text); err != nil; {
+		time.Sleep(time.Millisecond)
+		_, err = publisher.Apply(ctx, configuration.Published{}, text)
+	}
+	key, record, err := workspacekey.Generate(rand.Reader, "azul")
+	if err != nil {
+		b.Fatal(err)
+	}
+	revision, err := publisher.GrantKey(ctx, record, []byte("token"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i, instance := range instances {
+		e, err := New(Settings{Instance: instance.ID, Zone: instance.Zone, Address: instance.Address, Link: instance.Link,
+			Operator: fmt.Sprintf("127.90.1.%d:7003", i+1), Platform: benchPlatform,
+			StoreTimeout: unit.Duration(time.Second), StopGrace: unit.Duration(time.Second),
+			Action: ActionSettings{Capacity: 10_000_000, Retention: unit.Duration(time.Hour)}}, zerolog.Nop())
+		if err != nil {
+			b.Fatal(err)
+		}
+		go func() { _ = e.Run(ctx) }()
+		entries[i] = e
+	}
+	for _, e := range entries {
+		for e.current.Load() == nil || e.current.Load().Revision < revision || len(e.view.Load().Members) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return entries, key
+}
+
+// BenchmarkActionLatency compares a lookup with an action at its owner, an
+// action that the other entry hands to its owner, and a repeated action.
+func BenchmarkActionLatency(b *testing.B) {
+	entries, workspaceKey := startEstate(b)
+	owner := entries[0].self.Incarnation
+	run := 0
+	for _, kind := range []struct {
+		name, method, path string
+		at                 int
+		repeat             bool
+	}{
+		{"lookup", "GET", "/letters/status", 0, false},
+		{"action", "POST", "/letters/send", 0, false},
+		{"action-handed", "POST", "/letters/send", 1, false},
+		{"action-repeated", "POST", "/letters/send", 0, true},
+	} {
+		b.Run(kind.name, func(b *testing.B) {
+			histogram := hdrhistogram.New(1, int64(time.Minute), 3)
+			for range b.N {
+				if !kind.repeat {
+					run++
+				}
+				started := time.Now()
+				sendBench(b, kind.method, entries[kind.at].settings.Address+kind.path, workspaceKey, fmt.Sprintf("%s.%d", owner, run))
+				_ = histogram.RecordValue(int64(time.Since(started))) // within the range
+			}
+			b.ReportMetric(float64(histogram.ValueAtQuantile(50))/1e3, "p50-µs")
+			b.ReportMetric(float64(histogram.ValueAtQuantile(99))/1e3, "p99-µs")
+		})
+	}
+}
+
+func sendBench(b *testing.B, method, target, workspaceKey, key string) {
+	r, err := http.NewRequest(method, "http://"+target, strings.NewReader(""))
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.Header.Set("Idempotency-Key", key)
+	r.Header.Set("Authorization", "Bearer "+workspaceKey)
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, answer.Body) // read to keep the connection
+	_ = answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		b.Fatalf("%s %s: status %d", method, target, answer.StatusCode)
+	}
+}
