--- a/internal/scenario/commands_test.go
+++ b/internal/scenario/commands_test.go
@@ -103,8 +103,8 @@
 	ts.Check(processesOf(ts).take(ts, args[0], false).command.Process.Signal(signals[args[1]]))
 }
 
-// stop NAME asks a daemon to end and requires exit code 0.
-func stop(ts *testscript.TestScript, _ bool, args []string) {
+// shutdown NAME asks a daemon to end and requires exit code 0.
+func shutdown(ts *testscript.TestScript, _ bool, args []string) {
 	running := processesOf(ts).take(ts, args[0], true)
 	ts.Check(running.command.Process.Signal(syscall.SIGTERM))
 	ts.Check(running.command.Wait())
