--- /dev/null
+++ b/internal/link/bench_test.go
@@ -0,0 +1,83 @@
+package link
+
+import (
+	"context"
+	"net"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/wire"
+)
+
+// BenchmarkLinkCall is one small request with its reply over loopback. The
+// processor time is that of both ends.
+func BenchmarkLinkCall(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := NewServer(zerolog.Nop(), metrics.NewRegistry())
+	server.Handle("echo", func(context.Context, wire.Envelope) (any, error) { return text{"reply"}, nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx, listener) }()
+	client := NewClient(listener.Addr().String())
+	defer client.Close()
+	started := processorTime()
+	for b.Loop() {
+		if err := client.Call(ctx, "echo", text{"request"}, &text{}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64((processorTime()-started).Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// BenchmarkLinkMemory reports the heap of one open link, both ends.
+func BenchmarkLinkMemory(b *testing.B) {
+	const links = 500
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := NewServer(zerolog.Nop(), metrics.NewRegistry())
+	server.Handle("echo", func(context.Context, wire.Envelope) (any, error) { return text{"reply"}, nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go func() { _ = server.Serve(ctx, listener) }()
+	for b.Loop() {
+		before := memory()
+		clients := make([]*Client, links)
+		for i := range clients {
+			clients[i] = NewClient(listener.Addr().String())
+			if err := clients[i].Call(ctx, "echo", text{}, &text{}); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(memory()-before)/links/1024, "KiB/link")
+		for _, client := range clients {
+			client.Close()
+		}
+	}
+}
+
+// memory returns the bytes of live heap and stacks.
+func memory() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc + stats.StackInuse
+}
+
+// processorTime returns the processor time of this process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
