--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -17,10 +17,13 @@
 	random   *rand.Rand
 	self     Member
 	sequence uint64
-	lastTick time.Time
-	beatAt   time.Time
-	gossipAt time.Time
-	doubtAt  time.Time
+	// ready is set when the own zone is known well enough to speak for it.
+	ready     bool
+	startedAt time.Time
+	lastTick  time.Time
+	beatAt    time.Time
+	gossipAt  time.Time
+	doubtAt   time.Time
 
 	siblings map[string]*sibling
 	zones    map[string]*zone
@@ -65,15 +68,16 @@
 // NewCore returns the state of an incarnation that knows only itself.
 func NewCore(now time.Time, self Member, random *rand.Rand, options Options) *Core {
 	c := &Core{
-		options:  options.WithDefaults(),
-		random:   random,
-		self:     self,
-		lastTick: now,
-		siblings: make(map[string]*sibling),
-		zones:    make(map[string]*zone),
-		push:     make(map[string]bool),
-		list:     make(map[string]platform.Instance),
-		left:     make(map[string]bool),
+		options:   options.WithDefaults(),
+		random:    random,
+		self:      self,
+		startedAt: now,
+		lastTick:  now,
+		siblings:  make(map[string]*sibling),
+		zones:     make(map[string]*zone),
+		push:      make(map[string]bool),
+		list:      make(map[string]platform.Instance),
+		left:      make(map[string]bool),
 	}
 	c.refresh()
 	return c
@@ -106,7 +110,9 @@
 		c.beatAt = now
 		out = append(out, c.heartbeats(now)...)
 	}
+	c.judgeOmitted(now)
 	c.refresh()
+	c.ready = c.ready || c.isReady(now)
 	if c.isDelegate() {
 		out = append(out, c.tickWorld(now)...)
 	}
@@ -363,8 +369,27 @@
 	c.table = t
 }
 
+// isReady reports whether this core knows its zone: every listed sibling, or all
+// that it heard in the time after which the others would be suspected.
+func (c *Core) isReady(now time.Time) bool {
+	if now.Sub(c.startedAt) > c.options.SuspectAfter {
+		return true
+	}
+	known := map[string]bool{c.self.Instance: true}
+	for _, s := range c.siblings {
+		known[s.record.Member.Instance] = true
+	}
+	for _, instance := range c.list {
+		if instance.Zone == c.self.Zone && !known[instance.ID] {
+			return false
+		}
+	}
+	return len(c.list) > 0
+}
+
+// isDelegate reports whether this core speaks to other zones.
 func (c *Core) isDelegate() bool {
-	return slices.ContainsFunc(c.table.delegates, func(m Member) bool { return m.Incarnation == c.self.Incarnation })
+	return c.ready && slices.ContainsFunc(c.table.delegates, func(m Member) bool { return m.Incarnation == c.self.Incarnation })
 }
 
 // isFirstDelegate reports whether this core takes other zones' summaries from
