--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,10 @@
 // incarnationBytes is the random part of an incarnation's name.
 const incarnationBytes = 6
 
+// hardHeaderFactor times the limit of headers is where the HTTP library cuts a
+// caller off; up to there the gateway refuses by itself and says so.
+const hardHeaderFactor = 8
+
 // readHeaderTimeout bounds a slow caller.
 const readHeaderTimeout = 5 * time.Second
 
@@ -47,18 +51,20 @@
 	store    store.Client
 	list     *platform.Client
 
-	peers    *link.Peers
-	loop     *control.Loop
-	self     membership.Member
-	members  *membership.Core // owned by loop
-	view     atomic.Pointer[membership.View]
-	current  atomic.Pointer[configuration.Configuration]
-	chunks   configuration.Chunks
-	changes  changes
-	router   *routing.Router
-	actions  *action.Stage
-	gateway  *gateway.Gateway
-	stopping atomic.Bool
+	peers     *link.Peers
+	loop      *control.Loop
+	self      membership.Member
+	members   *membership.Core // owned by loop
+	view      atomic.Pointer[membership.View]
+	current   atomic.Pointer[configuration.Configuration]
+	changes   changes
+	router    *routing.Router
+	actions   *action.Stage
+	gateway   *gateway.Gateway
+	spreading *spreading
+	stopping  atomic.Bool
+
+	journaling *action.Journaling // keeps the journal of actions
 }
 
 // New returns an entry that is not yet listening.
@@ -75,7 +81,6 @@
 		list:     platform.NewClient(s.Platform, s.StoreTimeout.Std()),
 		peers:    link.NewPeers(),
 		loop:     control.NewLoop("entry"),
-		chunks:   make(configuration.Chunks),
 		self: membership.Member{
 			Instance:    s.Instance,
 			Incarnation: incarnation,
@@ -89,9 +94,15 @@
 	e.setUpMembers()
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
-	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
+	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes})
+		gateway.Options{
+			MaxBodyBytes:   s.MaxBodyBytes,
+			MaxHeaderBytes: s.MaxHeaderBytes,
+			Isolation:      s.Isolation.Std(),
+			Vouch:          e.actions.Vouch,
+		})
+	e.spreading = newSpreading(e)
 	return e, nil
 }
 
@@ -128,16 +139,19 @@
 	links := link.NewServer(e.log, e.registry)
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
-	links.Handle(handover.TypeCall, handover.Handler(call.StageFunc(e.dispatch)))
+	e.spreading.handle(links)
+	links.Handle(handover.TypeCall, handover.Handler(e.router))
+	endActions := e.serveActions(background, links)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
-	group.Go(func() error { e.watchConfiguration(background); return nil })
+	group.Go(func() error { return e.spreading.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
+		defer endActions()
 		return e.serveCallers(ctx, listeners.callers)
 	})
 	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
@@ -180,7 +194,7 @@
 	server := &http.Server{
 		Handler:           e.gateway,
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    e.settings.MaxHeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * e.settings.MaxHeaderBytes,
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
