Treat a write that a server on the way gave up on as possibly done

Cause: a 500 or 504 answer was taken for a refusal without effect, though a gateway can give up on a write that the store carries out later. Change: only 4xx and 503 are refusals.

--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -157,7 +157,7 @@
 	case http.StatusGone:
 		return 0, &LeaseLapsedError{Lease: write.Lease}
 	default:
-		return 0, &UnavailableError{Operation: "set " + write.Key, Cause: &StatusError{Status: status, Body: string(body)}}
+		return 0, statusError("set "+write.Key, status, body)
 	}
 }
 
@@ -176,7 +176,7 @@
 		_ = json.Unmarshal(body, &conflict) // the found revision is informative only
 		return &ConflictError{Key: key, Expect: expect, Found: conflict.Found}
 	default:
-		return &UnavailableError{Operation: "delete " + key, Cause: &StatusError{Status: status, Body: string(body)}}
+		return statusError("delete "+key, status, body)
 	}
 }
 
@@ -211,10 +211,20 @@
 	case http.StatusGone:
 		return LeaseReply{}, &LeaseLapsedError{Lease: request.Lease}
 	default:
-		return LeaseReply{}, &UnavailableError{Operation: path, Cause: &StatusError{Status: status, Body: string(answer)}}
+		return LeaseReply{}, statusError(path, status, answer)
 	}
 }
 
+// statusError tells a write that the store refused from one that a server on
+// the way gave up on, which may still be carried out.
+func statusError(operation string, status int, body []byte) error {
+	cause := &StatusError{Status: status, Body: string(body)}
+	if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
+		return &OutcomeUnknownError{Operation: operation, Cause: cause}
+	}
+	return &UnavailableError{Operation: operation, Cause: cause}
+}
+
 // writeError tells a write that cannot have been sent from one that may have
 // been carried out.
 func writeError(operation string, cause error) error {
