--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -58,6 +58,8 @@
 	AnswerNotKept       Kind = "action-answer-not-kept"
 	StoreUnavailable    Kind = "store-unavailable"
 	BodyTooLarge        Kind = "body-too-large"
+	BodyCut             Kind = "body-cut"
+	HeaderTooLarge      Kind = "headers-too-large"
 	RateExceeded        Kind = "rate-exceeded"
 	NoCapacity          Kind = "no-capacity"
 	UpstreamUnreachable Kind = "upstream-unreachable"
