--- /dev/null
+++ b/internal/quarantine/quarantine_test.go
@@ -0,0 +1,51 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"lovagescale/internal/call"
+	"lovagescale/internal/upstream"
+)
+
+func request(workspace, key, body string) Fingerprint {
+	return Of(&call.Call{Workspace: workspace, Service: "s", IdempotencyKey: key,
+		Request: upstream.Request{Method: "POST", Target: "/x", Body: []byte(body)}})
+}
+
+func TestFingerprintLeavesOutTheIdempotencyKey(t *testing.T) {
+	g := gomega.NewWithT(t)
+	g.Expect(request("w", "k1", "b")).To(gomega.Equal(request("w", "k2", "b")))
+	g.Expect(request("w", "k1", "b")).NotTo(gomega.Equal(request("w", "k1", "c")))
+	g.Expect(request("w", "k1", "b")).NotTo(gomega.Equal(request("v", "k1", "b")))
+}
+
+func TestTwoEndpointsQuarantineForTheTerm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Options{})
+	f := request("w", "", "b")
+	g.Expect(table.Add(now, Strike{f, "e1"})).To(gomega.BeTrue())
+	g.Expect(table.Add(now, Strike{f, "e1"})).To(gomega.BeFalse())
+	g.Expect(table.Quarantined(now, f)).To(gomega.BeZero())
+	g.Expect(table.Add(now, Strike{f, "e2"})).To(gomega.BeTrue())
+	g.Expect(table.Quarantined(now, f)).To(gomega.Equal(defaultTerm))
+	g.Expect(table.Quarantined(now, request("w", "", "c"))).To(gomega.BeZero())
+	g.Expect(table.Quarantined(now.Add(defaultTerm+1), f)).To(gomega.BeZero())
+}
+
+func TestTheTableIsBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := time.Unix(1000, 0)
+	table := NewTable(Options{Capacity: 2})
+	bad := request("w", "", "bad")
+	table.Add(now, Strike{bad, "e1"})
+	table.Add(now, Strike{bad, "e2"})
+	for _, body := range []string{"1", "2", "3"} {
+		table.Add(now, Strike{request("w", "", body), "e1"})
+	}
+	g.Expect(table.Len()).To(gomega.Equal(2))
+	g.Expect(table.Quarantined(now, bad)).To(gomega.Equal(defaultTerm))
+}
