Route by ownership, observed latency, trust and fair shares

Each entry used every endpoint of its zone with its own count, so that two entries could fill an endpoint's slots twice, and a slow, draining or crashing endpoint went on getting requests. The entry now uses the endpoints that its zone granted it, chooses by requests in flight times recent latency, ramps cold endpoints, ejects outliers up to a share, retries and hedges lookups within a budget, quarantines requests that cost two endpoints their connection and tells the other entries. Connections per endpoint are bounded, and an idle connection on which anything arrived is not used again. A call that finds no own slot goes to the siblings that own endpoints of the service.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -61,6 +60,7 @@
 	router    *routing.Router
 	actions   *action.Stage
 	gateway   *gateway.Gateway
+	owning    *owning
 	spreading *spreading
 	stopping  atomic.Bool
 
@@ -92,8 +92,7 @@
 	}
 	e.changes.init()
 	e.setUpMembers()
-	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-	e.router = routing.New(s.Instance, s.Zone, random)
+	e.setUpRouting()
 	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
 		gateway.Options{
@@ -120,7 +119,7 @@
 	if c.Kind == configuration.Action {
 		return e.actions.Serve(ctx, c)
 	}
-	return e.router.Serve(ctx, c)
+	return e.serveInZone(ctx, c)
 }
 
 // Run serves until ctx ends, then drains: it leaves the look-up answers first,
@@ -140,6 +139,7 @@
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
+	e.owning.handle(links)
 	links.Handle(handover.TypeCall, handover.Handler(e.router))
 	endActions := e.serveActions(background, links)
 
@@ -148,6 +148,7 @@
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
 	group.Go(func() error { return e.spreading.run(background) })
+	group.Go(func() error { return e.owning.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -128,6 +128,7 @@
 // putList runs on the control goroutine.
 func (e *Entry) putList(instances []platform.Instance) {
 	e.members.Listed(instances)
+	e.owning.listed(instances)
 	e.publishMembers()
 }
 
@@ -176,6 +177,7 @@
 	}
 	e.logChanges(previous, next)
 	e.router.ApplyView(next)
+	e.owning.view(next)
 	e.changes.signal()
 }
 
--- /dev/null
+++ b/internal/entry/ownership.go
@@ -0,0 +1,232 @@
+package entry
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"lovagescale/internal/configuration"
+	"lovagescale/internal/link"
+	"lovagescale/internal/membership"
+	"lovagescale/internal/ownership"
+	"lovagescale/internal/platform"
+	"lovagescale/internal/quarantine"
+	"lovagescale/internal/routing"
+	"lovagescale/internal/wire"
+)
+
+// Message types of routing.
+const (
+	typeStatement = "ownership.statement"
+	typeStrikes   = "quarantine.strikes"
+)
+
+// Intervals and bounds of routing's control.
+const (
+	ownershipInterval = 100 * time.Millisecond
+	statementTimeout  = 500 * time.Millisecond
+	publishInterval   = time.Second
+	// strikeInterval gathers strikes into one message.
+	strikeInterval = 50 * time.Millisecond
+	// maxStrikes bounds the strikes of one message and those that wait.
+	maxStrikes = 256
+)
+
+// owning is the part of an entry that owns endpoints and tells of strikes.
+type owning struct {
+	entry   *Entry
+	core    *ownership.Core // owned by the entry's loop
+	strikes chan quarantine.Strike
+	dropped metrics.Counter
+	held    metrics.Gauge
+	worst   routing.Worst // owned by the entry's loop
+}
+
+// newOwning returns an entry's ownership without rights.
+func newOwning(e *Entry) *owning {
+	o := &owning{
+		entry:   e,
+		core:    ownership.New(time.Now(), e.self.Instance, e.self.Incarnation, ownership.Options{}),
+		strikes: make(chan quarantine.Strike, maxStrikes),
+		dropped: metrics.GetOrRegisterCounter("quarantine.dropped_strikes", e.registry),
+		held:    metrics.GetOrRegisterGauge("ownership.held_endpoints", e.registry),
+	}
+	e.router.SetOwned(nil, time.Now())
+	e.router.OnStrike(func(s quarantine.Strike) {
+		select {
+		case o.strikes <- s:
+		default:
+			o.dropped.Inc(1)
+		}
+	})
+	return o
+}
+
+// handle adds the message types of routing.
+func (o *owning) handle(links *link.Server) {
+	links.Handle(typeStatement, o.receive)
+	links.Handle(typeStrikes, o.receiveStrikes)
+}
+
+// run ticks ownership, probes endpoints and tells of strikes until ctx ends.
+func (o *owning) run(ctx context.Context) error {
+	go o.entry.router.Probe(ctx)
+	go o.tellStrikes(ctx)
+	go o.entry.loop.Every(ctx, publishInterval, func() { o.worst = o.entry.router.Publish() })
+	o.entry.loop.Every(ctx, ownershipInterval, func() { o.tick(ctx) })
+	return nil
+}
+
+// configure runs on the control goroutine.
+func (o *owning) configure(c *configuration.Configuration) {
+	o.core.SetEndpoints(time.Now(), routing.Endpoints(c, o.entry.self.Zone))
+	o.publish()
+}
+
+// view runs on the control goroutine.
+func (o *owning) view(view *membership.View) {
+	var peers []ownership.Peer
+	for _, m := range view.InZone(o.entry.self.Zone) {
+		peers = append(peers, ownership.Peer{Instance: m.Instance, Incarnation: m.Incarnation, Link: m.Link, Live: m.Usable()})
+	}
+	now := time.Now()
+	o.core.SetPeers(now, peers)
+	if view.Self.State == platform.Leaving {
+		o.core.SetLeaving(now)
+	}
+	o.publish()
+}
+
+// listed runs on the control goroutine.
+func (o *owning) listed(instances []platform.Instance) {
+	var peers []ownership.Peer
+	for _, instance := range instances {
+		if instance.Zone == o.entry.self.Zone {
+			peers = append(peers, ownership.Peer{Instance: instance.ID, Link: instance.Link})
+		}
+	}
+	o.core.Listed(time.Now(), peers)
+	o.publish()
+}
+
+// tick runs on the control goroutine.
+func (o *owning) tick(ctx context.Context) {
+	for _, endpoint := range o.core.Yielding() {
+		if o.entry.router.InFlight(endpoint) == 0 {
+			o.core.Idle(time.Now(), endpoint)
+		}
+	}
+	for _, out := range o.core.Tick(time.Now()) {
+		go o.send(ctx, out)
+	}
+	o.publish()
+}
+
+// publish gives the router its rights.
+func (o *owning) publish() {
+	held := o.core.Held()
+	o.held.Update(int64(len(held)))
+	o.entry.router.SetOwned(held, o.core.Expiry())
+}
+
+// send sends a statement. A refused connection proves that the process to which
+// it was addressed has ended.
+func (o *owning) send(ctx context.Context, out ownership.Outgoing) {
+	if out.To.Link == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, statementTimeout)
+	defer cancel()
+	var answer ownership.Answer
+	err := o.entry.peers.Client(out.To.Link).Call(ctx, typeStatement, out.Statement, &answer)
+	_ = o.entry.loop.Post(func() {
+		switch {
+		case err == nil:
+			o.core.Answered(time.Now(), answer)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			o.core.Died(time.Now(), out.To.Instance, out.To.Incarnation, ownership.Closed)
+		}
+		o.publish()
+	})
+}
+
+func (o *owning) receive(ctx context.Context, request wire.Envelope) (any, error) {
+	var statement ownership.Statement
+	if err := request.Decode(&statement); err != nil {
+		return nil, err
+	}
+	var answer ownership.Answer
+	err := o.entry.loop.Call(ctx, func() {
+		answer = o.core.Receive(time.Now(), statement)
+		o.publish()
+	})
+	return answer, err
+}
+
+func (o *owning) receiveStrikes(_ context.Context, request wire.Envelope) (any, error) {
+	var strikes []quarantine.Strike
+	if err := request.Decode(&strikes); err != nil {
+		return nil, err
+	}
+	if len(strikes) > maxStrikes {
+		return nil, &wire.MalformedError{Type: typeStrikes}
+	}
+	for _, strike := range strikes {
+		o.entry.router.Strike(strike)
+	}
+	return struct{}{}, nil
+}
+
+// tellStrikes sends new strikes to all members.
+func (o *owning) tellStrikes(ctx context.Context) {
+	for {
+		var batch []quarantine.Strike
+		select {
+		case <-ctx.Done():
+			return
+		case strike := <-o.strikes:
+			batch = append(batch, strike)
+		}
+		wait(ctx, strikeInterval)
+		for len(batch) < maxStrikes && len(o.strikes) > 0 {
+			batch = append(batch, <-o.strikes)
+		}
+		for _, member := range o.entry.view.Load().Members {
+			if member.Incarnation != o.entry.self.Incarnation {
+				go o.sendStrikes(ctx, member.Link, batch)
+			}
+		}
+	}
+}
+
+func (o *owning) sendStrikes(ctx context.Context, peer string, batch []quarantine.Strike) {
+	ctx, cancel := context.WithTimeout(ctx, statementTimeout)
+	defer cancel()
+	var reply struct{}
+	if err := o.entry.peers.Client(peer).Call(ctx, typeStrikes, batch, &reply); err != nil {
+		metrics.GetOrRegisterCounter("quarantine.unsent_strikes", o.entry.registry).Inc(1)
+	}
+}
+
+// routingDump is the state dump of routing.
+type routingDump struct {
+	Held        []string      `json:"held"`
+	Yielding    []string      `json:"yielding"`
+	Struck      int           `json:"struck_requests"`
+	Quarantined int           `json:"quarantined_requests"`
+	Worst       routing.Worst `json:"worst_served"`
+}
+
+func (o *owning) dump(ctx context.Context) routingDump {
+	var dump routingDump
+	_ = o.entry.loop.Call(ctx, func() { // after the loop the rest is still true
+		dump.Held = o.core.Held()
+		dump.Yielding = o.core.Yielding()
+		dump.Worst = o.worst
+	})
+	dump.Struck, dump.Quarantined = o.entry.router.Quarantine()
+	return dump
+}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -31,6 +31,8 @@
 	Isolation unit.Duration `toml:"isolation"`
 	// Membership sets the timing of heartbeats and gossip.
 	Membership MembershipSettings `toml:"membership"`
+	// Routing sets the choice of endpoints.
+	Routing RoutingSettings `toml:"routing"`
 	// Action bounds the memory of actions.
 	Action ActionSettings `toml:"action"`
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -25,6 +25,7 @@
 	}
 	e.current.Store(c)
 	e.router.Apply(c)
+	e.owning.configure(c)
 	e.gateway.Apply(c)
 	e.changes.signal()
 	e.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
@@ -40,6 +41,7 @@
 	Spread     spread.StatusReply      `json:"spread"`
 	Stopping   bool                    `json:"stopping"`
 	Actions    actionDump              `json:"actions"`
+	Routing    routingDump             `json:"routing"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -51,6 +53,7 @@
 		Membership: dumpMembership(view),
 		Stopping:   e.stopping.Load(),
 		Actions:    e.dumpActions(),
+		Routing:    e.owning.dump(ctx),
 		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
--- a/internal/routing/owners.go
+++ b/internal/routing/owners.go
@@ -5,7 +5,6 @@
 
 	"lovagescale/internal/membership"
 	"lovagescale/internal/ownership"
-	"lovagescale/internal/platform"
 )
 
 // owners maps a service to the live siblings that own endpoints of it.
@@ -31,8 +30,8 @@
 	ranked := make(owners)
 	if r.view != nil {
 		live := liveIn(r.view, r.zone)
-		for service, endpoints := range r.current.Load().services {
-			ranked[service] = ownersOf(endpoints, live, r.instance)
+		for name, s := range r.current.Load().services {
+			ranked[name] = ownersOf(s.endpoints, live, r.instance)
 		}
 	}
 	r.siblings.Store(&ranked)
@@ -40,7 +39,7 @@
 
 // liveIn returns the live members of the zone.
 func liveIn(view *membership.View, zone string) []membership.Member {
-	return slices.DeleteFunc(view.InZone(zone), func(m membership.Member) bool { return m.State != platform.Live })
+	return slices.DeleteFunc(view.InZone(zone), func(m membership.Member) bool { return !m.Usable() })
 }
 
 func ownersOf(endpoints []*endpoint, live []membership.Member, self string) []membership.Member {
@@ -50,7 +49,7 @@
 	}
 	owning := make(map[string]bool)
 	for _, e := range endpoints {
-		owning[ownership.Preferred(e.address, instances)] = true
+		owning[ownership.Preferred(e.key, instances)] = true
 	}
 	var siblings []membership.Member
 	for _, member := range live {
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -1,77 +1,121 @@
-// Package routing chooses the endpoint that runs a call and keeps the slots of
-// endpoints.
+// Package routing runs calls on the upstream endpoints of an availability zone.
 //
-// A Table is built whole from a configuration and swapped for readers. Pools
-// and their counts outlive a table as long as their endpoint stays listed.
-// Among endpoints with a free slot the choice is the better of two drawn at
-// random, by requests in flight. A call that finds no free slot is refused at
-// once as "not-run".
+// A table of endpoints is built whole from a configuration and swapped for
+// readers; endpoints and their counts outlive a table while they have requests
+// in flight. Only endpoints that this instance owns (package ownership) get
+// requests, and never more than their slots. A slot is freed when its exchange
+// has ended, and CancelLinger later when the request was cancelled, since the
+// upstream may still work on it.
+//
+// The choice is the better of two endpoints drawn at random, by requests in
+// flight times recent latency. A cold endpoint opens its slots one by one. One
+// that stands out by latency or failures is ejected for a while, at most
+// EjectShare of them; one that refuses connections rests. Reports of health and
+// load multiply the score and never empty the set. One that says it drains
+// gets no new work.
+//
+// When no slot is free, a workspace below its fair share waits for at most
+// QueueWait and the others are refused at once (package fairness). Lookups are
+// tried again and hedged within a budget that is a share of first tries, and
+// not hedged above HedgeBelow of the slots. An action is tried again only when
+// the upstream cannot have begun it. A request that cost two endpoints their
+// connection is quarantined (package quarantine).
+//
+// How it fails: endpoints whose owner is silent have no user (see package
+// ownership). With all owned endpoints slow, none stands out and all are used.
 package routing
 
 import (
-	"context"
-	"fmt"
 	"math/rand/v2"
-	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
-	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/refusal"
-	"lovagescale/internal/upstream"
+	"lovagescale/internal/quarantine"
 )
 
-// retryNoCapacity tells callers when a slot may be free again.
-const retryNoCapacity = time.Second
-
-// endpoint is one upstream endpoint as this instance uses it.
-type endpoint struct {
-	address  string
-	slots    int64
-	inFlight atomic.Int64
-	draining atomic.Bool
-	pool     *upstream.Pool
+// service is the zone's endpoints of one service with what they share.
+type service struct {
+	name      string
+	endpoints []*endpoint
+	*shared
 }
 
-// acquire takes a slot if one is free.
-func (e *endpoint) acquire() bool {
-	if e.inFlight.Add(1) > e.slots {
-		e.inFlight.Add(-1)
-		return false
-	}
-	return true
+// shared outlives tables.
+type shared struct {
+	budget   *budget
+	gate     *gate
+	latency  atomic.Int64 // recent latency of lookups in nanoseconds
+	reviewMu sync.Mutex
 }
 
-func (e *endpoint) release() { e.inFlight.Add(-1) }
-
-// table holds the endpoints by service.
+// table holds the services that the zone has endpoints of.
 type table struct {
 	revision uint64
-	services map[string][]*endpoint
+	services map[string]*service
 }
 
 // Router is the stage that runs calls on endpoints of its zone.
 type Router struct {
 	instance string
 	zone     string
+	options  Options
+	metrics  *instruments
 
 	mu       sync.Mutex // held while a table is built
 	view     *membership.View
+	known    map[string]*endpoint // by key, also those with requests in flight only
+	shares   map[string]*shared
 	current  atomic.Pointer[table]
 	siblings atomic.Pointer[owners]
+
+	// rights is nil before ownership is in force.
+	rights   atomic.Pointer[rights]
 	random   *rand.Rand
 	randomMu sync.Mutex
+
+	quarantineMu sync.Mutex
+	quarantine   *quarantine.Table
+	struck       atomic.Int64 // records in quarantine
+	tell         func(quarantine.Strike)
+
+	workspaces workspaceStats
 }
 
-// New returns a router of the instance that uses endpoints of zone only.
+// rights says which endpoints this instance owns.
+type rights struct {
+	held   map[string]bool
+	expiry time.Time
+}
+
+// New returns a router of the instance that uses endpoints of zone only, with
+// default options.
 func New(instance, zone string, random *rand.Rand) *Router {
-	router := &Router{instance: instance, zone: zone, random: random}
-	router.current.Store(&table{services: make(map[string][]*endpoint)})
+	return NewWithOptions(instance, zone, random, metrics.NewRegistry(), Options{})
+}
+
+// NewWithOptions returns a router of the instance that uses endpoints of zone
+// only.
+func NewWithOptions(instance, zone string, random *rand.Rand, registry metrics.Registry, options Options) *Router {
+	options.fill()
+	router := &Router{
+		instance:   instance,
+		zone:       zone,
+		options:    options,
+		metrics:    newInstruments(registry),
+		known:      make(map[string]*endpoint),
+		shares:     make(map[string]*shared),
+		random:     random,
+		quarantine: quarantine.NewTable(options.Quarantine),
+	}
+	router.workspaces.init()
+	router.current.Store(&table{services: make(map[string]*service)})
 	router.siblings.Store(&owners{})
 	return router
 }
@@ -80,134 +124,143 @@
 func (r *Router) Apply(c *configuration.Configuration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	previous := r.current.Load()
-	next := &table{revision: c.Revision, services: make(map[string][]*endpoint, len(c.Services))}
-	for name, service := range c.Services {
-		known := make(map[string]*endpoint)
-		for _, e := range previous.services[name] {
-			known[e.address] = e
+	next := &table{revision: c.Revision, services: make(map[string]*service, len(c.Services))}
+	listed := make(map[string]bool)
+	for name, configured := range c.Services {
+		s := &service{name: name, shared: r.shareOf(name)}
+		for _, address := range configured.Endpoints[r.zone] {
+			listed[keyOf(name, address)] = true
+			s.endpoints = append(s.endpoints, r.keepOrCreate(address, configured))
 		}
-		for _, address := range service.Endpoints[r.zone] {
-			next.services[name] = append(next.services[name], keepOrCreate(known, address, service))
-			delete(known, address)
+		next.services[name] = s
+	}
+	for key, e := range r.known {
+		if listed[key] {
+			continue
 		}
-		for _, removed := range known {
-			removed.draining.Store(true)
-			removed.pool.Close()
+		e.removed.Store(true)
+		e.pool.Close()
+		if e.inFlight.Load() == 0 {
+			delete(r.known, key)
 		}
 	}
 	r.current.Store(next)
 	r.rankOwners()
 }
 
-func keepOrCreate(known map[string]*endpoint, address string, service configuration.Service) *endpoint {
-	e, found := known[address]
-	if found && e.slots == int64(service.Slots) {
-		return e
-	}
-	return &endpoint{
-		address: address,
-		slots:   int64(service.Slots),
-		pool:    upstream.NewPool(address, service.Slots),
+func (r *Router) shareOf(name string) *shared {
+	s, found := r.shares[name]
+	if !found {
+		s = &shared{budget: newBudget(r.options.RetryShare), gate: newGate(r.options.QueueLength)}
+		r.shares[name] = s
 	}
+	return s
 }
 
-// Serve implements call.Stage.
-func (r *Router) Serve(ctx context.Context, c *call.Call) (*call.Result, error) {
-	chosen := r.choose(c.Service)
-	if chosen == nil {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
-			fmt.Sprintf("service %q has no free endpoint", c.Service)).After(retryNoCapacity)
-	}
-	defer chosen.release()
-	request := c.Request
-	request.ID = c.ID
-	request.Fresh = c.Kind == configuration.Action
-	answer, err := chosen.pool.Exchange(ctx, &request)
-	if err != nil {
-		return nil, refuse(ctx, err)
-	}
-	if answer.Draining() {
-		chosen.draining.Store(true)
+func (r *Router) keepOrCreate(address string, configured configuration.Service) *endpoint {
+	key := keyOf(configured.Name, address)
+	e, found := r.known[key]
+	if found {
+		e.update(configured)
+		return e
 	}
-	return &call.Result{Answer: answer, Endpoint: chosen.address, Instance: r.instance, Zone: r.zone}, nil
+	e = newEndpoint(address, configured)
+	current := r.rights.Load()
+	e.owned.Store(current == nil || current.held[key])
+	r.known[key] = e
+	return e
 }
 
-// refuse turns a failed exchange into the answer that is true of it.
-func refuse(ctx context.Context, err error) *refusal.Refusal {
-	outcome := refusal.Unknown
-	var exchange *upstream.ExchangeError
-	if errors.As(err, &exchange) && !exchange.MayHaveRun() {
-		outcome = refusal.NotRun
-	}
-	if ctx.Err() != nil {
-		return refusal.New(http.StatusGatewayTimeout, refusal.DeadlineExceeded, outcome, "deadline has passed")
+// SetOwned says which endpoints this instance may use until expiry, by key. A
+// router that was never told uses all of its zone.
+func (r *Router) SetOwned(held []string, expiry time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owned := make(map[string]bool, len(held))
+	for _, key := range held {
+		owned[key] = true
 	}
-	if outcome == refusal.NotRun {
-		return refusal.New(http.StatusServiceUnavailable, refusal.UpstreamUnreachable, outcome,
-			"upstream cannot be reached").After(retryNoCapacity)
+	r.rights.Store(&rights{held: owned, expiry: expiry})
+	for key, e := range r.known {
+		e.setOwned(owned[key])
 	}
-	return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, outcome, "upstream gave no whole answer")
 }
 
-// choose returns an endpoint with its slot taken, or nil.
-func (r *Router) choose(service string) *endpoint {
-	endpoints := r.current.Load().services[service]
-	if len(endpoints) == 0 {
-		return nil
-	}
-	first, second := r.draw(len(endpoints))
-	a, b := endpoints[first], endpoints[second]
-	if b.inFlight.Load() < a.inFlight.Load() {
-		a, b = b, a
-	}
-	if usable(a) {
-		return a
-	}
-	if a != b && usable(b) {
-		return b
-	}
-	for i := range endpoints {
-		if e := endpoints[(first+i)%len(endpoints)]; usable(e) {
-			return e
-		}
-	}
-	return nil
+// permitted reports whether the rights of this instance have not expired.
+func (r *Router) permitted() bool {
+	current := r.rights.Load()
+	return current == nil || r.options.Now().Before(current.expiry)
 }
 
-// usable takes a slot of e if it may get new work.
-func usable(e *endpoint) bool {
-	return !e.draining.Load() && e.acquire()
+// InFlight returns the requests that this instance has in flight at the
+// endpoint with the key.
+func (r *Router) InFlight(key string) int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e, found := r.known[key]; found {
+		return e.inFlight.Load()
+	}
+	return 0
 }
 
-func (r *Router) draw(n int) (first, second int) {
-	r.randomMu.Lock()
-	defer r.randomMu.Unlock()
-	return r.random.IntN(n), r.random.IntN(n)
+// Endpoints returns the keys of the zone's endpoints with the service's
+// timeout.
+func Endpoints(c *configuration.Configuration, zone string) map[string]time.Duration {
+	bounds := make(map[string]time.Duration)
+	for name, configured := range c.Services {
+		for _, address := range configured.Endpoints[zone] {
+			bounds[keyOf(name, address)] = configured.Timeout
+		}
+	}
+	return bounds
 }
 
 // EndpointState is one endpoint in a state dump.
 type EndpointState struct {
-	Service  string `json:"service"`
-	Address  string `json:"address"`
-	Slots    int64  `json:"slots"`
-	InFlight int64  `json:"in_flight"`
-	Draining bool   `json:"draining"`
+	Service       string  `json:"service"`
+	Address       string  `json:"address"`
+	Slots         int64   `json:"slots"`
+	InFlight      int64   `json:"in_flight"`
+	Connections   int     `json:"connections"`
+	Owned         bool    `json:"owned"`
+	Draining      bool    `json:"draining"`
+	Ejected       bool    `json:"ejected"`
+	Down          bool    `json:"down"`
+	LatencyMillis float64 `json:"latency_ms"`
+	Answers       int     `json:"answers_since_cold"`
+	Distrust      float64 `json:"distrust"`
 }
 
-// State returns the endpoints for a state dump.
+// State returns the endpoints for a state dump, in order.
 func (r *Router) State() []EndpointState {
 	states := []EndpointState{}
-	for service, endpoints := range r.current.Load().services {
-		for _, e := range endpoints {
-			states = append(states, EndpointState{
-				Service:  service,
-				Address:  e.address,
-				Slots:    e.slots,
-				InFlight: e.inFlight.Load(),
-				Draining: e.draining.Load(),
-			})
+	now := r.options.Now()
+	services := r.current.Load().services
+	for name, s := range services {
+		for _, e := range s.endpoints {
+			states = append(states, e.state(name, now))
 		}
 	}
+	slices.SortFunc(states, func(a, b EndpointState) int {
+		return strings.Compare(keyOf(a.Service, a.Address), keyOf(b.Service, b.Address))
+	})
 	return states
 }
+
+func (e *endpoint) state(service string, now time.Time) EndpointState {
+	h := e.look()
+	return EndpointState{
+		Service:       service,
+		Address:       e.address,
+		Slots:         e.slots.Load(),
+		InFlight:      e.inFlight.Load(),
+		Connections:   e.pool.Open(),
+		Owned:         e.owned.Load(),
+		Draining:      now.Before(h.drainingUntil) || now.Before(h.reportedUntil),
+		Ejected:       now.Before(h.ejectedUntil),
+		Down:          now.Before(h.downUntil),
+		LatencyMillis: float64(h.latency) / float64(time.Millisecond),
+		Answers:       h.samples,
+		Distrust:      max(h.distrust, 1),
+	}
+}
--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -13,4 +13,10 @@
 //	Lovage-Upstream-Outcome  "not-run": refused before work began
 //	Lovage-Upstream-Draining "true": no new work, please
 //	GET /lovage/health       a Report
+//
+// An upstream is told the time left in Lovage-Timeout-Ms.
+//
+// A Pool never has more connections open than its limit. One that the upstream
+// closed while it was idle, or on which it sent something unasked, is found out
+// before the next request is written to it.
 package upstream
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,15 +1,16 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"sync"
+	"strconv"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Headers and paths that upstreams may use.
@@ -18,8 +19,10 @@
 	HeaderWorkspace = "Lovage-Workspace"
 	HeaderOutcome   = "Lovage-Upstream-Outcome"
 	HeaderDraining  = "Lovage-Upstream-Draining"
-	OutcomeNotRun   = "not-run"
-	PathHealth      = "/lovage/health"
+	// HeaderTimeout carries the time left, in milliseconds.
+	HeaderTimeout = "Lovage-Timeout-Ms"
+	OutcomeNotRun = "not-run"
+	PathHealth    = "/lovage/health"
 )
 
 // MaxAnswerBytes bounds the body of an answer.
@@ -64,6 +67,16 @@
 // MayHaveRun reports whether the upstream can have begun the request.
 func (e *ExchangeError) MayHaveRun() bool { return e.Phase != PhaseDial }
 
+// ConnectionLost reports whether the upstream closed or reset the connection
+// while it had the request.
+func (e *ExchangeError) ConnectionLost() bool {
+	if e.Phase != PhaseWrite && e.Phase != PhaseRead {
+		return false
+	}
+	return errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF) ||
+		errors.Is(e.Cause, syscall.ECONNRESET) || errors.Is(e.Cause, syscall.EPIPE)
+}
+
 // MismatchError reports an answer that belongs to another request.
 type MismatchError struct{ Want, Found string }
 
@@ -106,37 +119,6 @@
 // Draining reports whether the upstream announced that it leaves.
 func (a *Answer) Draining() bool { return a.Header.Get(HeaderDraining) == "true" }
 
-// Pool holds the idle connections to one endpoint.
-type Pool struct {
-	address string
-	maxIdle int
-
-	mu   sync.Mutex
-	idle []*connection
-}
-
-type connection struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	reused bool
-}
-
-// NewPool returns a pool for the endpoint that keeps at most maxIdle idle
-// connections.
-func NewPool(address string, maxIdle int) *Pool {
-	return &Pool{address: address, maxIdle: maxIdle}
-}
-
-// Close closes the idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		_ = c.conn.Close()
-	}
-	p.idle = nil
-}
-
 // Exchange sends the request and returns its whole answer by the deadline of
 // ctx. When ctx ends the connection is closed, which cancels the request at
 // the upstream. It returns an *ExchangeError.
@@ -146,12 +128,12 @@
 		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
-	answer, keep, phase, err := exchange(c, p.address, request)
+	answer, keep, phase, err := exchange(ctx, c, p.address, request)
 	if !stop() {
 		keep = false
 	}
 	if err != nil || !keep {
-		_ = c.conn.Close()
+		p.discard(c)
 	} else {
 		p.put(c)
 	}
@@ -161,43 +143,20 @@
 	return answer, nil
 }
 
-func (p *Pool) take(ctx context.Context, fresh bool) (*connection, error) {
-	if !fresh {
-		p.mu.Lock()
-		if n := len(p.idle); n > 0 {
-			c := p.idle[n-1]
-			p.idle = p.idle[:n-1]
-			p.mu.Unlock()
-			c.reused = true
-			return c, nil
-		}
-		p.mu.Unlock()
-	}
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", p.address)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{conn: conn, reader: bufio.NewReader(conn)}, nil
-}
-
-func (p *Pool) put(c *connection) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) >= p.maxIdle {
-		_ = c.conn.Close()
-		return
-	}
-	p.idle = append(p.idle, c)
-}
-
-func exchange(c *connection, address string, request *Request) (answer *Answer, keep bool, phase Phase, err error) {
+func exchange(ctx context.Context, c *connection, address string, request *Request) (answer *Answer, keep bool, phase Phase, err error) {
 	outgoing, err := http.NewRequest(request.Method, "http://"+address+request.Target, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, false, PhaseDial, err
 	}
 	outgoing.Header = request.Header.Clone()
+	if outgoing.Header == nil {
+		outgoing.Header = make(http.Header)
+	}
 	outgoing.Header.Set(HeaderRequestID, request.ID)
+	if deadline, set := ctx.Deadline(); set {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		outgoing.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	}
 	if err := outgoing.Write(c.conn); err != nil {
 		return nil, false, PhaseWrite, err
 	}
