--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -47,6 +47,8 @@
 	name     string
 	lines    map[string]int
 	problems Problems
+	// unread holds the keys whose values could not be read.
+	unread map[string]bool
 }
 
 // Decode reads data into target and refuses unknown keys. The file name is
@@ -81,9 +83,13 @@
 	t.problems = append(t.problems, &Problem{File: t.name, Line: row, Key: key, Reason: reason})
 }
 
-// Add records a fault of the given key path.
+// Add records a fault of the given key path. A key whose value could not be
+// read gets no second one.
 func (t *Text) Add(reason string, path ...string) {
 	key := strings.Join(path, ".")
+	if t.unread[key] {
+		return
+	}
 	t.problems = append(t.problems, &Problem{File: t.name, Line: t.Line(path...), Key: key, Reason: reason})
 }
 
