--- a/internal/spread/fuzz_test.go
+++ b/internal/spread/fuzz_test.go
@@ -58,6 +58,13 @@
 	keys      map[string]string // identifier to key
 	snapshot  map[string]store.Entry
 	restored  bool
+	timeline  []moment
+}
+
+// moment is when the store got a revision.
+type moment struct {
+	at       time.Time
+	revision uint64
 }
 
 type node struct {
@@ -118,6 +125,7 @@
 		n.installed = c
 		w.checkInstall(n)
 	}
+	w.checkAge(n)
 	for _, call := range out.Exchanges {
 		w.send(i, call.Peer, func(sentAt time.Time, to *node, j int) {
 			reply, followed := to.core.HandleExchange(w.now, call.Summary)
@@ -183,6 +191,20 @@
 	}
 }
 
+// checkAge requires that a node holds at least what the store had when the
+// node says it was informed.
+func (w *world) checkAge(n *node) {
+	informed, known := n.core.Informed()
+	if !known || w.restored {
+		return
+	}
+	for _, m := range w.timeline {
+		if m.at.Before(informed) && n.core.Revision() < m.revision {
+			w.failf("%s says that revision %d was the store's after revision %d", n.member.Instance, n.core.Revision(), m.revision)
+		}
+	}
+}
+
 // look lets a watching node read the store.
 func (w *world) look(i int) {
 	n := w.nodes[i]
@@ -223,6 +245,7 @@
 	defer func() { w.store.Down = down }()
 	if current, err := w.publisher("").Current(context.Background()); err == nil && current.StoreRevision > 0 && !w.restored {
 		w.published[current.Manifest.Revision] = current.Manifest.Sum()
+		w.timeline = append(w.timeline, moment{at: w.now, revision: current.Manifest.Revision})
 	}
 }
 
