Split the manifest in the store into a head and index chunks

A delegate served all its siblings.

Change: the store's manifest key holds a head that names index chunks of about 64 names each; writers write and watchers read the changed ones. Each of a zone's delegates tells its share of the siblings.

--- a/internal/configuration/garbage.go
+++ b/internal/configuration/garbage.go
@@ -35,10 +35,7 @@
 	if err != nil {
 		return collected, err
 	}
-	named := make(map[string]bool, len(current.Manifest.Chunks))
-	for _, digest := range current.Manifest.Chunks {
-		named[digest] = true
-	}
+	named := current.digests()
 	for _, entry := range entries {
 		if named[strings.TrimPrefix(entry.Key, ChunkPrefix)] {
 			continue
@@ -73,13 +70,9 @@
 // removeReplaced removes chunks that a change just replaced, by the rule of
 // Collect. What it leaves, Collect removes later.
 func (p *Publisher) removeReplaced(ctx context.Context, base, current Published) {
-	named := make(map[string]bool, len(current.Manifest.Chunks))
-	for _, digest := range current.Manifest.Chunks {
-		named[digest] = true
-	}
+	named := current.digests()
 	var replaced []string
-	for _, name := range sortedKeys(base.Manifest.Chunks) {
-		digest := base.Manifest.Chunks[name]
+	for _, digest := range sortedKeys(base.digests()) {
 		if !named[digest] && len(replaced) < maxReplaced {
 			replaced = append(replaced, digest)
 		}
@@ -114,6 +107,7 @@
 // Recover publishes a manifest that entries have in force on top of an older
 // state of the store.
 func (p *Publisher) Recover(ctx context.Context, base Published, manifest Manifest, chunks Chunks) (uint64, error) {
-	older := Published{Manifest: manifest, StoreRevision: base.StoreRevision}
-	return p.publishAll(ctx, older, manifest.Chunks, chunks)
+	inForce := Published{Manifest: manifest, StoreRevision: base.StoreRevision}
+	inForce.Manifest.Chunks = nil // so that every chunk is written
+	return p.publish(ctx, inForce, manifest.Chunks, chunks)
 }
--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -8,8 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/vmihailenco/msgpack/v5"
-
 	"lovagescale/internal/store"
 )
 
@@ -65,6 +63,20 @@
 type Published struct {
 	Manifest      Manifest
 	StoreRevision uint64
+	// Index holds the digests of the chunks that hold the manifest's names.
+	Index []string
+}
+
+// digests returns everything that the manifest needs in the store.
+func (p Published) digests() map[string]bool {
+	named := make(map[string]bool, len(p.Manifest.Chunks)+len(p.Index))
+	for _, digest := range p.Manifest.Chunks {
+		named[digest] = true
+	}
+	for _, digest := range p.Index {
+		named[digest] = true
+	}
+	return named
 }
 
 // Publisher reads and changes the configuration in the store.
@@ -76,25 +88,22 @@
 }
 
 // Current returns the manifest in the store; the zero value if there is none.
+// It reads again when a change removes what it is reading.
 func (p *Publisher) Current(ctx context.Context) (Published, error) {
-	entry, err := p.Store.Get(ctx, ManifestKey)
 	var missing *store.NotFoundError
-	if errors.As(err, &missing) {
-		return Published{}, nil
-	}
-	if err != nil {
-		return Published{}, err
-	}
-	return DecodePublished(entry)
-}
-
-// DecodePublished reads the manifest's entry of the store.
-func DecodePublished(entry store.Entry) (Published, error) {
-	var manifest Manifest
-	if err := msgpack.Unmarshal(entry.Value, &manifest); err != nil {
-		return Published{}, &ChunkMalformedError{Name: ManifestKey, Cause: err}
+	for attempt := 1; ; attempt++ {
+		entry, err := p.Store.Get(ctx, ManifestKey)
+		if errors.As(err, &missing) {
+			return Published{}, nil
+		}
+		if err != nil {
+			return Published{}, err
+		}
+		published, err := ReadManifest(ctx, p.Store, entry, make(Chunks))
+		if attempt == readAttempts || !errors.As(err, &missing) {
+			return published, err
+		}
 	}
-	return Published{Manifest: manifest, StoreRevision: entry.Revision}, nil
 }
 
 // Fetch returns the chunks with the given digests. It costs one call for each,
@@ -163,29 +172,34 @@
 
 // publish writes the chunks that base does not name, then the manifest.
 func (p *Publisher) publish(ctx context.Context, base Published, names map[string]string, chunks Chunks) (uint64, error) {
-	fresh := maps.Clone(chunks)
-	for _, digest := range base.Manifest.Chunks {
-		delete(fresh, digest)
-	}
-	return p.publishAll(ctx, base, names, fresh)
-}
-
-func (p *Publisher) publishAll(ctx context.Context, base Published, names map[string]string, chunks Chunks) (uint64, error) {
 	change := Change{Revision: base.Manifest.Revision + 1, ChangeID: p.ChangeID, Author: p.Author}
-	manifest := base.Manifest.Successor(change, names)
-	content, err := encodeChunk(manifest)
+	next := Published{Manifest: base.Manifest.Successor(change, names)}
+	content, err := encodeChunk(next.Manifest)
 	if err != nil {
 		return 0, err
 	}
 	if len(content) > MaxManifestBytes {
 		return 0, &ManifestTooLargeError{Bytes: len(content)}
 	}
-	for _, digest := range sortedKeys(chunks) {
-		if err := p.putChunk(ctx, digest, chunks[digest]); err != nil {
+	index, err := splitIndex(names)
+	if err != nil {
+		return 0, err
+	}
+	fresh := maps.Clone(chunks)
+	for _, part := range index {
+		digest := Digest(part)
+		next.Index = append(next.Index, digest)
+		fresh[digest] = part
+	}
+	for digest := range base.digests() {
+		delete(fresh, digest)
+	}
+	for _, digest := range sortedKeys(fresh) {
+		if err := p.putChunk(ctx, digest, fresh[digest]); err != nil {
 			return 0, &NotAppliedError{ChangeID: p.ChangeID, Cause: err}
 		}
 	}
-	return p.putManifest(ctx, base, manifest, content)
+	return p.putManifest(ctx, base, next)
 }
 
 // putChunk writes a chunk after the base manifest was read, also when the
@@ -212,15 +226,20 @@
 
 // putManifest writes the manifest. A lost reply or a conflict is settled by
 // reading back the change's own identifier.
-func (p *Publisher) putManifest(ctx context.Context, base Published, manifest Manifest, content []byte) (uint64, error) {
+func (p *Publisher) putManifest(ctx context.Context, base, next Published) (uint64, error) {
+	content, err := next.encodeHead()
+	if err != nil {
+		return 0, err
+	}
 	write := store.Write{Key: ManifestKey, Value: content, Expect: base.StoreRevision}
 	written, err := p.Store.CompareAndSet(ctx, write)
 	var conflict *store.ConflictError
 	var unknown *store.OutcomeUnknownError
 	switch {
 	case err == nil:
-		p.removeReplaced(ctx, base, Published{Manifest: manifest, StoreRevision: written})
-		return manifest.Revision, nil
+		next.StoreRevision = written
+		p.removeReplaced(ctx, base, next)
+		return next.Manifest.Revision, nil
 	case errors.As(err, &conflict), errors.As(err, &unknown):
 		return p.settle(ctx, base, err)
 	default:
@@ -228,8 +247,10 @@
 	}
 }
 
-// Bounds of the attempts to write a chunk and to settle a lost reply.
+// Bounds of the attempts to read a manifest, to write a chunk and to settle a
+// lost reply.
 const (
+	readAttempts   = 5
 	writeAttempts  = 5
 	settleAttempts = 5
 	settlePause    = 200 * time.Millisecond
@@ -278,7 +299,7 @@
 	if base.StoreRevision == 0 {
 		return false
 	}
-	content, err := encodeChunk(base.Manifest)
+	content, err := base.encodeHead()
 	if err != nil {
 		return false
 	}
--- a/internal/configuration/publish_test.go
+++ b/internal/configuration/publish_test.go
@@ -216,7 +216,7 @@
 		Expect(collected).To(Equal(Collected{Removed: 1}))
 		chunks, err := s.List(ctx, ChunkPrefix)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(chunks).To(HaveLen(len(current(s).Manifest.Chunks)))
+		Expect(chunks).To(HaveLen(len(current(s).digests())))
 	})
 })
 
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -36,6 +36,8 @@
 	entry    *Entry
 	core     *spread.Core
 	watching atomic.Bool
+	// index holds the index chunks last read. It belongs to watch.
+	index    configuration.Chunks
 	pulls    metrics.Counter
 	failures metrics.Counter
 	age      metrics.Gauge
@@ -47,6 +49,7 @@
 	s := &spreading{
 		entry:    e,
 		core:     spread.New(e.self, random, spread.Options{PullTimeout: pullTimeout}),
+		index:    make(configuration.Chunks),
 		pulls:    metrics.GetOrRegisterCounter("spread.pulls", e.registry),
 		failures: metrics.GetOrRegisterCounter("spread.store_failures", e.registry),
 		age:      metrics.GetOrRegisterGauge("spread.informed_age_ms", e.registry),
@@ -236,7 +239,7 @@
 	if err != nil {
 		return after, err
 	}
-	published, err := configuration.DecodePublished(found)
+	published, err := configuration.ReadManifest(ctx, s.entry.store, found, s.index)
 	if err != nil {
 		return after, err
 	}
--- a/internal/spread/topology.go
+++ b/internal/spread/topology.go
@@ -61,11 +61,12 @@
 	}
 	region := c.regionOf(c.self.Zone)
 	candidates := c.live(func(m membership.Member) bool { return c.regionOf(m.Zone) == region })
-	return c.isSelf(choose(candidates, "watch "+region, watchersPerRegion))
+	return c.rank(choose(candidates, "watch "+region, watchersPerRegion)) >= 0
 }
 
-func (c *Core) isSelf(members []membership.Member) bool {
-	return slices.ContainsFunc(members, func(m membership.Member) bool { return m.Instance == c.self.Instance })
+// rank returns the place of this instance among members, or -1.
+func (c *Core) rank(members []membership.Member) int {
+	return slices.IndexFunc(members, func(m membership.Member) bool { return m.Instance == c.self.Instance })
 }
 
 func (c *Core) delegates(zone string) []membership.Member {
@@ -74,8 +75,8 @@
 
 // audience returns whom to tell of news that came from a member of a zone, or
 // from the store (""): a watcher tells the delegates of its region's zones, a
-// delegate its siblings, any other instance its delegates if the news came
-// from outside its zone.
+// delegate the other delegates and its share of the siblings, any other
+// instance its delegates if the news came from outside its zone.
 func (c *Core) audience(from string) []membership.Member {
 	told := make(map[string]membership.Member)
 	add := func(members []membership.Member) {
@@ -91,8 +92,11 @@
 		}
 	}
 	own := c.delegates(c.self.Zone)
-	if c.isSelf(own) {
-		add(c.live(func(m membership.Member) bool { return m.Zone == c.self.Zone }))
+	if rank := c.rank(own); rank >= 0 {
+		add(own)
+		add(c.live(func(m membership.Member) bool {
+			return m.Zone == c.self.Zone && xxhash.Sum64String(m.Instance)%uint64(len(own)) == uint64(rank)
+		}))
 	} else if from != c.self.Zone {
 		add(own)
 	}
