--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -36,6 +36,10 @@
 // incarnationBytes is the random part of an incarnation's name.
 const incarnationBytes = 6
 
+// hardHeaderFactor times the limit of headers is where the HTTP library cuts a
+// caller off; up to there the gateway refuses by itself and says so.
+const hardHeaderFactor = 8
+
 // readHeaderTimeout bounds a slow caller.
 const readHeaderTimeout = 5 * time.Second
 
@@ -59,6 +63,8 @@
 	gateway   *gateway.Gateway
 	spreading *spreading
 	stopping  atomic.Bool
+
+	journaling *action.Journaling // keeps the journal of actions
 }
 
 // New returns an entry that is not yet listening.
@@ -88,9 +94,14 @@
 	e.setUpMembers()
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
-	e.actions = action.New(incarnation, time.Now, e.router, action.Options{})
+	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, Isolation: s.Isolation.Std()})
+		gateway.Options{
+			MaxBodyBytes:   s.MaxBodyBytes,
+			MaxHeaderBytes: s.MaxHeaderBytes,
+			Isolation:      s.Isolation.Std(),
+			Vouch:          e.actions.Vouch,
+		})
 	e.spreading = newSpreading(e)
 	return e, nil
 }
@@ -129,7 +140,8 @@
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
-	links.Handle(handover.TypeCall, handover.Handler(call.StageFunc(e.dispatch)))
+	links.Handle(handover.TypeCall, handover.Handler(e.router))
+	endActions := e.serveActions(background, links)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
@@ -139,6 +151,7 @@
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
+		defer endActions()
 		return e.serveCallers(ctx, listeners.callers)
 	})
 	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
@@ -181,7 +194,7 @@
 	server := &http.Server{
 		Handler:           e.gateway,
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    e.settings.MaxHeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * e.settings.MaxHeaderBytes,
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -39,6 +39,7 @@
 	Revision   uint64                  `json:"revision"`
 	Spread     spread.StatusReply      `json:"spread"`
 	Stopping   bool                    `json:"stopping"`
+	Actions    actionDump              `json:"actions"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -49,6 +50,7 @@
 		Members:    view.Members,
 		Membership: dumpMembership(view),
 		Stopping:   e.stopping.Load(),
+		Actions:    e.dumpActions(),
 		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"io"
-	"net"
+	"crypto/rand"
 	"net/http"
 	"net/http/httptest"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -28,141 +26,146 @@
 	RunSpecs(t, "gateway")
 }
 
-const text = `[region.north]
-[zone.n1]
-region = "north"
-[service.files]
-slots = 1
-connections = 1
-timeout = "1s"
-route.read = {path = "/", methods = ["GET"], kind = "lookup"}
-[workspace.azul]
-rate = "1/s"
-burst = 1
-services = ["files"]
-isolation = "1m"
-[workspace.verde]
-rate = "1/s"
-burst = 1
-services = ["files"]
-`
+// recorder is a stage that keeps the last call.
+type recorder struct{ last *call.Call }
 
-// fixture is a gateway with a key for each workspace and its own clock.
-type fixture struct {
-	now     time.Time
-	gateway *Gateway
-	current *configuration.Configuration
-	keys    map[string]string
-	seen    http.Header
+func (r *recorder) Serve(_ context.Context, c *call.Call) (*call.Result, error) {
+	r.last = c
+	header := http.Header{"Content-Length": {"5"}, "Connection": {"close"}}
+	return &call.Result{Answer: &upstream.Answer{Status: http.StatusOK, Header: header, Body: []byte("whole")}}, nil
 }
 
-func newFixture() *fixture {
-	f := &fixture{now: time.Unix(5000, 0), keys: make(map[string]string)}
-	parsed, err := configuration.Parse("text", []byte(text))
-	Expect(err).NotTo(HaveOccurred())
-	f.current, err = parsed.Configuration()
-	Expect(err).NotTo(HaveOccurred())
-	for i, workspace := range []string{"azul", "verde"} {
-		key, record, err := workspacekey.Generate(strings.NewReader(strings.Repeat(string(rune('a'+i)), 99)), workspace)
+var _ = Describe("Gateway", func() {
+	var (
+		next    *recorder
+		gateway *Gateway
+		key     string
+		record  workspacekey.Record
+		current *configuration.Configuration
+	)
+
+	BeforeEach(func() {
+		var err error
+		key, record, err = workspacekey.Generate(rand.Reader, "azul")
 		Expect(err).NotTo(HaveOccurred())
-		f.keys[workspace] = key
-		f.current.Keys[record.Identifier] = record
-	}
-	next := call.StageFunc(func(_ context.Context, c *call.Call) (*call.Result, error) {
-		f.seen = c.Request.Header
-		return &call.Result{Answer: &upstream.Answer{Status: http.StatusOK}}, nil
+		service := configuration.Service{Name: "files", Timeout: time.Second, Routes: []configuration.Route{
+			{Name: "send", Path: "/send", Methods: []string{"POST"}, Kind: configuration.Action},
+			{Name: "about", Path: "/about", Methods: []string{"GET"}, Kind: configuration.Lookup, Open: true},
+			{Name: "read", Path: "/", Methods: []string{"GET", "HEAD"}, Kind: configuration.Lookup},
+		}}
+		current = &configuration.Configuration{
+			Revision:   1,
+			Services:   map[string]configuration.Service{"files": service, "other": {Name: "other", Routes: service.Routes}},
+			Workspaces: map[string]configuration.Workspace{"azul": {Name: "azul", Services: []string{"files"}}},
+			Keys:       map[string]workspacekey.Record{record.Identifier: record},
+		}
+		next = &recorder{}
+		gateway = New(time.Now, next, zerolog.Nop(), metrics.NewRegistry(), Options{MaxBodyBytes: 16, MaxHeaderBytes: 512})
+		gateway.Apply(current)
 	})
-	f.gateway = New(func() time.Time { return f.now }, next, zerolog.Nop(), metrics.NewRegistry(), Options{Isolation: time.Hour})
-	f.gateway.Apply(f.current)
-	f.gateway.Informed(f.now)
-	return f
-}
 
-func (f *fixture) withdraw(workspace string) {
-	identifier := workspacekey.Identifier(f.keys[workspace])
-	f.gateway.Apply(f.current.WithWithdrawn(map[string]struct{}{identifier: {}}))
-}
+	send := func(method, path, body string, header http.Header) *httptest.ResponseRecorder {
+		request := httptest.NewRequest(method, path, strings.NewReader(body))
+		for name, values := range header {
+			request.Header[name] = values
+		}
+		answer := httptest.NewRecorder()
+		gateway.ServeHTTP(answer, request)
+		return answer
+	}
+	with := func(pairs ...string) http.Header {
+		header := http.Header{"Authorization": {"Bearer " + key}}
+		for i := 0; i < len(pairs); i += 2 {
+			header.Add(pairs[i], pairs[i+1])
+		}
+		return header
+	}
 
-func (f *fixture) ask(workspace string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(http.MethodGet, "/files/x", nil)
-	r.Header.Set(HeaderAuthorization, bearer+f.keys[workspace])
-	w := httptest.NewRecorder()
-	f.gateway.ServeHTTP(w, r)
-	return w
-}
+	DescribeTable("refuses bad input as not-run, with a request identifier and a stable type",
+		func(status int, kind refusal.Kind, method, path, body string, header func() http.Header) {
+			answer := send(method, path, body, header())
+			Expect(answer.Code).To(Equal(status))
+			Expect(answer.Header().Get(refusal.HeaderOutcome)).To(Equal("not-run"))
+			Expect(answer.Header().Get(refusal.HeaderRequestID)).NotTo(BeEmpty())
+			Expect(answer.Header().Get("Content-Type")).To(Equal("application/problem+json"))
+			Expect(answer.Body.String()).To(ContainSubstring("urn:lovagescale:problem:" + string(kind) + `"`))
+			Expect(answer.Body.String()).NotTo(ContainSubstring(key))
+			Expect(next.last).To(BeNil())
+		},
+		Entry("no key", 401, refusal.KeyMissing, "GET", "/files/1", "", func() http.Header { return nil }),
+		Entry("another scheme", 401, refusal.KeyMissing, "GET", "/files/1", "", func() http.Header {
+			return http.Header{"Authorization": {"Basic " + key}}
+		}),
+		Entry("unknown key", 401, refusal.KeyUnknown, "GET", "/files/1", "", func() http.Header {
+			return http.Header{"Authorization": {"Bearer aa_bb"}}
+		}),
+		Entry("known identifier, wrong secret", 401, refusal.KeyUnknown, "GET", "/files/1", "", func() http.Header {
+			return http.Header{"Authorization": {"Bearer " + record.Identifier + "_00"}}
+		}),
+		Entry("service of others", 403, refusal.ServiceNotPermitted, "GET", "/other/1", "", func() http.Header { return with() }),
+		Entry("unknown service", 404, refusal.ServiceUnknown, "GET", "/none/1", "", func() http.Header { return with() }),
+		Entry("unknown route", 404, refusal.RouteUnknown, "DELETE", "/files/1", "", func() http.Header { return with() }),
+		Entry("action without key", 400, refusal.KeyOfActionMissing, "POST", "/files/send", "", func() http.Header { return with() }),
+		Entry("action with two keys", 400, refusal.KeyOfActionInvalid, "POST", "/files/send", "", func() http.Header {
+			return with("Idempotency-Key", "a.1", "Idempotency-Key", "a.2")
+		}),
+		Entry("timeout of 0", 400, refusal.DeadlineInvalid, "GET", "/files/1", "", func() http.Header {
+			return with("Lovage-Timeout-Ms", "0")
+		}),
+		Entry("large body", 413, refusal.BodyTooLarge, "POST", "/files/send", strings.Repeat("x", 17), func() http.Header {
+			return with("Idempotency-Key", "a.1")
+		}),
+		Entry("large headers", 431, refusal.HeaderTooLarge, "GET", "/files/1", "", func() http.Header {
+			return with("X-Large", strings.Repeat("x", 512))
+		}),
+	)
 
-// statusesOnOneConnection sends a request before and one after a withdrawal on
-// the same open connection.
-func (f *fixture) statusesOnOneConnection() []int {
-	server := httptest.NewServer(f.gateway)
-	defer server.Close()
-	dials := 0
-	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-		dials++
-		return new(net.Dialer).DialContext(ctx, network, address)
-	}}}
-	var statuses []int
-	for range 2 {
-		r, err := http.NewRequest(http.MethodGet, server.URL+"/files/x", nil)
-		Expect(err).NotTo(HaveOccurred())
-		r.Header.Set(HeaderAuthorization, bearer+f.keys["azul"])
-		answer, err := client.Do(r)
-		Expect(err).NotTo(HaveOccurred())
-		_, err = io.Copy(io.Discard, answer.Body)
-		Expect(err).NotTo(HaveOccurred())
-		Expect(answer.Body.Close()).To(Succeed())
-		statuses = append(statuses, answer.StatusCode)
-		f.withdraw("azul")
-	}
-	Expect(dials).To(Equal(1))
-	return statuses
-}
+	It("passes neither key nor cookies nor connection headers on", func() {
+		answer := send("GET", "/files/a?b=c", "", with("Cookie", "k="+key, "Connection", "X-Private", "X-Private", "1", "Lovage-Workspace", "verde"))
+		Expect(answer.Code).To(Equal(http.StatusOK))
+		Expect(next.last.Workspace).To(Equal("azul"))
+		Expect(next.last.Request.Target).To(Equal("/a?b=c"))
+		Expect(next.last.Request.Header).To(Equal(http.Header{"Lovage-Workspace": {"azul"}}))
+	})
 
-var _ = Describe("gateway", func() {
-	It("refuses a withdrawn key on an open connection", func() {
-		Expect(newFixture().statusesOnOneConnection()).To(Equal([]int{http.StatusOK, http.StatusForbidden}))
+	It("serves routes that are open to all without a key", func() {
+		Expect(send("GET", "/files/about", "", nil).Code).To(Equal(http.StatusOK))
+		Expect(next.last.Workspace).To(BeEmpty())
 	})
 
-	It("is found out when it verifies a key once per connection", func() {
-		f := newFixture()
-		var verified sync.Map
-		f.gateway.authenticate = func(c *configuration.Configuration, r *http.Request, s configuration.Service, route configuration.Route) (string, *refusal.Refusal) {
-			if workspace, known := verified.Load(r.RemoteAddr); known {
-				return workspace.(string), nil
-			}
-			workspace, refused := authenticate(c, r, s, route)
-			if refused == nil {
-				verified.Store(r.RemoteAddr, workspace)
-			}
-			return workspace, refused
-		}
-		Expect(f.statusesOnOneConnection()).NotTo(Equal([]int{http.StatusOK, http.StatusForbidden}))
+	It("keeps the length of an answer to HEAD and drops headers of the upstream's connection", func() {
+		answer := send("HEAD", "/files/1", "", with())
+		Expect(answer.Header().Get("Content-Length")).To(Equal("5"))
+		Expect(answer.Header().Get("Connection")).To(BeEmpty())
+		Expect(answer.Header().Get(refusal.HeaderOutcome)).To(Equal("ran"))
 	})
 
-	It("passes the workspace on and never the key", func() {
-		f := newFixture()
-		Expect(f.ask("azul").Code).To(Equal(http.StatusOK))
-		Expect(f.seen.Get(upstream.HeaderWorkspace)).To(Equal("azul"))
-		for name, values := range f.seen {
-			Expect(name).NotTo(Equal(HeaderAuthorization))
-			Expect(strings.Join(values, " ")).NotTo(ContainSubstring(f.keys["azul"]))
+	It("verifies the key of each request on an open connection", func() {
+		server := httptest.NewServer(gateway)
+		defer server.Close()
+		get := func() int {
+			request, err := http.NewRequest(http.MethodGet, server.URL+"/files/1", nil)
+			Expect(err).NotTo(HaveOccurred())
+			request.Header = with()
+			answer, err := server.Client().Do(request)
+			Expect(err).NotTo(HaveOccurred())
+			defer answer.Body.Close()
+			return answer.StatusCode
 		}
+		Expect(get()).To(Equal(http.StatusOK))
+		withdrawn := *current
+		tombstone := record
+		tombstone.Withdrawn = true
+		withdrawn.Keys = map[string]workspacekey.Record{record.Identifier: tombstone}
+		gateway.Apply(&withdrawn)
+		Expect(get()).To(Equal(http.StatusForbidden))
 	})
 
-	It("refuses a workspace as not run once its isolation time has passed", func() {
-		f := newFixture()
-		f.now = f.now.Add(time.Minute)
-		Expect(f.ask("azul").Code).To(Equal(http.StatusOK))
-		f.now = f.now.Add(time.Second)
-		refused := f.ask("azul")
-		Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
-		Expect(refused.Header().Get(refusal.HeaderOutcome)).To(Equal(string(refusal.NotRun)))
-		Expect(refused.Header().Get("Retry-After")).NotTo(BeEmpty())
-		Expect(refused.Body.String()).To(ContainSubstring(string(refusal.Isolated)))
-		Expect(f.ask("verde").Code).To(Equal(http.StatusOK), "it has the entry's own time")
-		f.now = f.now.Add(time.Hour)
-		Expect(f.ask("verde").Code).To(Equal(http.StatusServiceUnavailable))
-		f.gateway.Informed(f.now)
-		Expect(f.ask("azul").Code).To(Equal(http.StatusOK))
+	It("refuses everything before a configuration is in force", func() {
+		fresh := New(time.Now, next, zerolog.Nop(), metrics.NewRegistry(), Options{})
+		answer := httptest.NewRecorder()
+		fresh.ServeHTTP(answer, httptest.NewRequest("GET", "/files/about", nil))
+		Expect(answer.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(answer.Header().Get("Retry-After")).To(Equal("1"))
 	})
 })
