--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -36,6 +35,10 @@
 // incarnationBytes is the random part of an incarnation's name.
 const incarnationBytes = 6
 
+// hardHeaderFactor times the limit of headers is where the HTTP library cuts a
+// caller off; up to there the gateway refuses by itself and says so.
+const hardHeaderFactor = 8
+
 // readHeaderTimeout bounds a slow caller.
 const readHeaderTimeout = 5 * time.Second
 
@@ -57,6 +60,7 @@
 	router    *routing.Router
 	actions   *action.Stage
 	gateway   *gateway.Gateway
+	owning    *owning
 	spreading *spreading
 	quotas    *quotas
 	stopping  atomic.Bool
@@ -89,12 +93,16 @@
 	}
 	e.changes.init()
 	e.setUpMembers()
-	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-	e.router = routing.New(s.Instance, s.Zone, random)
+	e.setUpRouting()
 	e.setUpActions()
 	e.quotas = newQuotas(e, call.StageFunc(e.dispatch))
 	e.gateway = gateway.New(time.Now, e.quotas.stage, e.log, e.registry,
-		gateway.Options{MaxBodyBytes: s.MaxBodyBytes, Isolation: s.Isolation.Std(), Vouch: e.actions.Vouch})
+		gateway.Options{
+			MaxBodyBytes:   s.MaxBodyBytes,
+			MaxHeaderBytes: s.MaxHeaderBytes,
+			Isolation:      s.Isolation.Std(),
+			Vouch:          e.actions.Vouch,
+		})
 	e.spreading = newSpreading(e)
 	return e, nil
 }
@@ -113,7 +121,7 @@
 	if c.Kind == configuration.Action {
 		return e.actions.Serve(ctx, c)
 	}
-	return e.router.Serve(ctx, c)
+	return e.serveInZone(ctx, c)
 }
 
 // Run serves until ctx ends, then drains: it leaves the look-up answers first,
@@ -134,6 +142,7 @@
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
 	e.quotas.handle(links)
+	e.owning.handle(links)
 	links.Handle(handover.TypeCall, handover.Handler(e.router))
 	endActions := e.serveActions(background, links)
 
@@ -143,6 +152,7 @@
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
 	group.Go(func() error { return e.spreading.run(background) })
 	group.Go(func() error { return e.quotas.run(background) })
+	group.Go(func() error { return e.owning.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
@@ -190,7 +200,7 @@
 	server := &http.Server{
 		Handler:           e.gateway,
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    e.settings.MaxHeaderBytes,
+		MaxHeaderBytes:    hardHeaderFactor * e.settings.MaxHeaderBytes,
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -129,6 +129,7 @@
 // putList runs on the control goroutine.
 func (e *Entry) putList(instances []platform.Instance) {
 	e.members.Listed(instances)
+	e.owning.listed(instances)
 	e.publishMembers()
 }
 
@@ -177,6 +178,7 @@
 	}
 	e.logChanges(previous, next)
 	e.router.ApplyView(next)
+	e.owning.view(next)
 	e.changes.signal()
 }
 
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -27,6 +27,7 @@
 	e.current.Store(c)
 	e.router.Apply(c)
 	e.quotas.apply(c)
+	e.owning.configure(c)
 	e.gateway.Apply(c)
 	e.changes.signal()
 	e.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
@@ -43,6 +44,7 @@
 	Stopping   bool                    `json:"stopping"`
 	Actions    actionDump              `json:"actions"`
 	Quotas     quota.Dump              `json:"quotas"`
+	Routing    routingDump             `json:"routing"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -54,6 +56,7 @@
 		Membership: dumpMembership(view),
 		Stopping:   e.stopping.Load(),
 		Actions:    e.dumpActions(),
+		Routing:    e.owning.dump(ctx),
 		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
--- a/internal/quota/measure_test.go
+++ b/internal/quota/measure_test.go
@@ -24,9 +24,7 @@
 	truth   *oracle
 	split   map[*node]*oracle
 	offered int
-	// inRate counts requests that the true bucket admits; the others those of
-	// them that were refused.
-	inRate       int
+	// splitRefused counts what the even split refuses and the true bucket admits.
 	splitRefused int
 	trueRefused  int
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -9,23 +9,40 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
+	"strconv"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// firstNet is the second octet of the first script's network.
-const firstNet = 100
-
-var (
-	programs string
-	lastNet  atomic.Int32
+// firstNet and lastNet bound the second octet of a script's network.
+const (
+	firstNet = 100
+	lastNet  = 254
 )
 
+// programs is the folder of the programs that scripts start.
+var programs string
+
+// claimNet returns a network that no other script uses, of this run or of
+// another one on the machine. The claim is a listener in that network.
+func claimNet(e *testscript.Env) string {
+	for octet := firstNet; octet <= lastNet; octet++ {
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:7999", octet))
+		if err != nil {
+			continue
+		}
+		e.Defer(func() { _ = claim.Close() })
+		return strconv.Itoa(octet)
+	}
+	e.T().Fatal("no network is free")
+	return ""
+}
+
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
@@ -50,20 +67,22 @@
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"expand":  expand,
-			"start":   start,
-			"signal":  signalProcess,
-			"stop":    stop,
-			"crash":   crash,
-			"ctl":     ctl,
-			"call":    callOnce,
-			"await":   await,
-			"put":     put,
-			"readenv": readEnv,
-			"capture": capture,
+			"expand":   expand,
+			"start":    start,
+			"signal":   signalProcess,
+			"shutdown": shutdown,
+			"crash":    crash,
+			"ctl":      ctl,
+			"call":     callOnce,
+			"await":    await,
+			"put":      put,
+			"readenv":  readEnv,
+			"capture":  capture,
+			"run":      run,
+			"calls":    calls,
 		},
 		Setup: func(e *testscript.Env) error {
-			net := fmt.Sprint(firstNet + lastNet.Add(1))
+			net := claimNet(e)
 			e.Setenv("NET", net)
 			e.Setenv("HOME", e.WorkDir)
 			e.Setenv("PLATFORM", "127."+net+".0.1:7100")
