Let requests wait for tokens that the entry will issue soon

Cause: by script, an entry restarted after a crash refused requests within the rate for up to 40 s, since it waited out its own earlier process; entries of a zone with more than 16 asked for reserved shares without a pause (117 store calls/s at 192 entries).

Change: a new process takes over the shares of an earlier process of its instance after the life of a grant; requests wait up to 250 ms for tokens of the entry's own parts; asks for reserved shares pause longer and longer.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -26,9 +26,9 @@
 // recentTime is how long an owner counts as reachable after an ask.
 const recentTime = time.Second
 
-// startTime is how long an entry that has just started may take to find shares
-// and other entries. Requests wait for that.
-const startTime = 3 * time.Second
+// soonTime is how long a request may wait for a token that the entry's own parts
+// will issue.
+const soonTime = 250 * time.Millisecond
 
 // idleTime is how long an issuer is remembered of which nothing is held.
 const idleTime = 30 * time.Second
@@ -47,8 +47,8 @@
 		return
 	}
 	s.queue = append(s.queue, waiter{id: id, deadline: deadline})
-	if len(s.queue) == 1 && now.Before(s.refuseUntil) && s.available(now) < Token {
-		c.refuseAll(s, c.retryAfter(now, s))
+	if now.Before(s.refuseUntil) && s.available(now) < Token && len(s.queue) > s.soon() {
+		c.refuseFrom(now, s, len(s.queue)-1)
 		return
 	}
 	c.settle(now, s)
@@ -86,12 +86,36 @@
 		s.urgentAt = now.Add(urgentInterval)
 		asked = c.askSiblings(now, s, want, c.options.Fanout, true)
 	}
-	if asked || s.pending(false) || now.Sub(c.settledAt) < startTime {
+	if asked || s.pending(false) || now.Sub(c.settledAt) < c.options.startTime() {
 		c.refuseLate(now, s)
 		return
 	}
-	s.refuseUntil = now.Add(refuseTime)
-	c.refuseAll(s, c.retryAfter(now, s))
+	if len(s.queue) > s.soon() {
+		s.refuseUntil = now.Add(refuseTime)
+		c.refuseFrom(now, s, s.soon())
+	}
+	c.refuseLate(now, s)
+}
+
+// soon returns the number of requests that the entry's own parts can serve
+// within a short time. These wait.
+func (s *space) soon() int {
+	var rate float64
+	for _, b := range s.buckets() {
+		if b.capacity >= Token {
+			rate += b.rate
+		}
+	}
+	return int(rate * soonTime.Seconds())
+}
+
+// refuseFrom refuses the waiting requests from a position in the queue on.
+func (c *Core) refuseFrom(now time.Time, s *space, position int) {
+	retryAfter := c.retryAfter(now, s)
+	for _, w := range s.queue[position:] {
+		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: retryAfter})
+	}
+	s.queue = s.queue[:position]
 }
 
 // refuseLate refuses the requests that are past their deadline or too many.
--- a/internal/quota/claims.go
+++ b/internal/quota/claims.go
@@ -13,6 +13,9 @@
 type claims struct {
 	// wanted is true while the zone's record should be read again.
 	wanted bool
+	// wantAt is the earliest time for that.
+	wantAt    time.Time
+	cedePause time.Duration
 	// zonePlan and ownerPlan number the last plans; earlier ones are void.
 	zonePlan  int
 	ownerPlan int
@@ -64,13 +67,16 @@
 // Listed is the platform's list of instances, nil when it is not known.
 type Listed map[string]bool
 
-// ended reports whether the holder of a share has ended: its instance has left
-// the platform's list, or it was an earlier process of this instance.
+// ended reports whether the holder of a share has left the platform's list.
 func (c *Core) ended(listed Listed, instance string) bool {
-	if instance == c.self.Instance {
-		return true
-	}
-	return listed != nil && !listed[instance]
+	return instance != c.self.Instance && listed != nil && !listed[instance]
+}
+
+// preceded reports whether the holder of a share was an earlier process of this
+// instance. That one has ended, since this process has its addresses; but a
+// process that was paused cannot tell an earlier one from a later one.
+func (c *Core) preceded(instance string) bool {
+	return instance == c.self.Instance && !c.resumed
 }
 
 // ZonePlan is a change of a zone's record that the caller must write, and then
@@ -84,7 +90,9 @@
 
 // WantsZone reports whether the zone's record should be read now, rather than
 // at the next interval.
-func (c *Core) WantsZone() bool { return c.claims.wanted }
+func (c *Core) WantsZone(now time.Time) bool {
+	return c.claims.wanted && !now.Before(c.claims.wantAt)
+}
 
 // LeadsZone reports whether this entry renews the record for its zone.
 func (c *Core) LeadsZone() bool {
@@ -132,7 +140,7 @@
 	case slot.Beat == 0:
 		slot.Divisor = c.limits.Zones
 		c.claimSlot(i, slot, 0)
-	case slot.Incarnation == "":
+	case slot.Incarnation == "", c.preceded(slot.Instance):
 		c.claimSlot(i, slot, c.options.grantWait())
 	case c.ended(listed, slot.Instance):
 		if unchanged >= widened(c.options.PauseLimit) {
@@ -239,12 +247,23 @@
 	}
 }
 
-// HoldsReserved reports whether the entry has a reserved share.
-func (c *Core) HoldsReserved() bool { return len(c.slots) > 0 }
+// Pauses between two requests for reserved shares.
+const (
+	firstCedePause = 500 * time.Millisecond
+	lastCedePause  = time.Minute
+)
 
-// LargestHolder returns the reachable incarnation with most shares in the
-// record, or "".
-func (c *Core) LargestHolder(record ZoneRecord) string {
+// WantCede returns the reachable incarnation to ask for reserved shares: the
+// one with most of them. It returns "" when this entry has some or nobody has
+// two. The zone's record should be read again after a pause that doubles.
+func (c *Core) WantCede(now time.Time, record ZoneRecord) string {
+	if len(c.slots) > 0 || c.retired() {
+		c.claims.cedePause = 0
+		return ""
+	}
+	c.claims.wanted = true
+	c.claims.cedePause = min(lastCedePause, max(firstCedePause, 2*c.claims.cedePause))
+	c.claims.wantAt = now.Add(c.claims.cedePause)
 	counts := make(map[string]int)
 	largest := ""
 	for _, slot := range record.Slots {
@@ -256,6 +275,9 @@
 			largest = slot.Incarnation
 		}
 	}
+	if counts[largest] < 2 {
+		return ""
+	}
 	return largest
 }
 
@@ -272,6 +294,7 @@
 		delete(c.slots, i)
 		c.claims.ceding[i] = to
 		c.claims.wanted = true
+		c.claims.wantAt = now
 	}
 	c.reconfigure(now)
 }
@@ -347,7 +370,7 @@
 		c.claims.inherited[part] = table.Left[part]
 		delete(table.Left, part)
 		c.claimShare(part, share, 0)
-	case share.Incarnation == "", unchanged >= widened(c.options.OwnerTTL):
+	case share.Incarnation == "", c.preceded(share.Instance), unchanged >= widened(c.options.OwnerTTL):
 		c.claimShare(part, share, c.options.grantWait())
 	case c.ended(listed, share.Instance) && unchanged >= widened(c.options.PauseLimit):
 		c.claimShare(part, share, c.options.handoverWait())
@@ -505,6 +528,7 @@
 	clear(c.claims.slotWaits)
 	clear(c.claims.shareWaits)
 	c.claims.wanted = true
+	c.claims.wantAt = now
 	c.reconfigure(now)
 }
 
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -38,6 +38,8 @@
 	// paused is true from a pause longer than the limit until rejoinAt or later.
 	paused   bool
 	rejoinAt time.Time
+	// resumed is true from the first such pause on.
+	resumed bool
 	// unlisted is true once the entry has left the platform's list.
 	unlisted bool
 
@@ -123,6 +125,7 @@
 func (c *Core) touch(now time.Time) {
 	if now.Sub(c.lastSeen) > c.options.PauseLimit {
 		c.paused = true
+		c.resumed = true
 		c.rejoinAt = now.Add(c.options.handoverWait())
 		c.dropShares(now)
 	}
@@ -150,7 +153,7 @@
 	for _, name := range sortedNames(c.spaces) {
 		s := c.spaces[name]
 		if _, kept := limits.Workspaces[name]; !kept {
-			c.refuseAll(s, 0)
+			c.refuseFrom(now, s, 0)
 			delete(c.spaces, name)
 		}
 	}
@@ -341,14 +344,6 @@
 
 func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
-// refuseAll ends the wait of all requests of a workspace.
-func (c *Core) refuseAll(s *space, retryAfter time.Duration) {
-	for _, w := range s.queue {
-		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: retryAfter})
-	}
-	s.queue = nil
-}
-
 // Drain returns the asks to send and the decisions since the last call.
 func (c *Core) Drain() ([]Outgoing, []Decision) {
 	asks, decisions := c.asks, c.decisions
--- a/internal/quota/options.go
+++ b/internal/quota/options.go
@@ -70,6 +70,10 @@
 // former one has stopped: until the grants of the former have expired.
 func (o Options) grantWait() time.Duration { return widened(o.GrantTTL) }
 
+// startTime is how long an entry that has just started may take to find shares
+// and other entries. Requests wait for that.
+func (o Options) startTime() time.Duration { return o.grantWait() + 2*time.Second }
+
 // handoverWait is the wait of a new issuer if the former one was taken for
 // ended. Within it a process that was paused, or that still runs although it
 // has left the platform's list, notices and stops.
--- a/internal/quota/sync.go
+++ b/internal/quota/sync.go
@@ -73,7 +73,7 @@
 // Run looks at the records until ctx ends.
 func (s *Sync) Run(ctx context.Context) {
 	duties := []*duty{
-		{due: func() bool { return s.Driver.core.WantsZone() }, run: s.syncZone, interval: syncPause},
+		{due: func() bool { return s.Driver.core.WantsZone(s.Now()) }, run: s.syncZone, interval: syncPause},
 		{due: func() bool { return s.Driver.core.LeadsZone() }, run: s.syncZone, interval: zoneInterval},
 		{due: func() bool { return s.Driver.core.LeadsOwners() }, run: s.syncOwners, interval: ownerInterval},
 	}
@@ -178,10 +178,7 @@
 		s.Driver.Change(func(now time.Time, core *Core) {
 			core.ZoneStored(now, plan)
 			needsCheck = core.NeedsCheck()
-			if !core.HoldsReserved() && !core.retired() {
-				holder = core.LargestHolder(plan.Record)
-				core.claims.wanted = true
-			}
+			holder = core.WantCede(now, plan.Record)
 		})
 	})
 	if err != nil {
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -317,7 +317,7 @@
 	}
 	n.nextSync = w.now.Add(w.syncInterval)
 	w.syncPeers(n)
-	if n.core.WantsZone() || n.core.LeadsZone() && !w.now.Before(n.nextZone) {
+	if n.core.WantsZone(w.now) || n.core.LeadsZone() && !w.now.Before(n.nextZone) {
 		const zoneSyncs = 5
 		n.nextZone = w.now.Add(zoneSyncs * w.syncInterval)
 		w.syncZone(n)
@@ -396,9 +396,8 @@
 			return true
 		}, func(bool) { n.core.CheckZones(w.now, records) })
 	}
-	holder := w.byIncarnation(n.core.LargestHolder(plan.Record))
-	if !n.core.HoldsReserved() && holder != nil && holder.Zone == n.Zone {
-		n.core.claims.wanted = true
+	holder := w.byIncarnation(n.core.WantCede(w.now, plan.Record))
+	if holder != nil && holder.Zone == n.Zone {
 		w.send(n, holder, func() { holder.core.Cede(w.now, CedeRequest{n.Incarnation, n.Instance}) })
 	}
 }
