Return tokens that an idle entry holds of others

Change: an entry that was idle for 1 s for a workspace gives back what it holds. The issuer credits it once, by the sequence of the ask.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -141,6 +141,21 @@
 	return false
 }
 
+// giveBack returns what is held of others' parts to them.
+func (c *Core) giveBack(now time.Time, s *space) {
+	for _, src := range s.sources {
+		held := src.held(now)
+		if held == 0 || src.pending || src.lost {
+			continue
+		}
+		src.tokens = 0
+		c.sequence++
+		ask := src.ask(now, s.name, c.sequence, 0)
+		ask.Returned = held
+		c.asks = append(c.asks, Outgoing{To: src.issuer, Ask: ask})
+	}
+}
+
 // expected returns the amount that was asked for and may still come.
 func (s *space) expected() Units {
 	var sum Units
@@ -220,7 +235,7 @@
 		g.Owner = c.owners[ask.Part]
 	}
 	s, known := c.spaces[ask.Workspace]
-	if !known || c.released || ask.Held < 0 || ask.Want < 0 {
+	if !known || c.released || ask.Held < 0 || ask.Want < 0 || ask.Returned < 0 {
 		return g
 	}
 	b := s.owned[ask.Part]
@@ -334,6 +349,10 @@
 	})
 	c.settle(now, s)
 	c.refuseLate(now, s)
+	if now.Sub(s.usedAt) > c.options.ReturnAfter {
+		c.giveBack(now, s)
+		return
+	}
 	if s.demand < 1/c.options.GrantTTL.Seconds() {
 		return
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -62,7 +62,8 @@
 }
 
 // grant debits the bucket and returns the amount granted. A repeated ask gets
-// the same grant; an ask that was overtaken gets none.
+// the same grant; an ask that was overtaken gets none. What the holder returns
+// is credited once.
 func (b *bucket) grant(now time.Time, holder string, ask Ask, ttl time.Duration) Units {
 	b.refill(now)
 	a, known := b.accounts[holder]
@@ -72,6 +73,9 @@
 	if known && ask.Sequence < a.sequence {
 		return 0
 	}
+	if known {
+		b.level += max(0, min(ask.Returned, a.outstanding-ask.Held))
+	}
 	amount := max(0, min(ask.Want, b.level))
 	b.level -= amount
 	b.accounts[holder] = &account{
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -23,6 +23,9 @@
 	// holder accepts no grant of an earlier sequence any more.
 	Held Units `msgpack:"h"`
 	Want Units `msgpack:"n"`
+	// Returned is an amount from this part that the holder gives back. It has
+	// debited it.
+	Returned Units `msgpack:"r"`
 }
 
 // AskBatch is the body of a TypeAsk request.
--- a/internal/quota/options.go
+++ b/internal/quota/options.go
@@ -38,6 +38,9 @@
 	Horizon time.Duration
 	// AskTimeout bounds the wait for a grant; default 300 ms.
 	AskTimeout time.Duration
+	// ReturnAfter is how long a workspace must be idle at an entry before the
+	// entry returns what it holds of others' parts; default 1 s.
+	ReturnAfter time.Duration
 	// Fanout is the number of other entries asked at once; default 16.
 	Fanout int
 }
@@ -49,6 +52,7 @@
 	setDefault(&o.OwnerTTL, 10*time.Minute)
 	setDefault(&o.Horizon, 200*time.Millisecond)
 	setDefault(&o.AskTimeout, 300*time.Millisecond)
+	setDefault(&o.ReturnAfter, time.Second)
 	setDefault(&o.Fanout, 16)
 	return o
 }
