Script races, outages, withdrawals and isolation with the real programs

Each was checked by breaking what it is for: without the push the manifest comes first; without pulls a new entry has no revision while the store is out; a conflict that is written over, and a lost reply that is taken for another's change, both make the race's script fail. Entries get the setting store_watch_wait. A chunk whose write met a conflict above the base counts as written.

--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -195,7 +195,7 @@
 		delete(fresh, digest)
 	}
 	for _, digest := range sortedKeys(fresh) {
-		if err := p.putChunk(ctx, digest, fresh[digest]); err != nil {
+		if err := p.putChunk(ctx, base, digest, fresh[digest]); err != nil {
 			return 0, &NotAppliedError{ChangeID: p.ChangeID, Cause: err}
 		}
 	}
@@ -205,7 +205,7 @@
 // putChunk writes a chunk after the base manifest was read, also when the
 // store has it already: the chunk's store revision is then above the base's,
 // which keeps Collect from removing it.
-func (p *Publisher) putChunk(ctx context.Context, digest string, content []byte) error {
+func (p *Publisher) putChunk(ctx context.Context, base Published, digest string, content []byte) error {
 	var err error
 	write := store.Write{Key: ChunkPrefix + digest, Value: content}
 	for attempt := 0; attempt < writeAttempts; attempt++ {
@@ -215,6 +215,8 @@
 		switch {
 		case err == nil:
 			return nil
+		case errors.As(err, &conflict) && conflict.Found > base.StoreRevision:
+			return nil // written after the base was read, by this change or another
 		case errors.As(err, &conflict):
 			write.Expect = conflict.Found
 		case !errors.As(err, &unknown):
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -27,6 +27,8 @@
 	MaxBodyBytes   int64         `toml:"max_body_bytes"`
 	MaxHeaderBytes int           `toml:"max_header_bytes"`
 	LogLevel       string        `toml:"log_level"`
+	// WatchWait is how long one watch of the configuration waits in the store.
+	WatchWait unit.Duration `toml:"store_watch_wait"`
 	// Isolation is the isolation time of workspaces that give none.
 	Isolation unit.Duration `toml:"isolation"`
 	// Membership sets the timing of heartbeats and gossip.
@@ -40,6 +42,7 @@
 	defaultStoreTimeout   = unit.Duration(2 * time.Second)
 	defaultStopGrace      = unit.Duration(30 * time.Second)
 	defaultMaxHeaderBytes = 32 << 10
+	defaultWatchWait      = unit.Duration(10 * time.Second)
 	defaultIsolation      = unit.Duration(24 * time.Hour)
 )
 
@@ -62,5 +65,6 @@
 	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
 	settings.Default(&s.StopGrace, defaultStopGrace)
 	settings.Default(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
+	settings.Default(&s.WatchWait, defaultWatchWait)
 	settings.Default(&s.Isolation, defaultIsolation)
 }
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -23,7 +23,6 @@
 	spreadInterval   = time.Second
 	exchangeTimeout  = time.Second
 	pullTimeout      = 2 * time.Second
-	watchWait        = 10 * time.Second
 	watchRetry       = 250 * time.Millisecond
 	watchRetryLimit  = 4 * time.Second
 	watchIdlePause   = 250 * time.Millisecond
@@ -228,7 +227,7 @@
 // returns the store revision seen.
 func (s *spreading) look(ctx context.Context, after uint64) (uint64, error) {
 	sentAt := time.Now()
-	found, err := s.entry.store.Watch(ctx, configuration.ManifestKey, after, watchWait)
+	found, err := s.entry.store.Watch(ctx, configuration.ManifestKey, after, s.entry.settings.WatchWait.Std())
 	var unchanged *store.NotChangedError
 	if errors.As(err, &unchanged) {
 		return after, s.entry.loop.Call(ctx, func() {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -79,13 +79,17 @@
 			"readenv":  readEnv,
 			"capture":  capture,
 			"run":      run,
+			"busy":     busy,
+			"busyend":  busyEnd,
 		},
 		Setup: func(e *testscript.Env) error {
 			net := claimNet(e)
 			e.Setenv("NET", net)
 			e.Setenv("HOME", e.WorkDir)
+			e.Setenv("PROGRAMS", programs)
 			e.Setenv("PLATFORM", "127."+net+".0.1:7100")
 			e.Setenv("CONTROL", "127."+net+".0.1:7101")
+			e.Values[busyKey] = make(map[string]*busyCaller)
 			e.Values[processesKey] = &processes{running: make(map[string]*process)}
 			e.Defer(func() { e.Values[processesKey].(*processes).killAll() })
 			return copyFixtures(e.WorkDir)
