--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -13,20 +13,36 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// Second octets of the scripts' networks, and the port that reserves one.
+// firstNet and lastNet bound the second octet of a script's network.
 const (
-	firstNet    = 150
-	lastNet     = 250
-	reservePort = 7999
+	firstNet = 100
+	lastNet  = 254
 )
 
+// programs is the folder of the programs that scripts start.
 var programs string
 
+// claimNet returns a network that no other script uses, of this run or of
+// another one on the machine. The claim is a listener in that network.
+func claimNet(e *testscript.Env) string {
+	for octet := firstNet; octet <= lastNet; octet++ {
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.254:7999", octet))
+		if err != nil {
+			continue
+		}
+		e.Defer(func() { _ = claim.Close() })
+		return strconv.Itoa(octet)
+	}
+	e.T().Fatal("no network is free")
+	return ""
+}
+
 func TestMain(m *testing.M) { os.Exit(runTests(m)) }
 
 func runTests(m *testing.M) int {
@@ -62,16 +78,14 @@
 			"put":      put,
 			"readenv":  readEnv,
 			"capture":  capture,
+			"run":      run,
 		},
 		Setup: func(e *testscript.Env) error {
-			octet, err := reserveNet(e)
-			if err != nil {
-				return err
-			}
-			e.Setenv("NET", octet)
+			net := claimNet(e)
+			e.Setenv("NET", net)
 			e.Setenv("HOME", e.WorkDir)
-			e.Setenv("PLATFORM", "127."+octet+".0.1:7100")
-			e.Setenv("CONTROL", "127."+octet+".0.1:7101")
+			e.Setenv("PLATFORM", "127."+net+".0.1:7100")
+			e.Setenv("CONTROL", "127."+net+".0.1:7101")
 			e.Values[processesKey] = &processes{running: make(map[string]*process)}
 			e.Defer(func() { e.Values[processesKey].(*processes).killAll() })
 			return copyFixtures(e.WorkDir)
@@ -79,21 +93,6 @@
 	})
 }
 
-// reserveNet returns a network that no other script uses, here or in another
-// run on this machine, and keeps it until the script ends.
-func reserveNet(e *testscript.Env) (string, error) {
-	var err error
-	for octet := firstNet; octet <= lastNet; octet++ {
-		var listener net.Listener
-		listener, err = net.Listen("tcp", fmt.Sprintf("127.%d.0.1:%d", octet, reservePort))
-		if err == nil {
-			e.Defer(func() { _ = listener.Close() })
-			return fmt.Sprint(octet), nil
-		}
-	}
-	return "", err
-}
-
 // copyFixtures gives each script the settings and the text of a small estate.
 func copyFixtures(workDir string) error {
 	files, err := filepath.Glob(filepath.Join("testdata", "estate", "*.toml"))
