--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -307,3 +307,6 @@
 	}
 	return sorted
 }
+
+// Incarnation returns the incarnation whose state this is.
+func (c *Core) Incarnation() string { return c.incarnation }
