Take no answer whose end cannot be told from a lost connection

Cause: an answer without a length ended with its connection, so that one cut by a crash was passed on as whole; an interim answer (1xx) was taken for the final one. Change: such answers are no answer, interim ones are passed over.

Before: the rows 'ends with its connection' and 'after interim answers' fail. After: all rows pass.

--- a/internal/upstream/doc.go
+++ b/internal/upstream/doc.go
@@ -7,6 +7,10 @@
 // connection, so that a connection which the upstream closed meanwhile cannot
 // leave their outcome in doubt, and no exchange is ever repeated here.
 //
+// An answer must carry a Content-Length or be chunked: one that ends with its
+// connection cannot be told from a cut one and is no answer. Interim answers
+// (1xx) are passed over.
+//
 // What an upstream may say besides its answer:
 //
 //	Lovage-Request-Id        echoes the request's identifier; another one is no answer
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -93,6 +94,24 @@
 	return fmt.Sprintf("answer is above the limit of %d bytes", e.Limit)
 }
 
+// maxInterim bounds the interim answers (1xx) to one request.
+const maxInterim = 8
+
+// NotFinalError reports interim answers without a final one.
+type NotFinalError struct{}
+
+// Error implements the error interface.
+func (e *NotFinalError) Error() string { return "upstream sent interim answers and no final one" }
+
+// UndelimitedError reports an answer that ends with its connection, so that a
+// cut one would look whole.
+type UndelimitedError struct{ Status int }
+
+// Error implements the error interface.
+func (e *UndelimitedError) Error() string {
+	return fmt.Sprintf("answer with status %d does not say where its body ends", e.Status)
+}
+
 // Request is one request to an upstream. Its body is held whole, so that a
 // lookup can be tried again.
 type Request struct {
@@ -160,11 +179,14 @@
 	if err := outgoing.Write(c.conn); err != nil {
 		return nil, false, PhaseWrite, err
 	}
-	incoming, err := http.ReadResponse(c.reader, outgoing)
+	incoming, err := readFinal(c.reader, outgoing)
 	if err != nil {
 		return nil, false, PhaseRead, err
 	}
 	defer incoming.Body.Close()
+	if !delimited(incoming, request.Method) {
+		return nil, false, PhaseVerify, &UndelimitedError{Status: incoming.StatusCode}
+	}
 	body, err := io.ReadAll(io.LimitReader(incoming.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return nil, false, PhaseRead, err
@@ -175,7 +197,30 @@
 	if found := incoming.Header.Get(HeaderRequestID); found != "" && found != request.ID {
 		return nil, false, PhaseVerify, &MismatchError{Want: request.ID, Found: found}
 	}
-	whole := incoming.ContentLength >= 0 || len(incoming.TransferEncoding) > 0
-	keep = whole && !incoming.Close && c.reader.Buffered() == 0
+	keep = !incoming.Close && c.reader.Buffered() == 0
 	return &Answer{Status: incoming.StatusCode, Header: incoming.Header, Body: body}, keep, "", nil
 }
+
+// readFinal reads the answer that ends the exchange and passes over interim
+// ones.
+func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for range maxInterim {
+		answer, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode >= http.StatusOK {
+			return answer, nil
+		}
+		if answer.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, &NotFinalError{}
+}
+
+// delimited reports whether the answer says where its body ends. The end of
+// one that does not cannot be told from a connection that was lost.
+func delimited(answer *http.Response, method string) bool {
+	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || method == http.MethodHead
+}
--- /dev/null
+++ b/internal/upstream/exchange_test.go
@@ -0,0 +1,137 @@
+package upstream_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/upstream"
+)
+
+func TestUpstream(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "upstream")
+}
+
+// serveText answers each request on a connection with the next text; after the
+// last it waits for the connection's end. It closes after a text if cut is set.
+func serveText(cut bool, texts ...string) (address string, connections chan int) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(listener.Close)
+	connections = make(chan int, 16)
+	go func() {
+		for n := 1; ; n++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			connections <- n
+			go answerTexts(conn, cut, texts)
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func answerTexts(conn net.Conn, cut bool, texts []string) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for _, text := range texts {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.WriteString(conn, text)
+		if cut {
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, reader)
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nLovage-Request-Id: r1\r\n\r\nwhole"
+
+var _ = Describe("Exchange", func() {
+	request := func(method string) *upstream.Request {
+		return &upstream.Request{ID: "r1", Method: method, Target: "/", Body: []byte("body")}
+	}
+
+	DescribeTable("returns whole answers",
+		func(text, method, body string) {
+			address, _ := serveText(false, text)
+			answer, err := upstream.NewPool(address, 1, 0).Exchange(context.Background(), request(method))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(answer.Body)).To(Equal(body))
+			Expect(answer.Status).To(BeNumerically(">=", 200))
+		},
+		Entry("with a length", whole, "GET", "whole"),
+		Entry("chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", "GET", "whole"),
+		Entry("after interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"+whole, "POST", "whole"),
+		Entry("without content", "HTTP/1.1 204 No Content\r\n\r\n", "GET", ""),
+		Entry("to HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", "HEAD", ""),
+	)
+
+	DescribeTable("takes nothing else for an answer",
+		func(text string, phase upstream.Phase) {
+			address, connections := serveText(true, text, text)
+			pool := upstream.NewPool(address, 1, 0)
+			_, err := pool.Exchange(context.Background(), request("GET"))
+			Expect(err).To(BeAssignableToTypeOf(&upstream.ExchangeError{}))
+			Expect(err.(*upstream.ExchangeError).Phase).To(Equal(phase))
+			Expect(err.(*upstream.ExchangeError).MayHaveRun()).To(BeTrue())
+			_, _ = pool.Exchange(context.Background(), request("GET"))
+			Expect(connections).To(HaveLen(2)) // the first was not kept
+		},
+		Entry("cut in its body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nwhole", upstream.PhaseRead),
+		Entry("cut in a chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nwhole", upstream.PhaseRead),
+		Entry("ends with its connection", "HTTP/1.1 200 OK\r\n\r\nwhole", upstream.PhaseVerify),
+		Entry("of another request", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nLovage-Request-Id: r0\r\n\r\n", upstream.PhaseVerify),
+		Entry("no HTTP", "gibberish\r\n\r\n", upstream.PhaseRead),
+		Entry("another protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", upstream.PhaseRead),
+		Entry("nothing", "", upstream.PhaseRead),
+	)
+
+	It("keeps a connection after a whole answer, but not for a fresh request", func() {
+		address, connections := serveText(false, whole, whole)
+		pool := upstream.NewPool(address, 1, 0)
+		for range 2 {
+			_, err := pool.Exchange(context.Background(), request("GET"))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(connections).To(HaveLen(1))
+		fresh := request("POST")
+		fresh.Fresh = true
+		_, err := pool.Exchange(context.Background(), fresh)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(connections).To(HaveLen(2))
+	})
+
+	It("closes the connection when the deadline passes", func() {
+		address, connections := serveText(false)
+		pool := upstream.NewPool(address, 1, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() {
+			_, err := pool.Exchange(ctx, request("GET"))
+			ended <- err
+		}()
+		Eventually(connections, "10s").Should(Receive())
+		cancel()
+		Eventually(ended, "10s").Should(Receive(BeAssignableToTypeOf(&upstream.ExchangeError{})))
+	})
+
+	It("says that a request did not run when nobody listens", func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err := upstream.NewPool("127.0.0.1:1", 1, 0).Exchange(ctx, request("GET"))
+		Expect(err.(*upstream.ExchangeError).MayHaveRun()).To(BeFalse())
+	})
+})
