Hand calls on by distance, bound shifted traffic and drain without cuts

Cause: an entry without a free slot refused although a sibling or another zone had one; nothing bounded traffic between regions; a planned stop closed the listener at once, so that callers with cached look-up answers met a closed port.

Change: internal/handover asks owning siblings, then zones of the region, then other regions, at most two hops, and moves only what is certainly not-run. internal/shift divides the region's link bytes and shift cap among its entries and applies them where the traffic arrives. internal/entry/drain.go goes on serving for leave_grace while answers tell callers to move, then refuses as not-run, and closes only when nothing is in flight; links stay open until handed calls have ended.

--- a/internal/entry/action.go
+++ b/internal/entry/action.go
@@ -89,7 +89,7 @@
 	e.actions = action.NewStage(action.Environment{
 		Incarnation: e.self.Incarnation,
 		Now:         time.Now,
-		Next:        e.router,
+		Next:        e.handing,
 		Locate:      e.locateOwner,
 		Hand:        action.HandOver(e.peers),
 		Store:       store.NewHTTPClient(e.settings.Platform, "action", e.settings.StoreTimeout.Std()),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -30,6 +30,7 @@
 	"lovagescale/internal/operator"
 	"lovagescale/internal/platform"
 	"lovagescale/internal/routing"
+	"lovagescale/internal/shift"
 	"lovagescale/internal/store"
 )
 
@@ -59,6 +60,9 @@
 	current   atomic.Pointer[configuration.Configuration]
 	changes   changes
 	router    *routing.Router
+	handing   *handover.Stage
+	gate      *shift.Gate
+	drain     drain
 	actions   *action.Stage
 	gateway   *gateway.Gateway
 	spreading *spreading
@@ -94,6 +98,7 @@
 	e.setUpMembers()
 	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
 	e.router = routing.New(s.Instance, s.Zone, random)
+	e.setUpHandover()
 	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
 		gateway.Options{
@@ -120,11 +125,10 @@
 	if c.Kind == configuration.Action {
 		return e.actions.Serve(ctx, c)
 	}
-	return e.router.Serve(ctx, c)
+	return e.handing.Serve(ctx, c)
 }
 
-// Run serves until ctx ends, then drains: it leaves the look-up answers first,
-// takes no new connection and waits for the requests in flight.
+// Run serves until ctx ends, then drains as drainCallers says.
 func (e *Entry) Run(ctx context.Context) error {
 	listeners, err := e.listen()
 	if err != nil {
@@ -140,7 +144,7 @@
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
-	links.Handle(handover.TypeCall, handover.Handler(e.router))
+	links.Handle(handover.TypeCall, handover.Handler(e.handing))
 	endActions := e.serveActions(background, links)
 
 	var group errgroup.Group
@@ -192,7 +196,7 @@
 
 func (e *Entry) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler:           e.gateway,
+		Handler:           e.drain.handler(e.gateway),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    hardHeaderFactor * e.settings.MaxHeaderBytes,
 	}
@@ -203,19 +207,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	e.announceLeaving()
-	started := time.Now()
-	drain, cancel := context.WithTimeout(context.WithoutCancel(ctx), e.settings.StopGrace.Std())
-	defer cancel()
-	err := server.Shutdown(drain)
-	e.log.Info().Dur("drain_ms", time.Since(started)).Err(err).Msg("entry drained")
-	return err
-}
-
-// announceLeaving takes this entry out of the look-up answers.
-func (e *Entry) announceLeaving() {
-	e.stopping.Store(true)
-	e.leaveMembers()
+	return e.drainCallers(context.WithoutCancel(ctx), server)
 }
 
 // changes wakes the streams that wait for a new state.
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -106,6 +106,7 @@
 	e.loop.Every(ctx, e.members.Options().TickInterval(), func() {
 		e.sendExchanges(ctx, sending, e.members.Tick(time.Now()))
 		e.publishMembers()
+		e.observeShift(time.Now(), e.members.View())
 	})
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"lovagescale/internal/lookup"
 	"strings"
 	"time"
 
@@ -22,6 +23,9 @@
 	// Platform is the address of the platform's store and instance list.
 	Platform     string        `toml:"platform"`
 	StoreTimeout unit.Duration `toml:"store_timeout"`
+	// LeaveGrace is how long an entry that stops goes on taking new requests, for
+	// callers whose look-up answers still name it.
+	LeaveGrace unit.Duration `toml:"leave_grace"`
 	// StopGrace bounds the drain at a planned stop.
 	StopGrace      unit.Duration `toml:"stop_grace"`
 	MaxBodyBytes   int64         `toml:"max_body_bytes"`
@@ -61,6 +65,7 @@
 	settings.CheckLogLevel(text, s.LogLevel)
 	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
 	settings.Default(&s.StopGrace, defaultStopGrace)
+	settings.Default(&s.LeaveGrace, unit.Duration(lookup.AnswerTTL))
 	settings.Default(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
 	settings.Default(&s.Isolation, defaultIsolation)
 }
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"lovagescale/internal/shift"
 	"time"
 
 	"lovagescale/internal/configuration"
@@ -25,6 +26,7 @@
 	}
 	e.current.Store(c)
 	e.router.Apply(c)
+	e.applyShift(c)
 	e.gateway.Apply(c)
 	e.changes.signal()
 	e.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
@@ -34,6 +36,8 @@
 type Dump struct {
 	Self    membership.Member   `json:"self"`
 	Members []membership.Member `json:"members"`
+	Drain   drainDump           `json:"drain"`
+	Shift   shift.State         `json:"shift"`
 	// Membership holds what the view says besides its members.
 	Membership membershipDump          `json:"membership"`
 	Revision   uint64                  `json:"revision"`
@@ -49,6 +53,8 @@
 		Self:       view.Self,
 		Members:    view.Members,
 		Membership: dumpMembership(view),
+		Drain:      e.drain.dump(),
+		Shift:      e.gate.State(time.Now()),
 		Stopping:   e.stopping.Load(),
 		Actions:    e.dumpActions(),
 		Endpoints:  e.router.State(),
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,5 +1,14 @@
 // Package handover passes a call from one entry to another over a link.
 //
+// An entry whose own endpoints have no free slot asks siblings that own
+// endpoints of the service, then other zones of the region, then other regions,
+// at most two entries at each distance. A call that was handed over once goes
+// only to a sibling of the receiver, and after MaxHops it goes nowhere. Only a
+// refusal that is certainly "not-run" is handed on. Calls from other regions
+// spend the region's quotas of package shift. An entry that refused or did not
+// answer is not asked again for a short time, so that a shortage everywhere
+// costs few messages.
+//
 // The receiving entry serves the call or refuses it at once, and its refusal
 // arrives as the refusal that it gave. The call carries its workspace's name
 // and never a workspace key. The deadline travels as time left. A receiver
@@ -34,6 +43,8 @@
 type message struct {
 	Call           *call.Call `msgpack:"c"`
 	TimeLeftMillis int64      `msgpack:"t"`
+	// Zone is the sender's availability zone.
+	Zone string `msgpack:"z"`
 }
 
 // reply is the receiver's answer: a result or a refusal.
@@ -42,16 +53,15 @@
 	Refused *refusal.Refusal `msgpack:"f"`
 }
 
-// Send hands the call to the entry with the given link address. Its error is a
-// *refusal.Refusal.
-func Send(ctx context.Context, peers *link.Peers, peer string, c *call.Call) (*call.Result, error) {
+// Send hands the call from an entry of zone to the entry with the given link
+// address. Its error is a *refusal.Refusal.
+func Send(ctx context.Context, peers *link.Peers, peer, zone string, c *call.Call) (*call.Result, error) {
 	if c.Hops >= MaxHops {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
-			fmt.Sprintf("request was handed over %d times", c.Hops)).After(retryUnreachable)
+		return nil, tooFar(c)
 	}
 	handed := *c
 	handed.Hops++
-	request := message{Call: &handed, TimeLeftMillis: time.Until(c.Deadline).Milliseconds()}
+	request := message{Call: &handed, TimeLeftMillis: time.Until(c.Deadline).Milliseconds(), Zone: zone}
 	var answer reply
 	if err := peers.Client(peer).Call(ctx, TypeCall, request, &answer); err != nil {
 		return nil, unreachable(peer, err)
@@ -66,6 +76,11 @@
 	return answer.Result, nil
 }
 
+func tooFar(c *call.Call) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
+		fmt.Sprintf("request was handed over %d times", c.Hops)).After(retryUnreachable)
+}
+
 // unreachable says what is known of a call whose receiver did not answer.
 func unreachable(peer string, err error) *refusal.Refusal {
 	outcome := refusal.Unknown
@@ -78,8 +93,8 @@
 		fmt.Sprintf("entry %q did not answer", peer)).After(retryUnreachable)
 }
 
-// Handler returns the receiving side: it serves handed calls by stage.
-func Handler(stage call.Stage) link.Handler {
+// Handler returns the receiving side.
+func Handler(stage *Stage) link.Handler {
 	return func(ctx context.Context, request wire.Envelope) (any, error) {
 		var m message
 		if err := request.Decode(&m); err != nil {
@@ -88,11 +103,14 @@
 		if m.Call == nil {
 			return nil, &wire.MalformedError{Type: TypeCall}
 		}
+		if m.Call.Hops > MaxHops {
+			return reply{Refused: tooFar(m.Call)}, nil
+		}
 		left := time.Duration(m.TimeLeftMillis) * time.Millisecond
 		m.Call.Deadline = time.Now().Add(left)
 		ctx, cancel := context.WithDeadline(ctx, m.Call.Deadline)
 		defer cancel()
-		result, err := stage.Serve(ctx, m.Call)
+		result, err := stage.Receive(ctx, m.Zone, m.Call)
 		if err == nil {
 			return reply{Result: result}, nil
 		}
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -72,6 +72,7 @@
 	Quarantined         Kind = "quarantined"
 	PeerFailed          Kind = "peer-failed"
 	Isolated            Kind = "isolated"
+	ShiftLimited        Kind = "shift-limited"
 )
 
 // Refusal is an answer given in place of an upstream's answer. It implements
