--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -30,8 +30,10 @@
 	refusing
 )
 
+var phaseNames = [...]string{serving: "serving", leaving: "leaving", refusing: "refusing"}
+
 // String returns the phase's name in the state dump.
-func (p drainPhase) String() string { return [...]string{"serving", "leaving", "refusing"}[p] }
+func (p drainPhase) String() string { return phaseNames[p] }
 
 // drain counts the callers' requests in flight and tells callers to move while
 // the entry stops.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -65,6 +64,7 @@
 	drain     drain
 	actions   *action.Stage
 	gateway   *gateway.Gateway
+	owning    *owning
 	spreading *spreading
 	stopping  atomic.Bool
 
@@ -96,8 +96,7 @@
 	}
 	e.changes.init()
 	e.setUpMembers()
-	random := mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))
-	e.router = routing.New(s.Instance, s.Zone, random)
+	e.setUpRouting()
 	e.setUpHandover()
 	e.setUpActions()
 	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
@@ -144,6 +143,7 @@
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
+	e.owning.handle(links)
 	links.Handle(handover.TypeCall, handover.Handler(e.handing))
 	endActions := e.serveActions(background, links)
 
@@ -152,6 +152,7 @@
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
 	group.Go(func() error { return e.spreading.run(background) })
+	group.Go(func() error { return e.owning.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -27,6 +27,7 @@
 	e.current.Store(c)
 	e.router.Apply(c)
 	e.applyShift(c)
+	e.owning.configure(c)
 	e.gateway.Apply(c)
 	e.changes.signal()
 	e.log.Info().Uint64("revision", c.Revision).Msg("configuration in force")
@@ -44,6 +45,7 @@
 	Spread     spread.StatusReply      `json:"spread"`
 	Stopping   bool                    `json:"stopping"`
 	Actions    actionDump              `json:"actions"`
+	Routing    routingDump             `json:"routing"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
 
@@ -57,6 +59,7 @@
 		Shift:      e.gate.State(time.Now()),
 		Stopping:   e.stopping.Load(),
 		Actions:    e.dumpActions(),
+		Routing:    e.owning.dump(ctx),
 		Endpoints:  e.router.State(),
 	}
 	if c := e.current.Load(); c != nil {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,10 +6,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
-	"sync"
+	"strconv"
+	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // Headers and paths that upstreams may use.
@@ -18,8 +20,10 @@
 	HeaderWorkspace = "Lovage-Workspace"
 	HeaderOutcome   = "Lovage-Upstream-Outcome"
 	HeaderDraining  = "Lovage-Upstream-Draining"
-	OutcomeNotRun   = "not-run"
-	PathHealth      = "/lovage/health"
+	// HeaderTimeout carries the time left, in milliseconds.
+	HeaderTimeout = "Lovage-Timeout-Ms"
+	OutcomeNotRun = "not-run"
+	PathHealth    = "/lovage/health"
 )
 
 // MaxAnswerBytes bounds the body of an answer.
@@ -64,6 +68,16 @@
 // MayHaveRun reports whether the upstream can have begun the request.
 func (e *ExchangeError) MayHaveRun() bool { return e.Phase != PhaseDial }
 
+// ConnectionLost reports whether the upstream closed or reset the connection
+// while it had the request.
+func (e *ExchangeError) ConnectionLost() bool {
+	if e.Phase != PhaseWrite && e.Phase != PhaseRead {
+		return false
+	}
+	return errors.Is(e.Cause, io.EOF) || errors.Is(e.Cause, io.ErrUnexpectedEOF) ||
+		errors.Is(e.Cause, syscall.ECONNRESET) || errors.Is(e.Cause, syscall.EPIPE)
+}
+
 // MismatchError reports an answer that belongs to another request.
 type MismatchError struct{ Want, Found string }
 
@@ -80,6 +94,24 @@
 	return fmt.Sprintf("answer is above the limit of %d bytes", e.Limit)
 }
 
+// maxInterim bounds the interim answers (1xx) to one request.
+const maxInterim = 8
+
+// NotFinalError reports interim answers without a final one.
+type NotFinalError struct{}
+
+// Error implements the error interface.
+func (e *NotFinalError) Error() string { return "upstream sent interim answers and no final one" }
+
+// UndelimitedError reports an answer that ends with its connection, so that a
+// cut one would look whole.
+type UndelimitedError struct{ Status int }
+
+// Error implements the error interface.
+func (e *UndelimitedError) Error() string {
+	return fmt.Sprintf("answer with status %d does not say where its body ends", e.Status)
+}
+
 // Request is one request to an upstream. Its body is held whole, so that a
 // lookup can be tried again.
 type Request struct {
@@ -106,37 +138,6 @@
 // Draining reports whether the upstream announced that it leaves.
 func (a *Answer) Draining() bool { return a.Header.Get(HeaderDraining) == "true" }
 
-// Pool holds the idle connections to one endpoint.
-type Pool struct {
-	address string
-	maxIdle int
-
-	mu   sync.Mutex
-	idle []*connection
-}
-
-type connection struct {
-	conn   net.Conn
-	reader *bufio.Reader
-	reused bool
-}
-
-// NewPool returns a pool for the endpoint that keeps at most maxIdle idle
-// connections.
-func NewPool(address string, maxIdle int) *Pool {
-	return &Pool{address: address, maxIdle: maxIdle}
-}
-
-// Close closes the idle connections.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.idle {
-		_ = c.conn.Close()
-	}
-	p.idle = nil
-}
-
 // Exchange sends the request and returns its whole answer by the deadline of
 // ctx. When ctx ends the connection is closed, which cancels the request at
 // the upstream. It returns an *ExchangeError.
@@ -146,12 +147,12 @@
 		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.conn.SetDeadline(time.Unix(1, 0)) })
-	answer, keep, phase, err := exchange(c, p.address, request)
+	answer, keep, phase, err := exchange(ctx, c, p.address, request)
 	if !stop() {
 		keep = false
 	}
 	if err != nil || !keep {
-		_ = c.conn.Close()
+		p.discard(c)
 	} else {
 		p.put(c)
 	}
@@ -161,51 +162,31 @@
 	return answer, nil
 }
 
-func (p *Pool) take(ctx context.Context, fresh bool) (*connection, error) {
-	if !fresh {
-		p.mu.Lock()
-		if n := len(p.idle); n > 0 {
-			c := p.idle[n-1]
-			p.idle = p.idle[:n-1]
-			p.mu.Unlock()
-			c.reused = true
-			return c, nil
-		}
-		p.mu.Unlock()
-	}
-	var dialer net.Dialer
-	conn, err := dialer.DialContext(ctx, "tcp", p.address)
-	if err != nil {
-		return nil, err
-	}
-	return &connection{conn: conn, reader: bufio.NewReader(conn)}, nil
-}
-
-func (p *Pool) put(c *connection) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.idle) >= p.maxIdle {
-		_ = c.conn.Close()
-		return
-	}
-	p.idle = append(p.idle, c)
-}
-
-func exchange(c *connection, address string, request *Request) (answer *Answer, keep bool, phase Phase, err error) {
+func exchange(ctx context.Context, c *connection, address string, request *Request) (answer *Answer, keep bool, phase Phase, err error) {
 	outgoing, err := http.NewRequest(request.Method, "http://"+address+request.Target, bytes.NewReader(request.Body))
 	if err != nil {
 		return nil, false, PhaseDial, err
 	}
 	outgoing.Header = request.Header.Clone()
+	if outgoing.Header == nil {
+		outgoing.Header = make(http.Header)
+	}
 	outgoing.Header.Set(HeaderRequestID, request.ID)
+	if deadline, set := ctx.Deadline(); set {
+		left := max(time.Until(deadline).Milliseconds(), 1)
+		outgoing.Header.Set(HeaderTimeout, strconv.FormatInt(left, 10))
+	}
 	if err := outgoing.Write(c.conn); err != nil {
 		return nil, false, PhaseWrite, err
 	}
-	incoming, err := http.ReadResponse(c.reader, outgoing)
+	incoming, err := readFinal(c.reader, outgoing)
 	if err != nil {
 		return nil, false, PhaseRead, err
 	}
 	defer incoming.Body.Close()
+	if !delimited(incoming, request.Method) {
+		return nil, false, PhaseVerify, &UndelimitedError{Status: incoming.StatusCode}
+	}
 	body, err := io.ReadAll(io.LimitReader(incoming.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return nil, false, PhaseRead, err
@@ -216,7 +197,30 @@
 	if found := incoming.Header.Get(HeaderRequestID); found != "" && found != request.ID {
 		return nil, false, PhaseVerify, &MismatchError{Want: request.ID, Found: found}
 	}
-	whole := incoming.ContentLength >= 0 || len(incoming.TransferEncoding) > 0
-	keep = whole && !incoming.Close && c.reader.Buffered() == 0
+	keep = !incoming.Close && c.reader.Buffered() == 0
 	return &Answer{Status: incoming.StatusCode, Header: incoming.Header, Body: body}, keep, "", nil
 }
+
+// readFinal reads the answer that ends the exchange and passes over interim
+// ones.
+func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for range maxInterim {
+		answer, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return nil, err
+		}
+		if answer.StatusCode >= http.StatusOK {
+			return answer, nil
+		}
+		if answer.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+	}
+	return nil, &NotFinalError{}
+}
+
+// delimited reports whether the answer says where its body ends. The end of
+// one that does not cannot be told from a connection that was lost.
+func delimited(answer *http.Response, method string) bool {
+	return answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0 || method == http.MethodHead
+}
