Test refusals, pauses, repeats and rate changes of quotas one by one

Cause: only the random walk covered what it had found.

Change: a test for each fault found and for Retry-After, which now counts the requests that wait ahead; files split by duty.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -111,7 +111,7 @@
 
 // refuseFrom refuses the waiting requests from a position in the queue on.
 func (c *Core) refuseFrom(now time.Time, s *space, position int) {
-	retryAfter := c.retryAfter(now, s)
+	retryAfter := c.retryAfter(now, s, position)
 	for _, w := range s.queue[position:] {
 		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: retryAfter})
 	}
@@ -126,7 +126,7 @@
 			kept = append(kept, w)
 			continue
 		}
-		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: c.retryAfter(now, s)})
+		c.decisions = append(c.decisions, Decision{ID: w.id, RetryAfter: c.retryAfter(now, s, len(kept))})
 	}
 	s.queue = kept
 }
@@ -219,108 +219,6 @@
 	return true
 }
 
-// Serve answers the asks of a holder.
-func (c *Core) Serve(now time.Time, holder string, asks []Ask) []Grant {
-	c.touch(now)
-	grants := make([]Grant, 0, len(asks))
-	for _, ask := range asks {
-		grants = append(grants, c.serve(now, holder, ask))
-	}
-	return grants
-}
-
-func (c *Core) serve(now time.Time, holder string, ask Ask) Grant {
-	g := Grant{Workspace: ask.Workspace, Part: ask.Part, Sequence: ask.Sequence}
-	if ask.Part >= 0 && ask.Part < ownerShares {
-		g.Owner = c.owners[ask.Part]
-	}
-	s, known := c.spaces[ask.Workspace]
-	if !known || c.released || ask.Held < 0 || ask.Want < 0 || ask.Returned < 0 {
-		return g
-	}
-	b := s.owned[ask.Part]
-	if ask.Part == reservedPart {
-		b = s.reserved
-	}
-	if b == nil {
-		return g
-	}
-	g.Issues = true
-	level := b.level
-	g.Amount = b.grant(now, holder, ask, c.options.GrantTTL)
-	if c.creditBeforeDebit {
-		b.level = max(0, level-b.unpaid)
-		b.unpaid = g.Amount
-	}
-	return g
-}
-
-// Granted takes the answers of an issuer.
-func (c *Core) Granted(now time.Time, issuer string, grants []Grant) {
-	c.touch(now)
-	for _, g := range grants {
-		s, known := c.spaces[g.Workspace]
-		if !known {
-			continue
-		}
-		src := s.source(issuer, g.Part)
-		if src == nil {
-			continue
-		}
-		if c.leaseFromReply && src.pending {
-			src.askedAt = now
-		}
-		if !src.credit(now, g, c.options.GrantTTL) {
-			continue
-		}
-		c.heard(now, s, src, g)
-		c.settle(now, s)
-	}
-}
-
-// heard notes how well an issuer could serve.
-func (c *Core) heard(now time.Time, s *space, src *source, g Grant) {
-	if g.Part >= 0 && g.Part < ownerShares && !g.Issues && g.Owner != "" {
-		c.owners[g.Part] = g.Owner
-	}
-	src.lost = false
-	if g.Issues && g.Amount >= src.want/2 {
-		src.retryAt = now
-		src.pause = 0
-		return
-	}
-	if g.Part == reservedPart || !g.Issues {
-		src.pause = min(lastSiblingPause, max(firstSiblingPause, 2*src.pause))
-		src.retryAt = now.Add(src.pause)
-		return
-	}
-	src.retryAt = now.Add(ownerPause)
-}
-
-// noAnswer notes an ask that was lost.
-func (s *source) noAnswer(now time.Time) {
-	s.pending = false
-	s.lost = true
-	s.retryAt = now.Add(lostPause)
-}
-
-// Lost reports asks that got no answer.
-func (c *Core) Lost(now time.Time, issuer string, asks []Ask) {
-	c.touch(now)
-	for _, ask := range asks {
-		s, known := c.spaces[ask.Workspace]
-		if !known {
-			continue
-		}
-		src := s.source(issuer, ask.Part)
-		if src == nil || src.sequence != ask.Sequence || !src.pending {
-			continue
-		}
-		src.noAnswer(now)
-		c.settle(now, s)
-	}
-}
-
 // Tick measures demand, gives up on asks without an answer and borrows ahead
 // of demand.
 func (c *Core) Tick(now time.Time, elapsed time.Duration) {
@@ -369,22 +267,9 @@
 	}
 }
 
-// ownerOf returns the incarnation to ask for an owner share, or "".
-func (c *Core) ownerOf(part int) string {
-	if known := c.owners[part]; known != "" && c.reachable(known) {
-		return known
-	}
-	chosen := c.chosenOwner(part)
-	if chosen == c.self.Instance {
-		return ""
-	}
-	i := slices.IndexFunc(c.peers, func(p Peer) bool { return p.Instance == chosen })
-	return c.peers[i].Incarnation
-}
-
 // retryAfter returns the time until the parts that can be reached have created
-// the tokens for one request.
-func (c *Core) retryAfter(now time.Time, s *space) time.Duration {
+// the tokens for one request and those that wait ahead of it.
+func (c *Core) retryAfter(now time.Time, s *space, ahead int) time.Duration {
 	var rate float64
 	var capacity Units
 	add := func(b *bucket) {
@@ -400,42 +285,9 @@
 			capacity += units(s.limit.Burst * (1 - c.options.Reserved) / sharesPerWorkspace)
 		}
 	}
-	missing := Token - s.available(now)
+	missing := Units(ahead+1)*Token - s.available(now)
 	if rate == 0 || capacity < Token {
 		return neverRetry
 	}
 	return max(time.Millisecond, time.Duration(float64(missing)/float64(Token)/rate*float64(time.Second)))
 }
-
-// CheckOut lends all tokens of a workspace to the request path until expiresAt.
-func (c *Core) CheckOut(now time.Time, workspace string) (amount Units, expiresAt, refuseUntil time.Time, retryAfter time.Duration) {
-	c.touch(now)
-	s := c.spaces[workspace]
-	amount = s.available(now)
-	s.checkedOut = amount
-	expiresAt = now.Add(c.options.PauseLimit)
-	for _, src := range s.sources {
-		if src.tokens > 0 && src.expiresAt.Before(expiresAt) {
-			expiresAt = src.expiresAt
-		}
-	}
-	for part := range s.owned {
-		if until := c.shares[part].until; until.Before(expiresAt) {
-			expiresAt = until
-		}
-	}
-	return amount, expiresAt, s.refuseUntil, c.retryAfter(now, s)
-}
-
-// CheckIn takes back what the request path has left of its tokens and the
-// number of requests that it saw.
-func (c *Core) CheckIn(now time.Time, workspace string, left Units, attempts int) {
-	s, known := c.spaces[workspace]
-	if !known {
-		return
-	}
-	s.available(now)
-	s.spend(now, s.checkedOut-max(0, left))
-	s.checkedOut = 0
-	s.attempts += attempts
-}
--- /dev/null
+++ b/internal/quota/core_test.go
@@ -0,0 +1,153 @@
+package quota
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+
+	"lovagescale/internal/call"
+	"lovagescale/internal/configuration"
+	"lovagescale/internal/control"
+	"lovagescale/internal/refusal"
+)
+
+var start = time.Unix(1000, 0)
+
+// loneCore holds all parts of a quota of 10/s and 20 in a fleet of one zone.
+func loneCore() *Core {
+	c := NewCore(start, Peer{Incarnation: "a-1", Instance: "a", Zone: "z"}, Options{})
+	c.Configure(start, Limits{Revision: 1, Zones: 1, Workspaces: map[string]Limit{"azul": {Rate: 10, Burst: 20}}})
+	zone := c.PlanZone(start, start, ZoneRecord{}, nil)
+	c.ZoneStored(start, zone)
+	c.CheckZones(start, []ZoneRecord{zone.Record})
+	c.OwnersStored(start, c.PlanOwners(start, start, OwnerTable{}, nil))
+	return c
+}
+
+func takeAll(c *Core, now time.Time) int {
+	taken := 0
+	for c.Take(now, "azul") {
+		taken++
+	}
+	return taken
+}
+
+func TestRetryAfterIsWhenATokenExists(t *testing.T) {
+	g := NewWithT(t)
+	c := loneCore()
+	c.settledAt = start.Add(-time.Hour) // not a new entry
+	g.Expect(takeAll(c, start)).To(Equal(20))
+	for id := range uint64(5) {
+		c.Request(start, "azul", id, start.Add(time.Minute))
+	}
+	_, decisions := c.Drain()
+	g.Expect(decisions).To(HaveLen(3), "two tokens come soon enough to wait for")
+	g.Expect(decisions).To(HaveEach(HaveField("RetryAfter", BeNumerically("~", 300*time.Millisecond, time.Microsecond))))
+	c.Tick(start.Add(201*time.Millisecond), 201*time.Millisecond)
+	_, decisions = c.Drain()
+	g.Expect(decisions).To(HaveEach(HaveField("Admitted", true)))
+	g.Expect(decisions).To(HaveLen(2))
+	g.Expect(c.Take(start.Add(299*time.Millisecond), "azul")).To(BeFalse())
+	g.Expect(c.Take(start.Add(301*time.Millisecond), "azul")).To(BeTrue())
+}
+
+func TestPlanStoredAfterReleaseGivesNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := loneCore()
+	plan := c.PlanOwners(start, start, OwnerTable{}, nil)
+	c.Release(start)
+	c.OwnersStored(start, plan)
+	g.Expect(c.Shares()).To(BeEmpty())
+}
+
+func TestResumedProcessSpendsNothing(t *testing.T) {
+	g := NewWithT(t)
+	c := loneCore()
+	table := c.PlanOwners(start, start, OwnerTable{}, nil).Table
+	resumed := start.Add(16 * time.Second)
+	g.Expect(takeAll(c, resumed)).To(BeZero())
+	// The record still names this process, but the platform does not list it.
+	plan := c.PlanOwners(resumed.Add(time.Minute), resumed, table, Listed{"b": true})
+	c.OwnersStored(resumed.Add(time.Minute), plan)
+	g.Expect(c.Shares()).To(BeEmpty())
+}
+
+func TestLowerRateTakesTokensAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := loneCore()
+	c.Configure(start, Limits{Revision: 2, Zones: 1, Workspaces: map[string]Limit{"azul": {Rate: 1, Burst: 4}}})
+	g.Expect(takeAll(c, start)).To(Equal(4))
+}
+
+func TestGrantsAreIdempotent(t *testing.T) {
+	g := NewWithT(t)
+	b := newBucket(start)
+	b.configure(start, 0, 10*Token)
+	b.level = 10 * Token
+	ask := Ask{Sequence: 5, Want: 4 * Token}
+	g.Expect(b.grant(start, "h", ask, time.Second)).To(Equal(4 * Token))
+	g.Expect(b.grant(start, "h", ask, time.Second)).To(Equal(4*Token), "repeated")
+	g.Expect(b.grant(start, "h", Ask{Sequence: 4, Want: Token}, time.Second)).To(BeZero(), "overtaken")
+	g.Expect(b.level).To(Equal(6 * Token))
+	back := Ask{Sequence: 6, Returned: 3 * Token}
+	b.grant(start, "h", back, time.Second)
+	b.grant(start, "h", back, time.Second)
+	g.Expect(b.level).To(Equal(9*Token), "returned once")
+}
+
+func TestShareOfAFourthZoneWaitsForTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	c := loneCore()
+	c.slots[0].checked = false
+	others := ZoneRecord{Slots: make([]Slot, slotsPerZone)}
+	for i := range others.Slots {
+		others.Slots[i].Divisor = 1
+	}
+	c.CheckZones(start, []ZoneRecord{others, others})
+	g.Expect(c.NeedsCheck()).To(BeTrue())
+}
+
+func TestPoolSpendsNoExpiredToken(t *testing.T) {
+	g := NewWithT(t)
+	p := &pool{}
+	old := &cell{expiresAt: start, refuseUntil: start.Add(time.Second)}
+	old.left.Store(int64(Token))
+	p.cell.Store(old)
+	now := func() time.Time { return start }
+	verdict, _ := p.take(now)
+	g.Expect(verdict).To(Equal(undecided), "expired")
+	verdict, _ = p.take(now)
+	g.Expect(verdict).To(Equal(refused), "empty")
+	p.close()
+	verdict, _ = p.take(now)
+	g.Expect(verdict).To(Equal(undecided), "closed")
+}
+
+func TestStageChargesOnce(t *testing.T) {
+	g := NewWithT(t)
+	served := 0
+	next := call.StageFunc(func(context.Context, *call.Call) (*call.Result, error) {
+		served++
+		return &call.Result{}, nil
+	})
+	vouch := func(string, string) refusal.Outcome { return refusal.Unknown }
+	s := New(next, func() time.Time { return start }, control.NewLoop("test"), metrics.NewRegistry(), vouch)
+	s.keep(map[string]Limit{"azul": {}})
+	full := &cell{expiresAt: start.Add(time.Second), refuseUntil: start.Add(time.Second), retryAfter: time.Second}
+	full.left.Store(int64(Token))
+	s.all()["azul"].cell.Store(full)
+	serve := func(c call.Call) error {
+		_, err := s.Serve(context.Background(), &c)
+		return err
+	}
+	g.Expect(serve(call.Call{Workspace: "azul", Hops: 1})).To(Succeed())
+	g.Expect(serve(call.Call{})).To(Succeed())
+	g.Expect(serve(call.Call{Workspace: "azul"})).To(Succeed())
+	g.Expect(serve(call.Call{Workspace: "azul", Kind: configuration.Lookup})).To(MatchError(
+		refusal.New(429, refusal.RateExceeded, refusal.NotRun, `workspace "azul" is above its rate and burst`).After(time.Second)))
+	g.Expect(serve(call.Call{Workspace: "azul", Kind: configuration.Action})).To(HaveField("Outcome", refusal.Unknown))
+	g.Expect(served).To(Equal(3))
+}
