Ask idle entries again when their share has refilled

Change: a grant tells how long the share takes to refill; ticks pass over workspaces without demand.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -171,7 +171,7 @@
 // asked any.
 func (c *Core) askOwners(now time.Time, s *space, want Units) bool {
 	asked := false
-	for _, part := range partsOf(s.name) {
+	for _, part := range s.parts {
 		if _, own := c.shares[part]; own {
 			continue
 		}
@@ -224,9 +224,14 @@
 func (c *Core) Tick(now time.Time, elapsed time.Duration) {
 	c.touch(now)
 	weight := 1 - math.Exp(-elapsed.Seconds()/demandTime.Seconds())
-	for _, name := range sortedNames(c.spaces) {
+	if c.reservedFraction(now) != c.fraction {
+		c.reconfigure(now)
+	}
+	for _, name := range c.names {
 		s := c.spaces[name]
-		c.configureReserved(now, s)
+		if s.asleep() {
+			continue
+		}
 		s.demand += weight * (float64(s.attempts)/elapsed.Seconds() - s.demand)
 		if s.attempts > 0 {
 			s.usedAt = now
@@ -236,6 +241,15 @@
 	}
 }
 
+// sleepDemand is the demand in requests per second below which a workspace
+// needs no periodic work.
+const sleepDemand = 0.01
+
+// asleep reports whether a tick would change nothing.
+func (s *space) asleep() bool {
+	return s.attempts == 0 && s.demand < sleepDemand && len(s.queue) == 0 && len(s.sources) == 0
+}
+
 func (c *Core) tickSpace(now time.Time, s *space) {
 	for _, src := range s.sources {
 		if src.pending && now.Sub(src.askedAt) >= c.options.AskTimeout {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -53,6 +53,14 @@
 	b.level = max(b.level, min(b.level+created, b.capacity-b.outstanding()))
 }
 
+// refillTime is the time in which half the capacity is created.
+func (b *bucket) refillTime() time.Duration {
+	if b.rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(b.capacity) / 2 / float64(Token) / b.rate * float64(time.Second))
+}
+
 func (b *bucket) outstanding() Units {
 	var sum Units
 	for _, a := range b.accounts {
--- a/internal/quota/core.go
+++ b/internal/quota/core.go
@@ -28,6 +28,7 @@
 	limits  Limits
 	peers   []Peer
 	spaces  map[string]*space
+	names   []string // of spaces, ordered
 
 	lastSeen time.Time
 	// settled is true once the core has had a configuration; quotas that come
@@ -45,9 +46,11 @@
 
 	slots  map[int]*slotHold
 	shares map[int]*shareHold
-	claims claims
-	owners [ownerShares]string // the owner's incarnation as last heard
-	next   int                 // rotates over the other entries
+	// fraction is what the reserved buckets were last configured with.
+	fraction float64
+	claims   claims
+	owners   [ownerShares]string // the owner's incarnation as last heard
+	next     int                 // rotates over the other entries
 	// sequence is that of the last ask. It is never used twice, so that no late
 	// grant can be taken for another.
 	sequence uint64
@@ -86,6 +89,7 @@
 // space is the quota state of one workspace.
 type space struct {
 	name     string
+	parts    [sharesPerWorkspace]int
 	limit    Limit
 	since    time.Time
 	reserved *bucket
@@ -160,11 +164,12 @@
 	for name, limit := range limits.Workspaces {
 		s, known := c.spaces[name]
 		if !known {
-			s = &space{name: name, since: since, owned: make(map[int]*bucket)}
+			s = &space{name: name, parts: partsOf(name), since: since, owned: make(map[int]*bucket)}
 			c.spaces[name] = s
 		}
 		s.limit = limit
 	}
+	c.names = sortedNames(c.spaces)
 	for _, hold := range c.slots {
 		if hold.divisor < limits.Zones {
 			hold.divisor = limits.Zones
@@ -200,14 +205,15 @@
 
 // reconfigure gives each bucket the rate and burst of its part.
 func (c *Core) reconfigure(now time.Time) {
+	c.fraction = c.reservedFraction(now)
 	for _, s := range c.spaces {
-		c.configureReserved(now, s)
+		c.configureReserved(now, s, c.fraction)
 		for part := range s.owned {
 			if _, held := c.shares[part]; !held {
 				delete(s.owned, part)
 			}
 		}
-		for _, part := range partsOf(s.name) {
+		for _, part := range s.parts {
 			c.configureOwned(now, s, part)
 		}
 	}
@@ -216,14 +222,21 @@
 	}
 }
 
-func (c *Core) configureReserved(now time.Time, s *space) {
+// reservedFraction is the part of each quota that this entry's reserved shares
+// issue.
+func (c *Core) reservedFraction(now time.Time) float64 {
 	var fraction float64
-	for _, hold := range c.slots {
-		if hold.checked && !now.Before(hold.startAt) {
+	for i := range slotsPerZone {
+		hold, held := c.slots[i]
+		if held && hold.checked && !now.Before(hold.startAt) {
 			fraction += c.options.Reserved / float64(hold.divisor*slotsPerZone)
 		}
 	}
-	if fraction == 0 && len(c.slots) == 0 {
+	return fraction
+}
+
+func (c *Core) configureReserved(now time.Time, s *space, fraction float64) {
+	if len(c.slots) == 0 {
 		s.reserved = nil
 		return
 	}
@@ -285,7 +298,7 @@
 // buckets returns the parts that this entry issues, the reserved part last.
 func (s *space) buckets() []*bucket {
 	buckets := make([]*bucket, 0, sharesPerWorkspace+1)
-	for _, part := range partsOf(s.name) {
+	for _, part := range s.parts {
 		if b, owned := s.owned[part]; owned {
 			buckets = append(buckets, b)
 		}
--- a/internal/quota/measure_test.go
+++ b/internal/quota/measure_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -49,8 +50,8 @@
 	return z
 }
 
-func newLoad(limits map[string]Limit) *load {
-	random := rand.New(rand.NewPCG(measureSeed, measureSeed))
+func newLoad(limits map[string]Limit, seed uint64) *load {
+	random := rand.New(rand.NewPCG(seed, seed))
 	l := &load{random: random, limit: limits[measureName], split: make(map[*node]*oracle)}
 	l.world = newWorld(Options{}, measureZones, measurePerZone, limits, random.IntN)
 	l.world.latency = regionLatency
@@ -114,40 +115,76 @@
 
 func oneZone(time.Duration) int { return 0 }
 
+func moving(passed time.Duration) int { return int(passed/(5*time.Second)) % measureZones }
+
 // BenchmarkQuotaFalseRefusals measures refusals within the rate at 90% of it,
 // beside those of a static even split for the same arrivals.
 func BenchmarkQuotaFalseRefusals(b *testing.B) {
-	limits := map[string]Limit{measureName: {Rate: 200, Burst: 400}}
 	const rate, total = 180, 2 * time.Minute
-	b.Run("OneZone", func(b *testing.B) {
-		for b.Loop() {
-			l := newLoad(limits)
-			l.run(total, rate, oneZone)
-			l.report(b)
-		}
-	})
-	b.Run("MovingEvery5s", func(b *testing.B) {
-		for b.Loop() {
-			l := newLoad(limits)
-			l.run(total, rate, func(passed time.Duration) int { return int(passed/(5*time.Second)) % measureZones })
-			l.report(b)
-		}
-	})
-	b.Run("StoreOutage", func(b *testing.B) {
-		for b.Loop() {
-			l := newLoad(limits)
-			l.world.storeDown = true
-			l.run(total, rate, oneZone)
-			l.report(b)
-		}
-	})
-	b.Run("SmallBurst", func(b *testing.B) {
-		for b.Loop() {
-			l := newLoad(map[string]Limit{measureName: {Rate: 200, Burst: 50}})
-			l.run(total, rate, oneZone)
-			l.report(b)
+	for _, run := range []struct {
+		name   string
+		burst  float64
+		outage bool
+		zoneAt func(time.Duration) int
+	}{
+		{"OneZone", 400, false, oneZone},
+		{"MovingEvery5s", 400, false, moving},
+		{"StoreOutage", 400, true, oneZone},
+		{"StoreOutageMoving", 400, true, moving},
+		{"Burst1s", 200, false, oneZone},
+		{"BurstQuarterSecond", 50, false, oneZone},
+	} {
+		for seed := uint64(1); seed <= 3; seed++ {
+			b.Run(fmt.Sprintf("%s/Seed%d", run.name, seed), func(b *testing.B) {
+				for b.Loop() {
+					l := newLoad(map[string]Limit{measureName: {Rate: 200, Burst: run.burst}}, seed)
+					l.world.storeDown = run.outage
+					l.run(total, rate, run.zoneAt)
+					l.report(b)
+				}
+			})
 		}
-	})
+	}
+}
+
+// BenchmarkQuotaTick measures the periodic work of an entry by workspaces.
+func BenchmarkQuotaTick(b *testing.B) {
+	for _, workspaces := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("Workspaces%d", workspaces), func(b *testing.B) {
+			limits := make(map[string]Limit)
+			for i := range workspaces {
+				limits[fmt.Sprintf("workspace-%d", i)] = Limit{Rate: 10, Burst: 20}
+			}
+			w := newWorld(Options{}, 2, 1, limits, rand.New(rand.NewPCG(measureSeed, measureSeed)).IntN)
+			w.advance(40*time.Second, 25*time.Millisecond)
+			b.ReportAllocs()
+			for b.Loop() {
+				w.now = w.now.Add(25 * time.Millisecond)
+				w.nodes[0].core.Tick(w.now, 25*time.Millisecond)
+			}
+		})
+	}
+}
+
+// BenchmarkQuotaMemory measures the state of an idle workspace at an entry that
+// holds all parts.
+func BenchmarkQuotaMemory(b *testing.B) {
+	const workspaces = 10_000
+	limits := make(map[string]Limit)
+	for i := range workspaces {
+		limits[fmt.Sprintf("workspace-%d", i)] = Limit{Rate: 10, Burst: 20}
+	}
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		c := loneCore()
+		c.Configure(start, Limits{Revision: 2, Zones: 1, Workspaces: limits})
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/workspaces, "B/workspace")
+		runtime.KeepAlive(c)
+	}
 }
 
 // BenchmarkQuotaNoisyWorkspace compares the refusals of one workspace with and
@@ -156,7 +193,7 @@
 	for _, noise := range []int{0, 5} {
 		b.Run(fmt.Sprintf("Times%d", noise), func(b *testing.B) {
 			for b.Loop() {
-				l := newLoad(map[string]Limit{measureName: {Rate: 200, Burst: 400}, "verde": {Rate: 200, Burst: 400}})
+				l := newLoad(map[string]Limit{measureName: {Rate: 200, Burst: 400}, "verde": {Rate: 200, Burst: 400}}, measureSeed)
 				const step = 5 * time.Millisecond // one request per step is the rate
 				for range 12 {
 					l.run(time.Second, 180, oneZone)
--- a/internal/quota/messages.go
+++ b/internal/quota/messages.go
@@ -40,6 +40,8 @@
 	Part      int    `msgpack:"p"`
 	Sequence  uint64 `msgpack:"s"`
 	Amount    Units  `msgpack:"a"`
+	// Refill is the time in which the part gets half its burst.
+	Refill time.Duration `msgpack:"r"`
 	// Issues is false when the receiver does not issue the part; Owner then
 	// names the incarnation that it believes to, or "".
 	Issues bool   `msgpack:"i"`
--- a/internal/quota/serve.go
+++ b/internal/quota/serve.go
@@ -31,6 +31,7 @@
 		return g
 	}
 	g.Issues = true
+	g.Refill = b.refillTime()
 	level := b.level
 	g.Amount = b.grant(now, holder, ask, c.options.GrantTTL)
 	if c.creditBeforeDebit {
@@ -74,6 +75,11 @@
 		src.pause = 0
 		return
 	}
+	if g.Part == reservedPart && g.Amount >= Token {
+		src.pause = 0
+		src.retryAt = now.Add(min(lastSiblingPause, max(firstSiblingPause, g.Refill)))
+		return
+	}
 	if g.Part == reservedPart || !g.Issues {
 		src.pause = min(lastSiblingPause, max(firstSiblingPause, 2*src.pause))
 		src.retryAt = now.Add(src.pause)
