--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -82,7 +82,7 @@
 		return 0
 	}
 	if known {
-		b.level += max(0, min(ask.Returned, a.outstanding-ask.Held))
+		b.takeBack(a, ask)
 	}
 	amount := max(0, min(ask.Want, b.level))
 	b.level -= amount
@@ -95,6 +95,14 @@
 	return amount
 }
 
+// takeBack credits what a holder returns, up to the capacity: that may have
+// become lower since the grant.
+func (b *bucket) takeBack(a *account, ask Ask) {
+	returned := max(0, min(ask.Returned, a.outstanding-ask.Held))
+	a.outstanding -= returned
+	b.level = max(b.level, min(b.level+returned, b.capacity-b.outstanding()))
+}
+
 // source is what a holder has of another issuer's part.
 type source struct {
 	issuer    string
--- a/internal/quota/core_test.go
+++ b/internal/quota/core_test.go
@@ -98,6 +98,17 @@
 	g.Expect(b.level).To(Equal(9*Token), "returned once")
 }
 
+func TestReturnedTokensStayBelowALowerBurst(t *testing.T) {
+	g := NewWithT(t)
+	b := newBucket(start)
+	b.configure(start, 0, 10*Token)
+	b.level = 10 * Token
+	b.grant(start, "h", Ask{Sequence: 1, Want: 8 * Token}, time.Second)
+	b.configure(start, 0, 3*Token)
+	b.grant(start, "h", Ask{Sequence: 2, Returned: 8 * Token}, time.Second)
+	g.Expect(b.level).To(Equal(3 * Token))
+}
+
 func TestShareOfAFourthZoneWaitsForTheOthers(t *testing.T) {
 	g := NewWithT(t)
 	c := loneCore()
--- a/internal/quota/dump.go
+++ b/internal/quota/dump.go
@@ -10,8 +10,11 @@
 	IssuingShares  int `json:"issuing_reserved_shares"`
 	// OwnerShares are the owner shares held.
 	OwnerShares []int `json:"owner_shares"`
-	// Paused is true if the process has been paused for longer than its limit.
-	Paused     bool             `json:"paused"`
+	// Paused is true after a pause longer than the limit, until the entry may
+	// hold shares again.
+	Paused bool `json:"paused"`
+	// Unlisted is true once the entry has left the platform's list.
+	Unlisted   bool             `json:"unlisted"`
 	Workspaces []WorkspaceState `json:"workspaces"`
 }
 
@@ -31,7 +34,7 @@
 
 // Dump returns the state at a time.
 func (c *Core) Dump(now time.Time) Dump {
-	dump := Dump{ReservedShares: len(c.slots), OwnerShares: c.Shares(), Paused: c.paused}
+	dump := Dump{ReservedShares: len(c.slots), OwnerShares: c.Shares(), Paused: c.paused, Unlisted: c.unlisted}
 	for _, hold := range c.slots {
 		if hold.checked && !now.Before(hold.startAt) {
 			dump.IssuingShares++
