--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -47,12 +47,8 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.inFlight.Add(1)
 		defer d.inFlight.Add(-1)
-		phase := drainPhase(d.phase.Load())
-		if phase >= leaving {
-			w.Header().Set(headerLeaving, "true")
-			w.Header().Set("Connection", "close")
-		}
-		if phase >= refusing {
+		w = &tellingWriter{ResponseWriter: w, drain: d}
+		if drainPhase(d.phase.Load()) >= refusing {
 			d.refused.Add(1)
 			refusal.New(http.StatusServiceUnavailable, refusal.Stopping, refusal.NotRun,
 				"entry is stopping; ask the look-up for another one").After(retryStopping).Write(w)
@@ -62,6 +58,25 @@
 	})
 }
 
+// tellingWriter adds to an answer that the entry is leaving, if it is when the
+// answer begins.
+type tellingWriter struct {
+	http.ResponseWriter
+	drain *drain
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (w *tellingWriter) WriteHeader(status int) {
+	if drainPhase(w.drain.phase.Load()) >= leaving {
+		w.Header().Set(headerLeaving, "true")
+		w.Header().Set("Connection", "close")
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap returns the wrapped writer for http.ResponseController.
+func (w *tellingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // drainDump is the drain in a state dump.
 type drainDump struct {
 	Phase    string `json:"phase"`
