Close a link on which nothing comes back

Change: a connection ends after three requests in a row were given up without a reply, and the next request dials anew.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -13,6 +13,10 @@
 // MaxPending bounds the requests that wait on one link.
 const MaxPending = 1024
 
+// maxUnanswered is the number of requests given up in a row after which a
+// connection without a reply is closed.
+const maxUnanswered = 3
+
 // Timeouts of a link.
 const (
 	dialTimeout  = 500 * time.Millisecond
@@ -37,7 +41,9 @@
 	conn    *wire.Conn
 	mu      sync.Mutex
 	pending map[uint64]chan result
-	ended   error
+	// unanswered counts requests given up since the last reply.
+	unanswered int
+	ended      error
 }
 
 type result struct {
@@ -86,6 +92,7 @@
 	}
 	select {
 	case <-ctx.Done():
+		s.gaveUp(c.peer)
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: ctx.Err()}
 	case r := <-answer:
 		return c.decode(r, reply)
@@ -175,6 +182,7 @@
 			return
 		}
 		s.mu.Lock()
+		s.unanswered = 0
 		answer, waiting := s.pending[envelope.ID]
 		delete(s.pending, envelope.ID)
 		s.mu.Unlock()
@@ -184,6 +192,19 @@
 	}
 }
 
+// gaveUp notes a request whose caller no longer waits. A session on which
+// nothing was received meanwhile ends after maxUnanswered of them, so that the
+// next request dials anew.
+func (s *session) gaveUp(peer string) {
+	s.mu.Lock()
+	s.unanswered++
+	silent := s.unanswered >= maxUnanswered
+	s.mu.Unlock()
+	if silent {
+		s.end(&SilentError{Peer: peer})
+	}
+}
+
 func (s *session) end(cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -56,6 +56,15 @@
 // Error implements the error interface.
 func (e *ClosedError) Error() string { return fmt.Sprintf("link to peer %q is closed", e.Peer) }
 
+// SilentError reports a connection that was closed since nothing came back on
+// it.
+type SilentError struct{ Peer string }
+
+// Error implements the error interface.
+func (e *SilentError) Error() string {
+	return fmt.Sprintf("peer %q did not answer %d requests in a row", e.Peer, maxUnanswered)
+}
+
 // UnknownTypeError reports a message type without a handler.
 type UnknownTypeError struct{ Type string }
 
