--- a/internal/handover/stage.go
+++ b/internal/handover/stage.go
@@ -97,8 +97,10 @@
 }
 
 // handOn asks other entries one after the other, as long as each refusal is
-// movable. When all refuse, the first refusal is the answer.
+// movable. When all refuse, the first refusal is the answer. A lookup goes on
+// past an entry that did not answer, but is not called not-run any more.
 func (s *Stage) handOn(ctx context.Context, c *call.Call, first error) (*call.Result, error) {
+	answer := first
 	for _, t := range s.planner(c.Service).plan(c.Service, c.Hops) {
 		if ctx.Err() != nil {
 			break
@@ -108,13 +110,23 @@
 			s.handed[t.distance].Mark(1)
 			return result, nil
 		}
-		if !movable(err) {
+		s.avoid(t.member, c.Service, err)
+		switch {
+		case movable(err):
+		case c.Kind == configuration.Lookup && silent(err):
+			answer = err
+		default:
 			return nil, err
 		}
-		s.avoid(t.member, c.Service, err)
 	}
 	s.exhausted.Inc(1)
-	return nil, first
+	return nil, answer
+}
+
+// silent reports whether an entry was asked and did not answer.
+func silent(err error) bool {
+	var refused *refusal.Refusal
+	return errors.As(err, &refused) && refused.Kind == refusal.PeerFailed
 }
 
 func (s *Stage) planner(service string) *planner {
@@ -143,7 +155,16 @@
 // answerEstimate is spent of the region's link before an answer is known.
 const answerEstimate = 16 << 10
 
+// lookupShare is the part of a lookup's time left, as a divisor, for which one
+// entry is waited for, so that a silent one leaves time to ask another.
+const lookupShare = 2
+
 func (s *Stage) try(ctx context.Context, c *call.Call, t target) (*call.Result, error) {
+	if c.Kind == configuration.Lookup {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Deadline.Sub(s.env.Now())/lookupShare)
+		defer cancel()
+	}
 	if t.distance != toElsewhere {
 		return s.env.Send(ctx, t.member.Link, s.env.Zone, c)
 	}
--- a/internal/handover/stage_test.go
+++ b/internal/handover/stage_test.go
@@ -72,6 +72,7 @@
 	full := refused(refusal.NoCapacity, refusal.NotRun)
 	for name, c := range map[string]struct {
 		own     error
+		kindOf  configuration.RouteKind
 		hops    int
 		answers map[string]error
 		limits  shift.Limits
@@ -84,8 +85,13 @@
 		"then other regions with endpoints": {own: full, answers: map[string]error{"sibling": full, "near": full}, asked: []string{"sibling", "near", "far"}, ran: "far"},
 		"the first refusal when all refuse": {own: refused(refusal.UpstreamUnreachable, refusal.NotRun),
 			answers: map[string]error{"sibling": full, "near": full, "far": full}, asked: []string{"sibling", "near", "far"}, kind: refusal.UpstreamUnreachable},
-		"what may have run stays":        {own: refused(refusal.UpstreamFailed, refusal.Unknown), kind: refusal.UpstreamFailed},
-		"an unknown outcome ends it":     {own: full, answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown)}, asked: []string{"sibling"}, kind: refusal.PeerFailed},
+		"what may have run stays":    {own: refused(refusal.UpstreamFailed, refusal.Unknown), kind: refusal.UpstreamFailed},
+		"an unknown outcome ends it": {own: full, answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown)}, asked: []string{"sibling"}, kind: refusal.PeerFailed},
+		"a lookup goes past a silent entry": {own: full, kindOf: configuration.Lookup,
+			answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown)}, asked: []string{"sibling", "near"}, ran: "near"},
+		"and is not called not-run then": {own: full, kindOf: configuration.Lookup,
+			answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown), "near": full, "far": full},
+			asked:   []string{"sibling", "near", "far"}, kind: refusal.PeerFailed},
 		"a refusal for cause stays":      {own: refused(refusal.DeadlineExceeded, refusal.NotRun), kind: refusal.DeadlineExceeded},
 		"the second hop is to a sibling": {own: full, hops: 1, answers: map[string]error{"sibling": full}, asked: []string{"sibling"}, kind: refusal.NoCapacity},
 		"there is no third hop":          {own: full, hops: 2, kind: refusal.NoCapacity},
@@ -95,7 +101,8 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			e := &estate{answers: c.answers, own: c.own, now: time.Unix(1, 0)}
-			result, err := e.stage(c.limits).Serve(context.Background(), &call.Call{Service: "files", Hops: c.hops})
+			result, err := e.stage(c.limits).Serve(context.Background(), &call.Call{
+				Service: "files", Hops: c.hops, Kind: c.kindOf, Deadline: e.now.Add(time.Minute)})
 			g.Expect(e.asked).To(Equal(c.asked))
 			if c.ran != "" {
 				g.Expect(err).NotTo(HaveOccurred())
