Dial a link anew when requests on it stay unanswered

After a cut, requests waited on the lost connection until it had been idle for 30 s: a sibling reached the owner of a key 30.0 s after the cut had healed. A connection that leaves requests unanswered for 2 s now takes no new ones; those that wait go on waiting.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lovagescale/internal/dialer"
@@ -19,6 +20,9 @@
 	writeTimeout = time.Second
 	// idleTimeout closes a connection on which nothing was received.
 	idleTimeout = 30 * time.Second
+	// silenceTimeout retires a connection that leaves requests unanswered, so
+	// that a path that was cut is dialled anew.
+	silenceTimeout = 2 * time.Second
 )
 
 // Client is the sending side of a link to one peer. Its methods may be called
@@ -38,6 +42,9 @@
 	mu      sync.Mutex
 	pending map[uint64]chan result
 	ended   error
+	// waitingSince is when the first request was sent after the last reply, in
+	// Unix nanoseconds; 0 if none was.
+	waitingSince atomic.Int64
 }
 
 type result struct {
@@ -86,6 +93,7 @@
 	}
 	select {
 	case <-ctx.Done():
+		c.retireIfSilent(s)
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: ctx.Err()}
 	case r := <-answer:
 		return c.decode(r, reply)
@@ -157,6 +165,7 @@
 	}
 	answer := make(chan result, 1)
 	s.pending[id] = answer
+	s.waitingSince.CompareAndSwap(0, time.Now().UnixNano())
 	return answer, nil
 }
 
@@ -174,6 +183,7 @@
 			s.end(err)
 			return
 		}
+		s.waitingSince.Store(0)
 		s.mu.Lock()
 		answer, waiting := s.pending[envelope.ID]
 		delete(s.pending, envelope.ID)
@@ -184,6 +194,21 @@
 	}
 }
 
+// retireIfSilent makes the next call dial anew when the session has left
+// requests unanswered for long. Those that wait on it go on waiting; it is
+// closed when it has been idle.
+func (c *Client) retireIfSilent(s *session) {
+	since := s.waitingSince.Load()
+	if since == 0 || time.Since(time.Unix(0, since)) < silenceTimeout {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session == s {
+		c.session = nil
+	}
+}
+
 func (s *session) end(cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/link/doc.go
+++ b/internal/link/doc.go
@@ -5,7 +5,8 @@
 // replies with requests by identifier. At most MaxPending requests wait at
 // once; one more fails at once, which is the link's back-pressure. A lost
 // connection fails all waiting requests with *UnreachableError, whose Sent
-// field tells whether the peer can have received the request.
+// field tells whether the peer can have received the request. A connection that
+// leaves requests unanswered for long takes no new ones; the next call dials.
 //
 // A Server limits connections, closes one that sends a malformed frame or is
 // silent for too long, and counts both. A handler's error travels as its type
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -88,6 +88,45 @@
 		Expect(client.Call(ctx, "echo", text{"b"}, &text{})).To(Succeed())
 	})
 
+	It("dials anew when requests stay unanswered and keeps those that wait", func() {
+		client := NewClient(address)
+		defer client.Close()
+		waited := make(chan error, 1)
+		go func() { waited <- client.Call(ctx, "wait", text{}, &text{}) }()
+		current := func() *session {
+			client.mu.Lock()
+			defer client.mu.Unlock()
+			return client.session
+		}
+		pending := func() int {
+			s := current()
+			if s == nil {
+				return 0
+			}
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.pending)
+		}
+		Eventually(pending, "10s").Should(Equal(1))
+		giveUp := func() {
+			short, stop := context.WithCancel(ctx)
+			gaveUp := make(chan error, 1)
+			go func() { gaveUp <- client.Call(short, "wait", text{}, &text{}) }()
+			Eventually(pending, "10s").Should(Equal(2))
+			stop()
+			Eventually(gaveUp, "10s").Should(Receive(HaveOccurred()))
+		}
+		silent := current()
+		giveUp()
+		Expect(current()).To(BeIdenticalTo(silent))
+		silent.waitingSince.Store(time.Now().Add(-silenceTimeout).UnixNano())
+		giveUp()
+		Expect(current()).To(BeNil())
+		Expect(client.Call(ctx, "echo", text{"c"}, &text{})).To(Succeed())
+		close(release)
+		Eventually(waited, "10s").Should(Receive(BeNil()))
+	})
+
 	It("says that a request was not sent when nobody listens", func() {
 		client := NewClient("127.0.0.1:1")
 		defer client.Close()
