--- a/internal/action/bench_test.go
+++ b/internal/action/bench_test.go
@@ -65,7 +65,7 @@
 				for range b.N {
 					f := newFixture(Options{Capacity: seconds*rate + 1})
 					f.stage.env.Log = f.stage.env.Log.Level(7)
-					journaling := NewJournaling(f.stage, func() int { return members }, JournalOptions{})
+					journaling := NewJournaling(f.stage, JournalOptions{})
 					due := 0
 					for second := range seconds {
 						f.now = f.now.Add(time.Second)
--- a/internal/action/core.go
+++ b/internal/action/core.go
@@ -1,6 +1,7 @@
 package action
 
 import (
+	"slices"
 	"time"
 
 	"lovagescale/internal/call"
@@ -63,18 +64,16 @@
 // Changes counts the changes of the journal.
 func (c *Core) Changes() uint64 { return c.outcomes.changes }
 
-// Journal returns the journal as a store value, with the count of changes that
-// it holds.
-func (c *Core) Journal() (value []byte, changes uint64, err error) {
-	j := Journal{
+// Journal returns a copy of the journal, with the count of changes that it
+// holds.
+func (c *Core) Journal() (*Journal, uint64) {
+	return &Journal{
 		Incarnation: c.self,
 		Closed:      c.sealed && c.table.running == 0,
 		Floor:       c.outcomes.floor,
 		Dropped:     c.outcomes.dropped,
-		Entries:     c.outcomes.entries,
-	}
-	value, err = j.encode()
-	return value, c.outcomes.changes, err
+		Entries:     slices.Clone(c.outcomes.entries),
+	}, c.outcomes.changes
 }
 
 // Reading returns the reading that tries of other entries are ordered by.
--- a/internal/action/journal.go
+++ b/internal/action/journal.go
@@ -78,8 +78,8 @@
 	return stamp > j.Floor
 }
 
-// encode returns the journal as a store value.
-func (j *Journal) encode() ([]byte, error) { return msgpack.Marshal(j) }
+// Encode returns the journal as a store value.
+func (j *Journal) Encode() ([]byte, error) { return msgpack.Marshal(j) }
 
 // DecodeJournal reads a store value.
 func DecodeJournal(value []byte) (*Journal, error) {
--- a/internal/action/journaling.go
+++ b/internal/action/journaling.go
@@ -40,7 +40,6 @@
 type Journaling struct {
 	stage    *Stage
 	options  JournalOptions
-	members  func() int
 	writer   *Writer
 	bytes    int // of the last write
 	writes   metrics.Counter
@@ -49,9 +48,8 @@
 	written atomic.Uint64
 }
 
-// NewJournaling returns the upkeep of the stage's journal. Members returns the
-// number of live entries, which share the write rate.
-func NewJournaling(stage *Stage, members func() int, options JournalOptions) *Journaling {
+// NewJournaling returns the upkeep of the stage's journal.
+func NewJournaling(stage *Stage, options JournalOptions) *Journaling {
 	setDefault(&options.Interval, DefaultJournalInterval)
 	setDefault(&options.FleetWritesPerSecond, DefaultFleetWritesPerSecond)
 	setDefault(&options.BytesPerSecond, DefaultJournalBytesRate)
@@ -60,7 +58,6 @@
 	return &Journaling{
 		stage:    stage,
 		options:  options,
-		members:  members,
 		writer:   NewWriter(options.Retention),
 		writes:   metrics.GetOrRegisterCounter("action.journal.writes", registry),
 		failures: metrics.GetOrRegisterCounter("action.journal.failures", registry),
@@ -81,7 +78,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(j.options.pause(j.members(), j.bytes)):
+		case <-time.After(j.options.pause(j.stage.env.Members(), j.bytes)):
 			j.round(ctx)
 		}
 	}
--- a/internal/action/model_test.go
+++ b/internal/action/model_test.go
@@ -397,7 +397,8 @@
 		entry, err := w.get(JournalKey(n.name))
 		n.writer.ReadBack(entry, err)
 	case Write:
-		value, changes, err := n.core.Journal()
+		journal, changes := n.core.Journal()
+		value, err := journal.Encode()
 		if err != nil {
 			w.t.Fatal(err)
 		}
--- a/internal/action/read.go
+++ b/internal/action/read.go
@@ -11,26 +11,48 @@
 	"lovagescale/internal/store"
 )
 
-// Bounds of the calls that callers' retries may cost the store, per entry.
+// Rates of the calls to the store that callers' retries may cost. All live
+// entries share them.
 const (
-	journalReadsPerSecond = 2
-	claimsPerSecond       = 20
-	// journalFresh is how long a journal that was read is used again.
-	journalFresh = 2 * time.Second
-	// maxJournals bounds the journals that are kept.
-	maxJournals = 32
+	journalReadsPerSecond = 200
+	claimsPerSecond       = 100
 )
 
-// limiter bounds calls to the store, with a burst of ten seconds.
-type limiter struct{ tokens *rate.Limiter }
+// Bounds of the journals that are kept after a read.
+const (
+	journalFresh = 2 * time.Second
+	maxJournals  = 32
+)
 
+// limiterBurstSeconds is the burst of a limiter, in seconds of its rate.
 const limiterBurstSeconds = 10
 
-func newLimiter(perSecond int) *limiter {
-	return &limiter{tokens: rate.NewLimiter(rate.Limit(perSecond), perSecond*limiterBurstSeconds)}
+// limiter bounds calls to the store to this entry's share of a rate. It starts
+// with a full burst.
+type limiter struct {
+	perSecond float64
+	members   func() int
+
+	mu     sync.Mutex
+	tokens *rate.Limiter
 }
 
-func (l *limiter) allow(now time.Time) bool { return l.tokens.AllowN(now, 1) }
+func newLimiter(perSecond float64, members func() int) *limiter {
+	return &limiter{perSecond: perSecond, members: members}
+}
+
+func (l *limiter) allow(now time.Time) bool {
+	share := l.perSecond / float64(max(1, l.members()))
+	burst := max(1, int(share*limiterBurstSeconds))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.tokens == nil {
+		l.tokens = rate.NewLimiter(rate.Limit(share), burst)
+	}
+	l.tokens.SetLimitAt(now, rate.Limit(share))
+	l.tokens.SetBurstAt(now, burst)
+	return l.tokens.AllowN(now, 1)
+}
 
 // journalReader reads journals of owners that cannot be reached, within a rate.
 type journalReader struct {
@@ -47,11 +69,11 @@
 	at      time.Time
 }
 
-func newJournalReader(client store.Client, now control.Clock) *journalReader {
+func newJournalReader(client store.Client, now control.Clock, members func() int) *journalReader {
 	return &journalReader{
 		store: client,
 		now:   now,
-		limit: newLimiter(journalReadsPerSecond),
+		limit: newLimiter(journalReadsPerSecond, members),
 		kept:  make(map[string]keptJournal),
 	}
 }
@@ -69,11 +91,7 @@
 	if !r.limit.allow(now) {
 		return kept.journal
 	}
-	entry, err := r.store.Get(ctx, JournalKey(owner))
-	if err != nil {
-		return kept.journal
-	}
-	journal, err := DecodeJournal(entry.Value)
+	journal, err := r.fetch(ctx, owner)
 	if err != nil {
 		return kept.journal
 	}
@@ -81,6 +99,18 @@
 	return journal
 }
 
+// fetch returns the journal in the store, or nil when there is none.
+func (r *journalReader) fetch(ctx context.Context, owner string) (*Journal, error) {
+	entry, err := r.store.Get(ctx, JournalKey(owner))
+	if notFound(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return DecodeJournal(entry.Value)
+}
+
 func (r *journalReader) keep(owner string, kept keptJournal) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/action/stage.go
+++ b/internal/action/stage.go
@@ -22,6 +22,8 @@
 	Next call.Stage
 	// Locate returns the link address of a live incarnation.
 	Locate func(incarnation string) (link string, found bool)
+	// Members returns the number of live entries, which share the store.
+	Members func() int
 	// Hand carries a call to the entry at a link address.
 	Hand     Hand
 	Store    store.Client
@@ -67,8 +69,8 @@
 func NewStage(env Environment, options Options) *Stage {
 	stage := &Stage{
 		env:      env,
-		journals: newJournalReader(env.Store, env.Now),
-		claims:   newLimiter(claimsPerSecond),
+		journals: newJournalReader(env.Store, env.Now, env.Members),
+		claims:   newLimiter(claimsPerSecond, env.Members),
 		meters:   newMeters(env.Registry),
 		core:     NewCore(env.Incarnation, options),
 	}
@@ -228,8 +230,10 @@
 // Journal returns the journal value and the count of changes that it holds.
 func (s *Stage) Journal() (value []byte, changes uint64, err error) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.core.Journal()
+	journal, changes := s.core.Journal()
+	s.mu.Unlock()
+	value, err = journal.Encode()
+	return value, changes, err
 }
 
 // Changes counts the changes of the journal.
--- a/internal/action/stage_test.go
+++ b/internal/action/stage_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -49,6 +50,7 @@
 			return f.serve()
 		}),
 		Locate:   func(string) (string, bool) { return "", false },
+		Members:  func() int { return 11 },
 		Store:    f.store,
 		Log:      zerolog.New(&f.log),
 		Registry: metrics.NewRegistry(),
@@ -74,7 +76,7 @@
 // leasingStore is a store in memory that grants leases and counts calls.
 type leasingStore struct {
 	*storetest.Store
-	writes, bytes, calls int
+	writes, bytes, calls, reads int
 }
 
 func (s *leasingStore) Grant(context.Context, time.Duration) (store.LeaseID, error) {
@@ -82,6 +84,11 @@
 	return "lease", nil
 }
 
+func (s *leasingStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	s.reads++
+	return s.Store.Get(ctx, key)
+}
+
 func (s *leasingStore) Renew(context.Context, store.LeaseID) error {
 	s.calls++
 	return nil
@@ -222,7 +229,7 @@
 
 	It("writes outcomes in groups and settles a lost reply", func() {
 		f := newFixture(Options{})
-		journaling := NewJournaling(f.stage, func() int { return 1 }, JournalOptions{})
+		journaling := NewJournaling(f.stage, JournalOptions{})
 		Expect(journaling.round(ctx)).To(BeTrue())
 		Expect(f.store.writes).To(BeZero())
 		f.send("azul", ownName+".1", "letter")
@@ -238,7 +245,7 @@
 		f.stage.Seal()
 		_, refused := f.send("azul", ownName+".2", "letter")
 		Expect(refused.Kind).To(Equal(refusal.Stopping))
-		Expect(NewJournaling(f.stage, func() int { return 1 }, JournalOptions{}).Close(ctx)).To(BeTrue())
+		Expect(NewJournaling(f.stage, JournalOptions{}).Close(ctx)).To(BeTrue())
 
 		other := newFixture(Options{})
 		other.store = f.store
@@ -251,6 +258,14 @@
 		Expect(refused.Outcome).To(Equal(refusal.NotRun))
 		Expect(other.runs).To(BeZero())
 	})
+	It("bounds what retries cost the store", func() {
+		f := newFixture(Options{})
+		for i := range 1000 {
+			f.send("azul", fmt.Sprintf("north-1-b-%012x.1", i), "letter")
+			f.send("azul", "north-1-c-00112233aabb.1", "letter")
+		}
+		Expect(f.store.reads).To(BeNumerically("<=", journalReadsPerSecond*limiterBurstSeconds/11+1))
+	})
 	It("stays within its bound and says what it left out", func() {
 		f := newFixture(Options{JournalBytes: 4000})
 		for i := range 500 {
@@ -260,7 +275,7 @@
 		Expect(err).NotTo(HaveOccurred())
 		Expect(len(value)).To(BeNumerically("<=", 4000+200))
 		f.stage.Seal()
-		Expect(NewJournaling(f.stage, func() int { return 1 }, JournalOptions{}).Close(ctx)).To(BeTrue())
+		Expect(NewJournaling(f.stage, JournalOptions{}).Close(ctx)).To(BeTrue())
 		Expect(read(f).ProvesNotRun(0)).To(BeFalse())
 	})
 	DescribeTable("interval", func(members, bytes int, want time.Duration) {
--- a/internal/entry/action.go
+++ b/internal/entry/action.go
@@ -91,13 +91,13 @@
 		Now:         time.Now,
 		Next:        e.handing,
 		Locate:      e.locateOwner,
+		Members:     func() int { return len(e.view.Load().Members) },
 		Hand:        action.HandOver(e.peers),
 		Store:       store.NewHTTPClient(e.settings.Platform, "action", e.settings.StoreTimeout.Std()),
 		Log:         e.log,
 		Registry:    e.registry,
 	}, s.options())
-	members := func() int { return len(e.view.Load().Members) }
-	e.journaling = action.NewJournaling(e.actions, members, action.JournalOptions{
+	e.journaling = action.NewJournaling(e.actions, action.JournalOptions{
 		Interval:             s.JournalInterval.Std(),
 		FleetWritesPerSecond: s.JournalFleetWritesPerSecond,
 		BytesPerSecond:       s.JournalBytesPerSecond,
--- a/internal/joint/fleet_test.go
+++ b/internal/joint/fleet_test.go
@@ -282,7 +282,8 @@
 		entry, err := f.get(n, action.JournalKey(n.incarnation))
 		n.journal.ReadBack(entry, err)
 	case action.Write:
-		value, changes, err := n.actions.Journal()
+		journal, changes := n.actions.Journal()
+		value, err := journal.Encode()
 		if err != nil {
 			f.fail("journal of %s: %v", n.incarnation, err)
 			return
