--- a/internal/standin/doc.go
+++ b/internal/standin/doc.go
@@ -4,6 +4,7 @@
 // address:
 //
 //	PUT /faults/store            StoreFaults
+//	PUT /faults/leases           every lease lapses now
 //	PUT /faults/list             ListFaults
 //	PUT /faults/endpoint?address=IP:port   EndpointFaults
 //	PUT /instances               one Instance, replaced by its identifier
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -128,6 +128,10 @@
 	mux.HandleFunc("PUT /faults/store", func(w http.ResponseWriter, r *http.Request) {
 		decodeAnd(w, r, s.Store.SetFaults)
 	})
+	mux.HandleFunc("PUT /faults/leases", func(w http.ResponseWriter, _ *http.Request) {
+		s.Store.LapseLeases()
+		w.WriteHeader(http.StatusNoContent)
+	})
 	mux.HandleFunc("PUT /faults/list", func(w http.ResponseWriter, r *http.Request) {
 		decodeAnd(w, r, s.List.SetFaults)
 	})
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// LapseLeases lets every lease lapse now.
+func (s *Store) LapseLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.leases {
+		l.lapseAt = s.now()
+	}
+	s.dropLapsed()
+}
+
 func (s *Store) dropKeysOf(id store.LeaseID) {
 	for key, entry := range s.entries {
 		if entry.Lease == id {
