--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,8 +1,8 @@
 // Package quarantine keeps requests that crash endpoints away from them.
 //
 // A request that was in flight when its endpoint dropped the connection gets a
-// strike against that endpoint. With strikes of Strikes endpoints within
-// Memory it is quarantined for Term: the same request, told by its fingerprint
+// strike, also when the same endpoint came back and dropped it again. With
+// Strikes of them within Memory it is quarantined for Term: the same request, told by its fingerprint
 // (workspace, service, method, target and body, but not the idempotency key),
 // is refused as not-run. Other requests of the workspace go on. Entries send
 // each other their strikes, so that strikes at different entries add up.
@@ -16,7 +16,6 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"slices"
 	"time"
 
 	"lovagescale/internal/call"
@@ -24,7 +23,7 @@
 
 // Options configure a Table. The zero value uses the defaults.
 type Options struct {
-	// Strikes is the number of endpoints that a request may cost; default 2.
+	// Strikes is the number of connections that a request may cost; default 2.
 	Strikes int
 	// Memory is how long a strike counts; default 2 min.
 	Memory time.Duration
@@ -64,13 +63,14 @@
 // Strike is one connection that a request cost an endpoint.
 type Strike struct {
 	Fingerprint Fingerprint `msgpack:"f"`
-	Endpoint    string      `msgpack:"e"`
+	// Endpoint is named for the logs.
+	Endpoint string `msgpack:"e"`
 }
 
 // record is what is known of one fingerprint.
 type record struct {
-	endpoints []string
-	until     time.Time
+	strikes int
+	until   time.Time
 }
 
 // Table is the set of struck and quarantined requests. It is not safe for
@@ -97,7 +97,7 @@
 	return &Table{options: options, records: make(map[Fingerprint]*record)}
 }
 
-// Add records a strike. It reports whether the strike was new, and so should be
+// Add records a strike. It reports whether the strike counts, and so should be
 // told to other entries.
 func (t *Table) Add(now time.Time, s Strike) bool {
 	t.expire(now)
@@ -107,24 +107,27 @@
 		r = &record{}
 		t.records[s.Fingerprint] = r
 	}
-	if len(r.endpoints) >= t.options.Strikes || slices.Contains(r.endpoints, s.Endpoint) {
+	if now.After(r.until) {
+		r.strikes = 0
+	}
+	if r.strikes >= t.options.Strikes {
 		return false
 	}
-	r.endpoints = append(r.endpoints, s.Endpoint)
+	r.strikes++
 	r.until = now.Add(t.options.Memory)
-	if len(r.endpoints) >= t.options.Strikes {
+	if r.strikes >= t.options.Strikes {
 		r.until = now.Add(t.options.Term)
 	}
 	return true
 }
 
-// Struck returns the endpoints that the request cost.
+// Struck returns the strikes of the request.
 func (t *Table) Struck(now time.Time, f Fingerprint) int {
 	r, found := t.records[f]
 	if !found || now.After(r.until) {
 		return 0
 	}
-	return len(r.endpoints)
+	return r.strikes
 }
 
 // Quarantined returns the time left of a quarantine, or 0.
--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -8,7 +8,7 @@
 	budgetCapacity = 10 * retryCost
 )
 
-// budget bounds retries and hedges to a share of first tries.
+// budget bounds retries and hedges to a share of first tries. It starts full.
 type budget struct {
 	earned int64
 	amount atomic.Int64
@@ -16,7 +16,9 @@
 
 func newBudget(share float64) *budget {
 	b := &budget{earned: int64(max(share, 0) * retryCost)}
-	b.amount.Store(int64(min(max(share, 0), 1) * budgetCapacity))
+	if share > 0 {
+		b.amount.Store(budgetCapacity)
+	}
 	return b
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -17,14 +17,13 @@
 	tried   []*endpoint
 	// struck is true for a request that cost an endpoint its connection.
 	struck bool
-	// anyEndpoint accepts ejected endpoints and those that refused connections.
-	anyEndpoint bool
 }
 
 // choose returns an endpoint with its slot taken, or nil. Trusted endpoints
-// come first, then slots above the ramp of cold ones; endpoints that are
-// ejected or down are the last resort. Those that drain by their report alone
-// are used only when there is no other.
+// come first, then slots above the ramp of cold ones. Endpoints that are
+// ejected or down are used only when none is trusted, since a sibling or another
+// zone answers sooner; those that drain by their report alone only when there
+// is no other.
 func (r *Router) choose(d *demand) *endpoint {
 	now := r.options.Now()
 	trusted, rest, reported := r.candidates(d, now)
@@ -39,7 +38,7 @@
 			return c.endpoint
 		}
 	}
-	if !d.anyEndpoint && len(trusted) > 0 {
+	if len(trusted) > 0 {
 		return nil
 	}
 	for _, c := range rest {
--- a/internal/routing/gate.go
+++ b/internal/routing/gate.go
@@ -63,16 +63,7 @@
 			return e
 		}
 	}
-	if e := r.await(ctx, workspace, d); e != nil {
-		g.took(workspace)
-		return e
-	}
-	if !g.mayTake(workspace) {
-		return nil
-	}
-	last := *d
-	last.anyEndpoint = true
-	e := r.choose(&last)
+	e := r.await(ctx, workspace, d)
 	if e != nil {
 		g.took(workspace)
 	}
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -111,8 +111,9 @@
 func (h *health) eject(now time.Time, term time.Duration, typical time.Duration) {
 	h.ejectedUntil = now.Add(term << min(h.ejections, maxEjectDoublings))
 	h.ejections++
-	h.failures = 0
-	h.samples = samplesToEject - 1 // one answer decides when it is back
+	// One try decides when it is back.
+	h.failures = failuresToEject - 1
+	h.samples = samplesToEject - 1
 	h.latency = typical
 }
 
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -18,7 +18,7 @@
 	// MaxTries bounds the endpoints that one call tries; default 3.
 	MaxTries int
 	// HedgeBelow is the share of slots in use above which lookups are not
-	// hedged; default 0.8.
+	// hedged; default 0.6.
 	HedgeBelow float64
 	// HedgeAfter is the shortest wait before a hedge; default 5 ms.
 	HedgeAfter time.Duration
@@ -34,7 +34,7 @@
 	// endpoint is ejected; default 3.
 	EjectFactor float64
 	// EjectShare is the largest share of endpoints that are ejected at once;
-	// default 0.34.
+	// default 0.5.
 	EjectShare float64
 	// EjectTerm is the first time of an ejection, doubled by each further one;
 	// default 2 s.
@@ -55,13 +55,13 @@
 const (
 	defaultRetryShare    = 0.1
 	defaultMaxTries      = 3
-	defaultHedgeBelow    = 0.8
+	defaultHedgeBelow    = 0.6
 	defaultHedgeAfter    = 5 * time.Millisecond
 	defaultQueueWait     = 20 * time.Millisecond
 	defaultQueueLength   = 64
 	defaultRampRequests  = 2
 	defaultEjectFactor   = 3
-	defaultEjectShare    = 0.34
+	defaultEjectShare    = 0.5
 	defaultEjectTerm     = 2 * time.Second
 	defaultDrainHold     = 30 * time.Second
 	defaultCancelLinger  = 50 * time.Millisecond
