--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"lovagescale/internal/lookup"
 	"strings"
 	"time"
 
@@ -22,11 +23,16 @@
 	// Platform is the address of the platform's store and instance list.
 	Platform     string        `toml:"platform"`
 	StoreTimeout unit.Duration `toml:"store_timeout"`
+	// LeaveGrace is how long an entry that stops goes on taking new requests, for
+	// callers whose look-up answers still name it.
+	LeaveGrace unit.Duration `toml:"leave_grace"`
 	// StopGrace bounds the drain at a planned stop.
 	StopGrace      unit.Duration `toml:"stop_grace"`
 	MaxBodyBytes   int64         `toml:"max_body_bytes"`
 	MaxHeaderBytes int           `toml:"max_header_bytes"`
 	LogLevel       string        `toml:"log_level"`
+	// WatchWait is how long one watch of the configuration waits in the store.
+	WatchWait unit.Duration `toml:"store_watch_wait"`
 	// Isolation is the isolation time of workspaces that give none.
 	Isolation unit.Duration `toml:"isolation"`
 	// Membership sets the timing of heartbeats and gossip.
@@ -42,6 +48,7 @@
 	defaultStoreTimeout   = unit.Duration(2 * time.Second)
 	defaultStopGrace      = unit.Duration(30 * time.Second)
 	defaultMaxHeaderBytes = 32 << 10
+	defaultWatchWait      = unit.Duration(10 * time.Second)
 	defaultIsolation      = unit.Duration(24 * time.Hour)
 )
 
@@ -63,6 +70,8 @@
 	settings.CheckLogLevel(text, s.LogLevel)
 	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
 	settings.Default(&s.StopGrace, defaultStopGrace)
+	settings.Default(&s.LeaveGrace, unit.Duration(lookup.AnswerTTL))
 	settings.Default(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
+	settings.Default(&s.WatchWait, defaultWatchWait)
 	settings.Default(&s.Isolation, defaultIsolation)
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -67,25 +67,33 @@
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"expand":   expand,
-			"start":    start,
-			"signal":   signalProcess,
-			"shutdown": shutdown,
-			"crash":    crash,
-			"ctl":      ctl,
-			"call":     callOnce,
-			"await":    await,
-			"put":      put,
-			"readenv":  readEnv,
-			"capture":  capture,
-			"run":      run,
+			"expand":     expand,
+			"start":      start,
+			"signal":     signalProcess,
+			"shutdown":   shutdown,
+			"crash":      crash,
+			"ctl":        ctl,
+			"call":       callOnce,
+			"await":      await,
+			"put":        put,
+			"readenv":    readEnv,
+			"capture":    capture,
+			"run":        run,
+			"partition":  partition,
+			"heal":       heal,
+			"callers":    startCallers,
+			"endcallers": endCallers,
+			"busy":       busy,
+			"busyend":    busyEnd,
 		},
 		Setup: func(e *testscript.Env) error {
 			net := claimNet(e)
 			e.Setenv("NET", net)
 			e.Setenv("HOME", e.WorkDir)
+			e.Setenv("PROGRAMS", programs)
 			e.Setenv("PLATFORM", "127."+net+".0.1:7100")
 			e.Setenv("CONTROL", "127."+net+".0.1:7101")
+			e.Values[busyKey] = make(map[string]*busyCaller)
 			e.Values[processesKey] = &processes{running: make(map[string]*process)}
 			e.Defer(func() { e.Values[processesKey].(*processes).killAll() })
 			return copyFixtures(e.WorkDir)
