--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -15,18 +15,23 @@
 // tryOne runs the call on an endpoint whose slot is taken, learns from what
 // happens and frees the slot.
 func (r *Router) tryOne(ctx context.Context, c *call.Call, s *service, e *endpoint, struck bool) *try {
-	request := c.Request
-	request.ID = c.ID
-	request.Fresh = c.Kind == configuration.Action
 	started := r.options.Now()
-	answer, err := e.pool.Exchange(ctx, &request)
+	t := &try{endpoint: e}
+	if struck {
+		t.err = confirmAlive(ctx, e)
+	}
+	if t.err == nil {
+		request := c.Request
+		request.ID = c.ID
+		request.Fresh = c.Kind == configuration.Action
+		t.answer, t.err = e.pool.Exchange(ctx, &request)
+	}
 	took := r.options.Now().Sub(started)
-	t := &try{endpoint: e, answer: answer, err: err}
 	r.learn(ctx, c, s, t, took)
 	if struck {
 		e.struck.Store(false)
 	}
-	if err != nil && ctx.Err() != nil && t.mayHaveRun() && r.options.CancelLinger > 0 {
+	if t.err != nil && ctx.Err() != nil && t.mayHaveRun() && r.options.CancelLinger > 0 {
 		time.AfterFunc(r.options.CancelLinger, func() { r.leave(s, e, c.Workspace) })
 		return t
 	}
@@ -34,6 +39,19 @@
 	return t
 }
 
+// confirmAlive probes an endpoint before it gets a request that cost another
+// one its connection. Endpoints that die together, each with requests in
+// flight, would otherwise put those requests in quarantine. Its error is an
+// *upstream.ExchangeError of a request that did not run.
+func confirmAlive(ctx context.Context, e *endpoint) error {
+	_, err := e.pool.Probe(ctx)
+	var exchange *upstream.ExchangeError
+	if !errors.As(err, &exchange) {
+		return nil
+	}
+	return &upstream.ExchangeError{Endpoint: e.address, Phase: upstream.PhaseDial, Cause: exchange}
+}
+
 // leave frees a slot.
 func (r *Router) leave(s *service, e *endpoint, workspace string) {
 	e.inFlight.Add(-1)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -39,7 +39,9 @@
 	}
 	u := &upstreamServer{address: listener.Addr().String()}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		u.runs.Add(1)
+		if r.URL.Path != upstream.PathHealth {
+			u.runs.Add(1)
+		}
 		handle(w, r)
 	})}
 	go func() { _ = server.Serve(listener) }()
@@ -263,6 +265,34 @@
 	g.Expect(refused(err).Kind).To(gomega.Equal(refusal.Quarantined))
 }
 
+// Endpoints that die together cost the requests in flight their connections,
+// one after the other; that is no reason for quarantine.
+func TestEndpointsThatDieTogetherQuarantineNoRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var dead atomic.Bool
+	handle := func(w http.ResponseWriter, r *http.Request) {
+		if dead.Load() {
+			crash(w, r)
+		}
+		echo(w, r)
+	}
+	options := still()
+	now := time.Unix(1000, 0)
+	options.Now = func() time.Time { return now }
+	router := newRouter(2, options, serveUpstream(t, handle), serveUpstream(t, handle), serveUpstream(t, handle))
+	dead.Store(true)
+	for range 6 {
+		_, err := router.Serve(t.Context(), request(configuration.Lookup, "/innocent"))
+		g.Expect(refused(err).Kind).NotTo(gomega.Equal(refusal.Quarantined))
+	}
+	dead.Store(false)
+	now = now.Add(time.Hour)
+	_, err := router.Serve(t.Context(), request(configuration.Lookup, "/innocent"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, quarantined := router.Quarantine()
+	g.Expect(quarantined).To(gomega.BeZero())
+}
+
 // A lookup that is slow at one endpoint is answered by another; the slow try is
 // cancelled at its upstream.
 func TestASlowLookupIsHedgedAndTheSlowTryCancelled(t *testing.T) {
