Replace a link connection that a partition has killed

Ruled out: a shorter idle limit, which would close links that merely have nothing to say. Change: a request that runs into its deadline closes a connection that has answered nothing for 3 s.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -19,12 +19,17 @@
 	writeTimeout = time.Second
 	// idleTimeout closes a connection on which nothing was received.
 	idleTimeout = 30 * time.Second
+	// stallTimeout is how long requests may go unanswered before one that runs
+	// into its deadline closes the connection, so that the next one dials. A
+	// connection that a network partition has killed is found by it.
+	stallTimeout = 3 * time.Second
 )
 
 // Client is the sending side of a link to one peer. Its methods may be called
 // from several goroutines.
 type Client struct {
-	peer string
+	peer  string
+	stall time.Duration
 
 	mu      sync.Mutex
 	session *session
@@ -37,7 +42,10 @@
 	conn    *wire.Conn
 	mu      sync.Mutex
 	pending map[uint64]chan result
-	ended   error
+	// waitingSince is when the first request was sent since the last reply;
+	// zero when none waits.
+	waitingSince time.Time
+	ended        error
 }
 
 type result struct {
@@ -48,7 +56,7 @@
 // NewClient returns a client of the peer's link address. It connects on the
 // first call.
 func NewClient(peer string) *Client {
-	return &Client{peer: peer}
+	return &Client{peer: peer, stall: stallTimeout}
 }
 
 // Peer returns the peer's address.
@@ -86,6 +94,7 @@
 	}
 	select {
 	case <-ctx.Done():
+		s.endIfStalled(time.Now(), c.stall)
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: ctx.Err()}
 	case r := <-answer:
 		return c.decode(r, reply)
@@ -155,6 +164,9 @@
 	if len(s.pending) >= MaxPending {
 		return nil, &BusyError{Peer: peer}
 	}
+	if s.waitingSince.IsZero() {
+		s.waitingSince = time.Now()
+	}
 	answer := make(chan result, 1)
 	s.pending[id] = answer
 	return answer, nil
@@ -177,6 +189,7 @@
 		s.mu.Lock()
 		answer, waiting := s.pending[envelope.ID]
 		delete(s.pending, envelope.ID)
+		s.heard(time.Now())
 		s.mu.Unlock()
 		if waiting {
 			answer <- result{envelope: envelope}
@@ -184,6 +197,25 @@
 	}
 }
 
+// heard must be called with the lock held.
+func (s *session) heard(now time.Time) {
+	s.waitingSince = time.Time{}
+	if len(s.pending) > 0 {
+		s.waitingSince = now
+	}
+}
+
+// endIfStalled closes a connection that has answered nothing for the limit
+// although a request waits.
+func (s *session) endIfStalled(now time.Time, limit time.Duration) {
+	s.mu.Lock()
+	stalled := !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= limit
+	s.mu.Unlock()
+	if stalled {
+		s.end(context.DeadlineExceeded)
+	}
+}
+
 func (s *session) end(cause error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -48,6 +48,25 @@
 	return listener.Addr().String(), metrics.GetOrRegisterCounter("link.malformed_frames", registry), done
 }
 
+// acceptSilently reads requests and answers none.
+func acceptSilently(listener net.Listener, accepted chan<- net.Conn, arrived chan<- struct{}) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		accepted <- conn
+		go func() {
+			for {
+				if _, err := wire.ReadEnvelope(conn, wire.DefaultMaxFrame); err != nil {
+					return
+				}
+				arrived <- struct{}{}
+			}
+		}()
+	}
+}
+
 var _ = Describe("link", func() {
 	var (
 		ctx     context.Context
@@ -107,6 +126,31 @@
 		Expect(err.(*UnreachableError).Sent).To(BeTrue())
 	})
 
+	DescribeTable("replaces a connection that has answered nothing for the stall limit",
+		func(limit time.Duration, connections int) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			defer listener.Close()
+			accepted := make(chan net.Conn, 8)
+			arrived := make(chan struct{}, 8)
+			go acceptSilently(listener, accepted, arrived)
+			client := NewClient(listener.Addr().String())
+			client.stall = limit
+			defer client.Close()
+			for range 3 {
+				waiting, stop := context.WithCancel(ctx)
+				called := make(chan error, 1)
+				go func() { called <- client.Call(waiting, "echo", text{}, &text{}) }()
+				Eventually(arrived, "10s").Should(Receive())
+				stop()
+				Eventually(called, "10s").Should(Receive(BeAssignableToTypeOf(&UnreachableError{})))
+			}
+			Expect(accepted).To(HaveLen(connections))
+		},
+		Entry("limit reached by each request", time.Duration(0), 3),
+		Entry("limit not reached", time.Hour, 1),
+	)
+
 	DescribeTable("drops the connection of a malformed frame and serves others",
 		func(frame []byte) {
 			before := counted.Count()
