--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -66,6 +66,7 @@
 	gateway   *gateway.Gateway
 	owning    *owning
 	spreading *spreading
+	quotas    *quotas
 	stopping  atomic.Bool
 
 	journaling *action.Journaling // keeps the journal of actions
@@ -99,7 +100,8 @@
 	e.setUpRouting()
 	e.setUpHandover()
 	e.setUpActions()
-	e.gateway = gateway.New(time.Now, call.StageFunc(e.dispatch), e.log, e.registry,
+	e.quotas = newQuotas(e, call.StageFunc(e.dispatch))
+	e.gateway = gateway.New(time.Now, e.quotas.stage, e.log, e.registry,
 		gateway.Options{
 			MaxBodyBytes:   s.MaxBodyBytes,
 			MaxHeaderBytes: s.MaxHeaderBytes,
@@ -143,6 +145,7 @@
 	links.HandleStream(lookup.TypeFollow, e.follow)
 	links.Handle(membership.TypeExchange, e.exchange)
 	e.spreading.handle(links)
+	e.quotas.handle(links)
 	e.owning.handle(links)
 	links.Handle(handover.TypeCall, handover.Handler(e.handing))
 	endActions := e.serveActions(background, links)
@@ -152,11 +155,13 @@
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error { return operator.Serve(background, listeners.operator, operators, time.Second) })
 	group.Go(func() error { return e.spreading.run(background) })
+	group.Go(func() error { return e.quotas.run(background) })
 	group.Go(func() error { return e.owning.run(background) })
 	group.Go(func() error { e.watchMembers(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
 		defer endActions()
+		defer e.quotas.release(background)
 		return e.serveCallers(ctx, listeners.callers)
 	})
 	e.log.Info().Str("address", e.settings.Address).Str("incarnation", e.self.Incarnation).Msg("entry started")
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,6 +7,7 @@
 
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/membership"
+	"lovagescale/internal/quota"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/spread"
 )
@@ -26,6 +27,7 @@
 	}
 	e.current.Store(c)
 	e.router.Apply(c)
+	e.quotas.apply(c)
 	e.applyShift(c)
 	e.owning.configure(c)
 	e.gateway.Apply(c)
@@ -45,6 +47,7 @@
 	Spread     spread.StatusReply      `json:"spread"`
 	Stopping   bool                    `json:"stopping"`
 	Actions    actionDump              `json:"actions"`
+	Quotas     quota.Dump              `json:"quotas"`
 	Routing    routingDump             `json:"routing"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 }
@@ -65,6 +68,9 @@
 	if c := e.current.Load(); c != nil {
 		dump.Revision = c.Revision
 	}
-	err := e.loop.Call(ctx, func() { dump.Spread = e.spreading.state() })
+	err := e.loop.Call(ctx, func() {
+		dump.Spread = e.spreading.state()
+		dump.Quotas = e.quotas.dump()
+	})
 	return dump, err
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -85,6 +85,7 @@
 			"endcallers": endCallers,
 			"busy":       busy,
 			"busyend":    busyEnd,
+			"calls":      calls,
 		},
 		Setup: func(e *testscript.Env) error {
 			net := claimNet(e)
