--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"lovagescale/internal/dialer"
@@ -20,15 +19,17 @@
 	writeTimeout = time.Second
 	// idleTimeout closes a connection on which nothing was received.
 	idleTimeout = 30 * time.Second
-	// silenceTimeout retires a connection that leaves requests unanswered, so
-	// that a path that was cut is dialled anew.
-	silenceTimeout = 2 * time.Second
+	// stallTimeout is how long requests may go unanswered before one that runs
+	// into its deadline closes the connection, so that the next one dials. A
+	// connection that a network partition has killed is found by it.
+	stallTimeout = 3 * time.Second
 )
 
 // Client is the sending side of a link to one peer. Its methods may be called
 // from several goroutines.
 type Client struct {
-	peer string
+	peer  string
+	stall time.Duration
 
 	mu      sync.Mutex
 	session *session
@@ -41,10 +42,10 @@
 	conn    *wire.Conn
 	mu      sync.Mutex
 	pending map[uint64]chan result
-	ended   error
-	// waitingSince is when the first request was sent after the last reply, in
-	// Unix nanoseconds; 0 if none was.
-	waitingSince atomic.Int64
+	// waitingSince is when the first request was sent since the last reply;
+	// zero when none waits.
+	waitingSince time.Time
+	ended        error
 }
 
 type result struct {
@@ -55,7 +56,7 @@
 // NewClient returns a client of the peer's link address. It connects on the
 // first call.
 func NewClient(peer string) *Client {
-	return &Client{peer: peer}
+	return &Client{peer: peer, stall: stallTimeout}
 }
 
 // Peer returns the peer's address.
@@ -93,7 +94,7 @@
 	}
 	select {
 	case <-ctx.Done():
-		c.retireIfSilent(s)
+		s.endIfStalled(time.Now(), c.stall)
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: ctx.Err()}
 	case r := <-answer:
 		return c.decode(r, reply)
@@ -163,9 +164,11 @@
 	if len(s.pending) >= MaxPending {
 		return nil, &BusyError{Peer: peer}
 	}
+	if s.waitingSince.IsZero() {
+		s.waitingSince = time.Now()
+	}
 	answer := make(chan result, 1)
 	s.pending[id] = answer
-	s.waitingSince.CompareAndSwap(0, time.Now().UnixNano())
 	return answer, nil
 }
 
@@ -183,10 +186,10 @@
 			s.end(err)
 			return
 		}
-		s.waitingSince.Store(0)
 		s.mu.Lock()
 		answer, waiting := s.pending[envelope.ID]
 		delete(s.pending, envelope.ID)
+		s.heard(time.Now())
 		s.mu.Unlock()
 		if waiting {
 			answer <- result{envelope: envelope}
@@ -194,18 +197,22 @@
 	}
 }
 
-// retireIfSilent makes the next call dial anew when the session has left
-// requests unanswered for long. Those that wait on it go on waiting; it is
-// closed when it has been idle.
-func (c *Client) retireIfSilent(s *session) {
-	since := s.waitingSince.Load()
-	if since == 0 || time.Since(time.Unix(0, since)) < silenceTimeout {
-		return
+// heard must be called with the lock held.
+func (s *session) heard(now time.Time) {
+	s.waitingSince = time.Time{}
+	if len(s.pending) > 0 {
+		s.waitingSince = now
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.session == s {
-		c.session = nil
+}
+
+// endIfStalled closes a connection that has answered nothing for the limit
+// although a request waits.
+func (s *session) endIfStalled(now time.Time, limit time.Duration) {
+	s.mu.Lock()
+	stalled := !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= limit
+	s.mu.Unlock()
+	if stalled {
+		s.end(context.DeadlineExceeded)
 	}
 }
 
