Keep the requests that wait on a link connection that is replaced

A connection that had answered nothing for 3 s was closed when one request ran into its deadline. On a link that carries only calls, a slow upstream has the same look, and every handed action in flight would have become "unknown". Such a connection now only takes no new requests.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -20,7 +20,7 @@
 	// idleTimeout closes a connection on which nothing was received.
 	idleTimeout = 30 * time.Second
 	// stallTimeout is how long requests may go unanswered before one that runs
-	// into its deadline closes the connection, so that the next one dials. A
+	// into its deadline retires the connection, so that the next one dials. A
 	// connection that a network partition has killed is found by it.
 	stallTimeout = 3 * time.Second
 )
@@ -94,7 +94,9 @@
 	}
 	select {
 	case <-ctx.Done():
-		s.endIfStalled(time.Now(), c.stall)
+		if s.stalled(time.Now(), c.stall) {
+			c.retire(s)
+		}
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: ctx.Err()}
 	case r := <-answer:
 		return c.decode(r, reply)
@@ -205,14 +207,21 @@
 	}
 }
 
-// endIfStalled closes a connection that has answered nothing for the limit
+// stalled reports whether the connection has answered nothing for the limit
 // although a request waits.
-func (s *session) endIfStalled(now time.Time, limit time.Duration) {
+func (s *session) stalled(now time.Time, limit time.Duration) bool {
 	s.mu.Lock()
-	stalled := !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= limit
-	s.mu.Unlock()
-	if stalled {
-		s.end(context.DeadlineExceeded)
+	defer s.mu.Unlock()
+	return !s.waitingSince.IsZero() && now.Sub(s.waitingSince) >= limit
+}
+
+// retire makes the next call dial. Requests that wait on the session go on
+// waiting, since the peer may only be slow; it is closed once it is idle.
+func (c *Client) retire(s *session) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.session == s {
+		c.session = nil
 	}
 }
 
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -151,6 +151,34 @@
 		Entry("limit not reached", time.Hour, 1),
 	)
 
+	It("keeps the requests that wait on a connection that is replaced", func() {
+		client := NewClient(address)
+		client.stall = 0
+		defer client.Close()
+		waited := make(chan error, 1)
+		go func() { waited <- client.Call(ctx, "wait", text{}, &text{}) }()
+		pending := func() int {
+			client.mu.Lock()
+			defer client.mu.Unlock()
+			if client.session == nil {
+				return 0
+			}
+			client.session.mu.Lock()
+			defer client.session.mu.Unlock()
+			return len(client.session.pending)
+		}
+		Eventually(pending, "10s").Should(Equal(1))
+		short, stop := context.WithCancel(ctx)
+		gaveUp := make(chan error, 1)
+		go func() { gaveUp <- client.Call(short, "wait", text{}, &text{}) }()
+		Eventually(pending, "10s").Should(Equal(2))
+		stop()
+		Eventually(gaveUp, "10s").Should(Receive(HaveOccurred()))
+		Expect(client.Call(ctx, "echo", text{"d"}, &text{})).To(Succeed())
+		close(release)
+		Eventually(waited, "10s").Should(Receive(BeNil()))
+	})
+
 	DescribeTable("drops the connection of a malformed frame and serves others",
 		func(frame []byte) {
 			before := counted.Count()
