Take over from silent listed siblings on a part of the slots

An instance needed the grant of every sibling that is not proved dead, so a sibling that froze before its first answer left the others without endpoints as long as the platform listed it. After a long silence the others now take over, but both sides use only parts of the slots that add up to no more than the whole, since a running sibling that is cut off looks the same as a frozen one. Each side limits itself by the send time of its last answered statement, which is never later than the other side's takeover. Answers name endpoints that both hold, and the limit stays until one side has released them.

Fuzzing found two faults on the way: an answer to a statement from before the takeover ended the limit, and a resumed instance counted its own pause as its siblings' silence.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -129,7 +129,13 @@
 func (o *owning) publish() {
 	held := o.core.Held()
 	o.held.Update(int64(len(held)))
-	o.entry.router.SetOwned(held, o.core.Expiry())
+	now := time.Now()
+	rights := make([]routing.Right, 0, len(held))
+	for _, endpoint := range held {
+		of, first := o.core.Share(now, endpoint)
+		rights = append(rights, routing.Right{Key: endpoint, Of: of, First: first})
+	}
+	o.entry.router.SetOwned(rights, o.core.Expiry())
 }
 
 // send sends a statement. A refused connection proves that the process to which
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -12,6 +12,7 @@
 		c.resume(now)
 	}
 	c.lastTick = now
+	c.buryTheSilent(now)
 	c.settle(now)
 	due := c.changed || len(c.in(claiming)) > 0 || now.Sub(c.lastSent) >= c.options.Refresh
 	if !due || len(c.peers) == 0 {
@@ -25,6 +26,9 @@
 func (c *Core) resume(now time.Time) {
 	c.listSince = now
 	clear(c.buried)
+	for _, known := range c.peers {
+		known.lastHeard = now
+	}
 	for _, r := range c.rights {
 		if r.phase == held || r.phase == yielding {
 			r.claim()
@@ -125,6 +129,7 @@
 // state makes the statements of what this instance holds or claims.
 func (c *Core) state(now time.Time) []Outgoing {
 	c.sequence++
+	c.remember(now)
 	c.changed = false
 	c.lastSent = now
 	statement := Statement{Instance: c.self, Incarnation: c.incarnation, Sequence: c.sequence}
@@ -145,6 +150,16 @@
 	return outgoing
 }
 
+// remember notes when a statement is sent and forgets old ones.
+func (c *Core) remember(now time.Time) {
+	c.sent[c.sequence] = now
+	for sequence, at := range c.sent {
+		if now.Sub(at) > c.silence() {
+			delete(c.sent, sequence)
+		}
+	}
+}
+
 // Receive takes a sibling's statement and returns the answer to send back.
 func (c *Core) Receive(now time.Time, s Statement) Answer {
 	answer := Answer{Instance: c.self, Incarnation: c.incarnation, Sequence: s.Sequence}
@@ -160,6 +175,8 @@
 	for _, endpoint := range s.Endpoints {
 		if c.grant(now, endpoint, s.Instance) {
 			answer.Granted = append(answer.Granted, endpoint)
+		} else if r := c.rights[endpoint]; r.mayBeInUse() {
+			answer.Held = append(answer.Held, endpoint)
 		}
 	}
 	c.settle(now)
@@ -173,19 +190,29 @@
 	if found && known.Incarnation != "" && known.Incarnation != incarnation {
 		link := known.Link
 		c.replace(now, known)
-		known = &peer{Peer: Peer{Instance: instance, Link: link}}
+		known = &peer{Peer: Peer{Instance: instance, Link: link}, acked: now}
 		c.peers[instance] = known
 	}
 	delete(c.buried, instance)
 	if !found {
 		known = &peer{Peer: Peer{Instance: instance}}
+		known.acked = now
 		c.peers[instance] = known
 	}
+	if c.silent[instance] {
+		delete(c.silent, instance)
+		known.acked = time.Time{}
+		known.ackFrom = c.sequence + 1
+	}
 	known.Incarnation = incarnation
 	known.lastHeard = now
+	known.spoke = true
 	return known
 }
 
+// mayBeInUse reports whether this instance can have requests in flight.
+func (r *right) mayBeInUse() bool { return r.phase == held || r.phase == yielding || r.used }
+
 // release frees what the statement's sender no longer names.
 func (c *Core) release(s Statement) {
 	named := make(map[string]bool, len(s.Endpoints))
@@ -232,6 +259,8 @@
 	}
 	known.Incarnation = a.Incarnation
 	known.lastHeard = now
+	known.spoke = true
+	c.acknowledge(known, a)
 	for _, endpoint := range a.Granted {
 		r, exists := c.rights[endpoint]
 		if exists && r.phase == claiming && r.since != 0 && r.since <= a.Sequence {
@@ -240,3 +269,26 @@
 	}
 	c.settle(now)
 }
+
+// acknowledge records that the sibling answered, and which endpoints both hold.
+func (c *Core) acknowledge(known *peer, a Answer) {
+	at, recent := c.sent[a.Sequence]
+	if !recent || a.Sequence < known.ackFrom || at.Before(known.acked) {
+		return
+	}
+	known.acked = at
+	both := make(map[string]bool, len(a.Held))
+	for _, endpoint := range a.Held {
+		both[endpoint] = true
+	}
+	for endpoint, r := range c.rights {
+		if !both[endpoint] {
+			delete(r.contested, a.Instance)
+			continue
+		}
+		if r.contested == nil {
+			r.contested = make(map[string]bool)
+		}
+		r.contested[a.Instance] = true
+	}
+}
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -32,6 +32,10 @@
 	defaultListWait     = 5 * time.Second
 )
 
+// unheardFactor multiplies the silence of a sibling that never spoke, which may
+// not know yet that this instance exists.
+const unheardFactor = 2
+
 func orDefault(value *time.Duration, fallback time.Duration) {
 	if *value == 0 {
 		*value = fallback
@@ -65,6 +69,8 @@
 	// promised is the instance that holds this instance's grant, or "".
 	promised     string
 	blockedUntil time.Time
+	// contested holds the siblings that hold the endpoint too.
+	contested map[string]bool
 }
 
 // peer is what is known of a sibling that is not proved dead.
@@ -72,6 +78,12 @@
 	Peer
 	sequence  uint64
 	lastHeard time.Time
+	// acked is when the last statement that the sibling answered was sent.
+	acked time.Time
+	// ackFrom is the first statement whose answer counts; earlier ones did not
+	// name what this instance took over while the sibling was silent.
+	ackFrom uint64
+	spoke   bool
 }
 
 // Core is the ownership state of one incarnation. It belongs to one goroutine.
@@ -85,9 +97,12 @@
 	replaced map[string]string // last replaced incarnation by instance
 	// buried holds dead instances that have not spoken since.
 	buried map[string]bool
+	// silent holds the listed siblings that were taken for dead by silence.
+	silent map[string]bool
 	rights map[string]*right
 
 	sequence uint64
+	sent     map[uint64]time.Time // when recent statements were sent
 	changed  bool
 	lastSent time.Time
 	lastTick time.Time
@@ -111,6 +126,8 @@
 		peers:       make(map[string]*peer),
 		replaced:    make(map[string]string),
 		buried:      make(map[string]bool),
+		silent:      make(map[string]bool),
+		sent:        make(map[uint64]time.Time),
 		rights:      make(map[string]*right),
 		lastTick:    now,
 		usableFrom:  now.Add(options.CancelMargin),
@@ -165,7 +182,7 @@
 	}
 	if !found {
 		delete(c.buried, p.Instance)
-		c.peers[p.Instance] = &peer{Peer: p, lastHeard: now}
+		c.peers[p.Instance] = &peer{Peer: p, lastHeard: now, acked: now}
 		c.changed = true
 		return
 	}
@@ -199,8 +216,10 @@
 func (c *Core) bury(now time.Time, instance string, proof Proof) {
 	delete(c.peers, instance)
 	c.buried[instance] = true
+	delete(c.silent, instance)
 	for _, r := range c.rights {
 		delete(r.granted, instance)
+		delete(r.contested, instance)
 		if r.promised != instance && (r.promised != "" || r.phase == held || r.phase == yielding) {
 			continue
 		}
@@ -208,7 +227,7 @@
 			r.promised = ""
 		}
 		wait := c.options.CancelMargin
-		if proof == Vanished {
+		if proof != Closed {
 			wait = r.bound + c.options.BoundMargin
 		}
 		if until := now.Add(wait); until.After(r.blockedUntil) {
@@ -234,6 +253,7 @@
 	for instance := range c.buried {
 		if !listed[instance] {
 			delete(c.buried, instance)
+			delete(c.silent, instance)
 		}
 	}
 	for _, known := range c.sortedPeers() {
@@ -244,6 +264,47 @@
 	c.settle(now)
 }
 
+// buryTheSilent takes over from listed siblings that are silent for long. It
+// cannot be told whether they run, so both sides go on with a part of the slots
+// (Share).
+func (c *Core) buryTheSilent(now time.Time) {
+	for _, known := range c.sortedPeers() {
+		limit := c.silence() + c.options.BoundMargin
+		if !known.spoke {
+			limit *= unheardFactor
+		}
+		if now.Sub(known.lastHeard) > limit {
+			c.bury(now, known.Instance, Silent)
+			c.silent[known.Instance] = true
+		}
+	}
+}
+
+// Share returns the part of the endpoint's slots that this instance may use:
+// slots/of, and the remainder as well if first. Siblings that may hold the
+// endpoint at the same time count in of.
+func (c *Core) Share(now time.Time, endpoint string) (of int, first bool) {
+	others := make(map[string]bool)
+	for instance := range c.silent {
+		others[instance] = true
+	}
+	for instance, known := range c.peers {
+		if now.Sub(known.acked) > c.silence() {
+			others[instance] = true
+		}
+	}
+	if r, found := c.rights[endpoint]; found {
+		for instance := range r.contested {
+			others[instance] = true
+		}
+	}
+	first = true
+	for instance := range others {
+		first = first && outranks(endpoint, c.self, instance)
+	}
+	return len(others) + 1, first
+}
+
 // silence is the time after which an unlisted sibling counts as dead. It
 // outlasts the rights of a sibling that was paused after its last statement.
 func (c *Core) silence() time.Duration { return 2*c.options.Hold + c.options.Refresh }
--- a/internal/ownership/doc.go
+++ b/internal/ownership/doc.go
@@ -11,20 +11,27 @@
 // no longer preferred stops new requests, waits until none is in flight and
 // then releases.
 //
-// Silence proves nothing, so an instance that is cut off keeps what it holds
-// and no other instance takes it. Proof of death is one of: a new incarnation
-// of the instance speaks; its link address refuses connections; the platform's
-// list leaves it out while it is silent. After a proof the endpoints that it
-// can have used stay blocked: for CancelMargin if its connections were closed
-// by its host, else for the endpoint's bound on a request and BoundMargin.
+// Proof of death is one of: a new incarnation of the instance speaks; its link
+// address refuses connections; the platform's list leaves it out while it is
+// silent. After a proof the endpoints that it can have used stay blocked: for
+// CancelMargin if its connections were closed by its host, else for the
+// endpoint's bound on a request and BoundMargin.
+//
+// A sibling that is listed and silent for long may be frozen, or run and be cut
+// off. Each side then takes over, but uses only a part of the slots (Share): the
+// parts of all sides add up to no more than the whole. An instance limits itself
+// by the time at which it sent its last answered statement, and takes over by
+// the time at which it last heard the other, which is never earlier. After a
+// cut two instances may hold one endpoint; the limit stays until one has
+// released it.
 //
 // An instance whose control loop was paused for longer than Hold loses its
 // rights and claims again. Traffic checks Expiry before each request, so that
 // it stops before the control loop has run again.
 //
-// How it fails: the endpoints of an owner that is silent and not proved dead
-// are used by nobody else; their share of the zone's capacity is missing until
-// it speaks or a proof arrives. An instance that the platform leaves out of
-// its list although it runs, is cut off from its siblings and was not paused
-// would go on beside its successor.
+// How it fails: while a listed sibling is silent a part of each slot count is
+// not used, with a single slot all of it on one side. Until the silence has
+// lasted long enough nobody takes over the endpoints of a silent sibling. An
+// instance that neither the list nor any message has told of a sibling cannot
+// limit itself for it.
 package ownership
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -13,12 +13,14 @@
 	Endpoints []string `msgpack:"e"`
 }
 
-// Answer grants endpoints of a statement.
+// Answer grants endpoints of a statement, and names those that the answering
+// instance holds itself.
 type Answer struct {
 	Instance    string   `msgpack:"i"`
 	Incarnation string   `msgpack:"n"`
 	Sequence    uint64   `msgpack:"s"`
 	Granted     []string `msgpack:"g"`
+	Held        []string `msgpack:"h"`
 }
 
 // Peer is another entry instance of the zone.
@@ -46,4 +48,6 @@
 	Closed Proof = iota
 	// Vanished means that its connections may still look open to upstreams.
 	Vanished
+	// Silent means that it is only not heard.
+	Silent
 )
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -34,7 +34,7 @@
 		return e
 	}
 	for _, c := range trusted {
-		if r.acquire(d, c.endpoint, c.slots.Load()) {
+		if r.acquire(d, c.endpoint, c.limit()) {
 			return c.endpoint
 		}
 	}
@@ -42,7 +42,7 @@
 		return nil
 	}
 	for _, c := range rest {
-		if r.acquire(d, c.endpoint, c.slots.Load()) {
+		if r.acquire(d, c.endpoint, c.limit()) {
 			return c.endpoint
 		}
 	}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -15,8 +15,10 @@
 	address  string
 	slots    atomic.Int64
 	inFlight atomic.Int64
-	// owned is true while this instance may use the endpoint.
+	// owned is true while this instance may use the endpoint; part is then the
+	// part of its slots.
 	owned atomic.Bool
+	part  atomic.Pointer[Right]
 	// removed is true when the configuration no longer lists it.
 	removed atomic.Bool
 	// struck is true while a request that cost another endpoint its connection
@@ -52,15 +54,32 @@
 // counts first and checks the right after, so that whoever takes the right
 // away sees the count.
 func (e *endpoint) acquire(limit int64, permitted func() bool) bool {
-	if e.inFlight.Add(1) > min(limit, e.slots.Load()) || e.removed.Load() || !e.owned.Load() || !permitted() {
+	if e.inFlight.Add(1) > min(limit, e.limit()) || e.removed.Load() || !e.owned.Load() || !permitted() {
 		e.inFlight.Add(-1)
 		return false
 	}
 	return true
 }
 
-// setOwned gives or takes the right to use the endpoint.
-func (e *endpoint) setOwned(owned bool) {
+// limit is the number of slots that this instance may use.
+func (e *endpoint) limit() int64 {
+	right := e.part.Load()
+	if right == nil || right.Of == 0 {
+		return 0
+	}
+	slots := e.slots.Load()
+	limit := slots / int64(right.Of)
+	if right.First {
+		limit += slots % int64(right.Of)
+	}
+	return limit
+}
+
+// setRight gives or takes the right to use the endpoint; the zero Right takes
+// it.
+func (e *endpoint) setRight(right Right) {
+	owned := right.Of > 0
+	e.part.Store(&right)
 	if e.owned.Swap(owned) == owned {
 		return
 	}
--- a/internal/routing/gate.go
+++ b/internal/routing/gate.go
@@ -108,7 +108,7 @@
 	slots := 0
 	for _, e := range s.endpoints {
 		if e.owned.Load() && !e.removed.Load() {
-			slots += int(e.slots.Load())
+			slots += int(e.limit())
 		}
 	}
 	return slots
@@ -119,7 +119,7 @@
 	slots, used := int64(0), int64(0)
 	for _, e := range s.endpoints {
 		if e.owned.Load() && !e.removed.Load() {
-			slots += e.slots.Load()
+			slots += e.limit()
 			used += e.inFlight.Load()
 		}
 	}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -88,9 +88,19 @@
 	workspaces workspaceStats
 }
 
+// Right is the right to use one endpoint.
+type Right struct {
+	// Key names the endpoint.
+	Key string
+	// Of divides its slots; 1 gives them all.
+	Of int
+	// First adds the remainder of the division.
+	First bool
+}
+
 // rights says which endpoints this instance owns.
 type rights struct {
-	held   map[string]bool
+	held   map[string]Right
 	expiry time.Time
 }
 
@@ -165,24 +175,27 @@
 		return e
 	}
 	e = newEndpoint(address, configured)
-	current := r.rights.Load()
-	e.owned.Store(current == nil || current.held[key])
+	right := Right{Key: key, Of: 1}
+	if current := r.rights.Load(); current != nil {
+		right = current.held[key]
+	}
+	e.setRight(right)
 	r.known[key] = e
 	return e
 }
 
-// SetOwned says which endpoints this instance may use until expiry, by key. A
-// router that was never told uses all of its zone.
-func (r *Router) SetOwned(held []string, expiry time.Time) {
+// SetOwned says which endpoints this instance may use until expiry. A router
+// that was never told uses all of its zone.
+func (r *Router) SetOwned(held []Right, expiry time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	owned := make(map[string]bool, len(held))
-	for _, key := range held {
-		owned[key] = true
+	owned := make(map[string]Right, len(held))
+	for _, right := range held {
+		owned[right.Key] = right
 	}
 	r.rights.Store(&rights{held: owned, expiry: expiry})
 	for key, e := range r.known {
-		e.setOwned(owned[key])
+		e.setRight(owned[key])
 	}
 }
 
@@ -217,9 +230,11 @@
 
 // EndpointState is one endpoint in a state dump.
 type EndpointState struct {
-	Service       string  `json:"service"`
-	Address       string  `json:"address"`
-	Slots         int64   `json:"slots"`
+	Service string `json:"service"`
+	Address string `json:"address"`
+	Slots   int64  `json:"slots"`
+	// MaxInFlight is the part of the slots that this instance may use.
+	MaxInFlight   int64   `json:"max_in_flight"`
 	InFlight      int64   `json:"in_flight"`
 	Connections   int     `json:"connections"`
 	Owned         bool    `json:"owned"`
@@ -253,6 +268,7 @@
 		Service:       service,
 		Address:       e.address,
 		Slots:         e.slots.Load(),
+		MaxInFlight:   e.limit(),
 		InFlight:      e.inFlight.Load(),
 		Connections:   e.pool.Open(),
 		Owned:         e.owned.Load(),
