--- a/internal/routing/gate.go
+++ b/internal/routing/gate.go
@@ -63,16 +63,7 @@
 			return e
 		}
 	}
-	if e := r.await(ctx, workspace, d); e != nil {
-		g.took(workspace)
-		return e
-	}
-	if !g.mayTake(workspace) {
-		return nil
-	}
-	last := *d
-	last.anyEndpoint = true
-	e := r.choose(&last)
+	e := r.await(ctx, workspace, d)
 	if e != nil {
 		g.took(workspace)
 	}
@@ -117,7 +108,7 @@
 	slots := 0
 	for _, e := range s.endpoints {
 		if e.owned.Load() && !e.removed.Load() {
-			slots += int(e.slots.Load())
+			slots += int(e.limit())
 		}
 	}
 	return slots
@@ -128,7 +119,7 @@
 	slots, used := int64(0), int64(0)
 	for _, e := range s.endpoints {
 		if e.owned.Load() && !e.removed.Load() {
-			slots += e.slots.Load()
+			slots += e.limit()
 			used += e.inFlight.Load()
 		}
 	}
