Vouch for actions that a stopping entry refuses

An entry that drains refused every new request as "not-run", also the retry of an action that had run there. It now asks the action stage as the gateway does, and the refusal carries a request identifier like every other answer.

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -43,15 +43,16 @@
 	refused  atomic.Int64
 }
 
-func (d *drain) handler(next http.Handler) http.Handler {
+// handler refuses requests by refuse once the phase is refusing.
+func (d *drain) handler(next http.Handler, refuse func(http.ResponseWriter, *http.Request, *refusal.Refusal)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.inFlight.Add(1)
 		defer d.inFlight.Add(-1)
 		w = &tellingWriter{ResponseWriter: w, drain: d}
 		if drainPhase(d.phase.Load()) >= refusing {
 			d.refused.Add(1)
-			refusal.New(http.StatusServiceUnavailable, refusal.Stopping, refusal.NotRun,
-				"entry is stopping; ask the look-up for another one").After(retryStopping).Write(w)
+			refuse(w, r, refusal.New(http.StatusServiceUnavailable, refusal.Stopping, refusal.NotRun,
+				"entry is stopping; ask the look-up for another one").After(retryStopping))
 			return
 		}
 		next.ServeHTTP(w, r)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -202,7 +202,7 @@
 
 func (e *Entry) serveCallers(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler:           e.drain.handler(e.gateway),
+		Handler:           e.drain.handler(e.gateway, e.gateway.Refuse),
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    hardHeaderFactor * e.settings.MaxHeaderBytes,
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -120,6 +120,33 @@
 		}),
 	)
 
+	DescribeTable("lets the action stage vouch for a refusal before it",
+		func(want string, method, path string, withdrawn bool, pairs ...string) {
+			gateway.vouch = func(workspace, key string) refusal.Outcome {
+				if workspace == "azul" && key == "a.new" {
+					return refusal.NotRun
+				}
+				return refusal.Unknown
+			}
+			if withdrawn {
+				current.Keys[record.Identifier] = record.Tombstone()
+			}
+			answer := send(method, path, "", with(pairs...))
+			Expect(answer.Code).To(BeNumerically(">=", 400))
+			Expect(answer.Header().Get(refusal.HeaderOutcome)).To(Equal(want))
+			late := httptest.NewRecorder()
+			request := httptest.NewRequest(method, path, nil)
+			request.Header = with(pairs...)
+			gateway.Refuse(late, request, refusal.New(503, refusal.Stopping, refusal.NotRun, ""))
+			Expect(late.Header().Get(refusal.HeaderOutcome)).To(Equal(want))
+			Expect(late.Header().Get(refusal.HeaderRequestID)).NotTo(BeEmpty())
+		},
+		Entry("key that may have run", "unknown", "POST", "/files/send", true, "Idempotency-Key", "a.ran"),
+		Entry("key that has not run", "not-run", "POST", "/files/send", true, "Idempotency-Key", "a.new"),
+		Entry("service that was removed", "unknown", "POST", "/none/send", false, "Idempotency-Key", "a.ran"),
+		Entry("lookup", "not-run", "GET", "/none/1", false),
+	)
+
 	It("passes neither key nor cookies nor connection headers on", func() {
 		answer := send("GET", "/files/a?b=c", "", with("Cookie", "k="+key, "Connection", "X-Private", "X-Private", "1", "Lovage-Workspace", "verde"))
 		Expect(answer.Code).To(Equal(http.StatusOK))
--- a/internal/gateway/vouch.go
+++ b/internal/gateway/vouch.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strings"
 
+	"github.com/google/uuid"
+
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/workspacekey"
 )
@@ -12,6 +14,13 @@
 // passed on for the present request.
 type Vouch func(workspace, idempotencyKey string) refusal.Outcome
 
+// Refuse refuses a request that is not to be read, with an outcome that is true
+// of its action.
+func (g *Gateway) Refuse(w http.ResponseWriter, r *http.Request, refused *refusal.Refusal) {
+	w.Header().Set(refusal.HeaderRequestID, uuid.NewString())
+	g.refuse(w, g.vouched(r, refused))
+}
+
 // vouched corrects the outcome of a refusal that is given before the owner of
 // the idempotency key was asked. An earlier try of the action may have run, so
 // the refusal is "not-run" only if the owner is this entry and knows better.
