Let a caller's call wait for endpoints that change hands

Ruled out: letting the leaving owner go on beside its successor, which breaks the bound of an endpoint's slots. Change: at the entry that received it from the caller, a call that finds no capacity while endpoints of its zone began to change hands less than 3 s ago is tried again for at most 600 ms; at most 512 calls wait, and a call that was handed on is still answered at once.

--- a/internal/entry/handover.go
+++ b/internal/entry/handover.go
@@ -22,6 +22,7 @@
 		View:          e.view.Load,
 		Configuration: e.current.Load,
 		Owners:        e.router.Owners,
+		Unsettled:     func() bool { return e.owning.unsettled() },
 		Gate:          e.gate,
 		Now:           time.Now,
 		Draw:          mathrand.IntN,
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +30,9 @@
 	ownershipInterval = 100 * time.Millisecond
 	statementTimeout  = 500 * time.Millisecond
 	publishInterval   = time.Second
+	// settleLimit is how long after endpoints began to change hands requests
+	// wait for them.
+	settleLimit = 3 * time.Second
 	// strikeInterval gathers strikes into one message.
 	strikeInterval = 50 * time.Millisecond
 	// maxStrikes bounds the strikes of one message and those that wait.
@@ -43,6 +47,11 @@
 	dropped metrics.Counter
 	held    metrics.Gauge
 	worst   routing.Worst // owned by the entry's loop
+	// unsettledSince is when the present change of hands began; owned by the
+	// entry's loop.
+	unsettledSince time.Time
+	// settlesBy is when requests stop waiting for it, in Unix nanoseconds.
+	settlesBy atomic.Int64
 }
 
 // newOwning returns an entry's ownership without rights.
@@ -136,8 +145,27 @@
 		rights = append(rights, routing.Right{Key: endpoint, Of: of, First: first})
 	}
 	o.entry.router.SetOwned(rights, o.core.Expiry())
+	o.publishUnsettled(now)
 }
 
+// publishUnsettled tells requests until when endpoints that change hands are
+// worth a wait.
+func (o *owning) publishUnsettled(now time.Time) {
+	if !o.core.Unsettled() {
+		o.unsettledSince = time.Time{}
+		o.settlesBy.Store(0)
+		return
+	}
+	if o.unsettledSince.IsZero() {
+		o.unsettledSince = now
+	}
+	o.settlesBy.Store(o.unsettledSince.Add(settleLimit).UnixNano())
+}
+
+// unsettled reports whether endpoints of the zone have begun to change hands
+// lately.
+func (o *owning) unsettled() bool { return time.Now().UnixNano() < o.settlesBy.Load() }
+
 // send sends a statement. A refused connection proves that the process to which
 // it was addressed has ended.
 func (o *owning) send(ctx context.Context, out ownership.Outgoing) {
--- a/internal/handover/stage.go
+++ b/internal/handover/stage.go
@@ -38,6 +38,8 @@
 	View          func() *membership.View
 	Configuration func() *configuration.Configuration
 	Owners        func(service string) []membership.Member
+	// Unsettled reports whether endpoints of the zone are changing hands.
+	Unsettled func() bool
 	// Gate holds the quotas of this region.
 	Gate *shift.Gate
 	Now  func() time.Time
@@ -53,6 +55,8 @@
 	avoided   avoided
 	directory atomic.Pointer[directory]
 	inFlight  atomic.Int64
+	settling  atomic.Int64
+	settled   metrics.Counter
 	stopping  atomic.Bool
 	handed    [distances]metrics.Meter
 	received  metrics.Meter
@@ -65,6 +69,7 @@
 		env:       env,
 		received:  metrics.GetOrRegisterMeter("handover.received", env.Registry),
 		exhausted: metrics.GetOrRegisterCounter("handover.exhausted", env.Registry),
+		settled:   metrics.GetOrRegisterCounter("handover.waited_for_owners", env.Registry),
 	}
 	for d, name := range [distances]string{"sibling", "region", "elsewhere"} {
 		s.handed[d] = metrics.GetOrRegisterMeter("handover.to_"+name, env.Registry)
@@ -72,8 +77,48 @@
 	return s
 }
 
-// Serve implements call.Stage.
+// Waiting for endpoints that change hands.
+const (
+	// settleWait is the longest time that a call waits, in steps of settlePause.
+	settleWait  = 600 * time.Millisecond
+	settlePause = 15 * time.Millisecond
+	// maxSettling bounds the calls that wait at once.
+	maxSettling = 512
+)
+
+// Serve implements call.Stage. A caller's own call that finds no capacity while
+// endpoints of the zone change hands is tried again for settleWait; a call that
+// was handed on is answered at once.
 func (s *Stage) Serve(ctx context.Context, c *call.Call) (*call.Result, error) {
+	result, err := s.serveOnce(ctx, c)
+	if err == nil || c.Hops > 0 || !movable(err) || !s.env.Unsettled() {
+		return result, err
+	}
+	defer s.settling.Add(-1)
+	if s.settling.Add(1) > maxSettling {
+		return result, err
+	}
+	s.settled.Inc(1)
+	return s.settle(ctx, c, err)
+}
+
+func (s *Stage) settle(ctx context.Context, c *call.Call, err error) (*call.Result, error) {
+	var result *call.Result
+	for end := s.env.Now().Add(settleWait); s.env.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(settlePause):
+		}
+		result, err = s.serveOnce(ctx, c)
+		if err == nil || !movable(err) {
+			return result, err
+		}
+	}
+	return nil, err
+}
+
+func (s *Stage) serveOnce(ctx context.Context, c *call.Call) (*call.Result, error) {
 	result, err := s.env.Next.Serve(ctx, c)
 	if err == nil || c.Hops >= MaxHops || !movable(err) {
 		return result, err
--- a/internal/handover/stage_test.go
+++ b/internal/handover/stage_test.go
@@ -23,6 +23,20 @@
 	asked   []string
 	now     time.Time
 	own     error
+	// frees is the number of tries at the own endpoints after which one is
+	// free; 0 is never.
+	frees, tries int
+	unsettled    bool
+}
+
+// serve is the own endpoints. Time passes with each try.
+func (e *estate) serve(context.Context, *call.Call) (*call.Result, error) {
+	e.tries++
+	e.now = e.now.Add(settlePause)
+	if e.frees > 0 && e.tries > e.frees {
+		return &call.Result{Instance: "self"}, nil
+	}
+	return nil, e.own
 }
 
 func refused(kind refusal.Kind, outcome refusal.Outcome) error {
@@ -48,7 +62,8 @@
 	gate.Apply(limits)
 	return NewStage(Environment{
 		Zone:          "n1",
-		Next:          call.StageFunc(func(context.Context, *call.Call) (*call.Result, error) { return nil, e.own }),
+		Next:          call.StageFunc(e.serve),
+		Unsettled:     func() bool { return e.unsettled },
 		Send:          e.send,
 		View:          func() *membership.View { return view },
 		Configuration: func() *configuration.Configuration { return c },
@@ -143,3 +158,30 @@
 	_, err = s.Receive(context.Background(), "n2", c)
 	g.Expect(err).To(MatchError(ContainSubstring("stopping")))
 }
+
+// A caller's own call waits while endpoints change hands, within a bound; other
+// calls are answered at once.
+func TestWaitForEndpointsThatChangeHands(t *testing.T) {
+	full := refused(refusal.NoCapacity, refusal.NotRun)
+	most := int(settleWait/settlePause) + 1
+	for name, c := range map[string]struct {
+		unsettled   bool
+		hops, frees int
+		tries       int
+		ran         bool
+	}{
+		"the endpoint is taken over": {unsettled: true, frees: 3, tries: 4, ran: true},
+		"nobody takes it over":       {unsettled: true, tries: most},
+		"nothing changes hands":      {tries: 1},
+		"the call was handed on":     {unsettled: true, hops: 1, tries: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &estate{own: full, now: time.Unix(1, 0), frees: c.frees, unsettled: c.unsettled,
+				answers: map[string]error{"sibling": full, "near": full, "far": full}}
+			_, err := e.stage(shift.Limits{}).Serve(context.Background(), &call.Call{Service: "files", Hops: c.hops})
+			g.Expect(err == nil).To(Equal(c.ran))
+			g.Expect(e.tries).To(Equal(c.tries))
+		})
+	}
+}
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -338,6 +338,12 @@
 // Yielding returns the endpoints that wait for Idle, in order.
 func (c *Core) Yielding() []string { return c.in(yielding) }
 
+// Unsettled reports whether endpoints are changing hands, as far as this
+// instance takes part in it.
+func (c *Core) Unsettled() bool {
+	return c.leaving || len(c.in(claiming)) > 0 || len(c.in(yielding)) > 0
+}
+
 // Expiry is the time after which traffic must not use Held.
 func (c *Core) Expiry() time.Time { return c.lastTick.Add(c.options.Hold) }
 
