Take a UUID for a key without an owner

The last group of a UUID has the form that ends an incarnation's name, so that the most usual idempotency key was refused as an owner with nothing after it. An owner now ends at a dot.

--- a/internal/action/key.go
+++ b/internal/action/key.go
@@ -67,9 +67,9 @@
 	if len(text) > MaxKeyBytes {
 		return Key{}, &InvalidKeyError{Reason: fmt.Sprintf("is longer than %d bytes", MaxKeyBytes)}
 	}
-	token, unique, _ := strings.Cut(text, ".")
+	token, unique, parted := strings.Cut(text, ".")
 	owner, stampText, stamped := strings.Cut(token, stampMark)
-	if !incarnationForm.MatchString(owner) {
+	if !parted || !incarnationForm.MatchString(owner) {
 		return Key{}, nil
 	}
 	if unique == "" {
--- a/internal/action/stage_test.go
+++ b/internal/action/stage_test.go
@@ -204,6 +204,14 @@
 		Entry("key of another owner", "azul", "north-1-b-00112233aabb.1", refusal.Unknown),
 		Entry("key without an owner", "azul", "plain", refusal.Unknown),
 	)
+	DescribeTable("owner of a key", func(text, owner string, stamp Stamp) {
+		Expect(ParseKey(text)).To(Equal(Key{Owner: owner, Stamp: stamp}))
+	},
+		Entry("with a stamp", ownName+"~gva51.1.2", ownName, Stamp(28333333)),
+		Entry("without a stamp", ownName+".1", ownName, Stamp(0)),
+		Entry("a UUID names none", "1b4e28ba-2fa1-11d2-883f-0016d3cca427", "", Stamp(0)),
+		Entry("a word and a dot name none", "order.17", "", Stamp(0)),
+	)
 	It("claims a key without an owner once, in spite of a lost reply", func() {
 		f.store.Lose = 1
 		_, refused := f.send("azul", "plain", "letter")
