State claims apart from what is held, and rank endpoints only on change

Answers repeated the grants of everything that a statement named, and each message ranked every endpoint of the zone again.

--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -41,9 +42,13 @@
 func (c *Core) settle(now time.Time) {
 	live := c.liveInstances()
 	for endpoint, r := range c.rights {
+		if r.generation != c.generation {
+			r.preferred = Preferred(endpoint, live)
+			r.generation = c.generation
+		}
 		preferred := ""
 		if r.listed {
-			preferred = Preferred(endpoint, live)
+			preferred = r.preferred
 		}
 		c.settleRight(now, r, preferred)
 		if !r.listed && r.phase == idle && r.promised == "" && !now.Before(r.blockedUntil) {
@@ -99,6 +104,7 @@
 	return c.listSince.IsZero() || now.Sub(c.listSince) >= c.options.ListWait
 }
 
+// liveInstances returns the live instances in order and counts its changes.
 func (c *Core) liveInstances() []string {
 	var live []string
 	if !c.leaving {
@@ -109,6 +115,11 @@
 			live = append(live, instance)
 		}
 	}
+	slices.Sort(live)
+	if names := strings.Join(live, rankSeparator); names != c.live || c.generation == 0 {
+		c.live = names
+		c.generation++
+	}
 	return live
 }
 
@@ -138,10 +149,14 @@
 		if r.phase == idle {
 			continue
 		}
-		if r.phase == claiming && r.since == 0 {
+		if r.phase != claiming {
+			statement.Held = append(statement.Held, endpoint)
+			continue
+		}
+		if r.since == 0 {
 			r.since = c.sequence
 		}
-		statement.Endpoints = append(statement.Endpoints, endpoint)
+		statement.Claims = append(statement.Claims, endpoint)
 	}
 	var outgoing []Outgoing
 	for _, known := range c.sortedPeers() {
@@ -163,7 +178,7 @@
 // Receive takes a sibling's statement and returns the answer to send back.
 func (c *Core) Receive(now time.Time, s Statement) Answer {
 	answer := Answer{Instance: c.self, Incarnation: c.incarnation, Sequence: s.Sequence}
-	if s.Instance == c.self || s.Incarnation == c.replaced[s.Instance] || len(s.Endpoints) > MaxEndpoints {
+	if s.Instance == c.self || s.Incarnation == c.replaced[s.Instance] || len(s.Held)+len(s.Claims) > MaxEndpoints {
 		return answer
 	}
 	from := c.hear(now, s.Instance, s.Incarnation)
@@ -172,10 +187,16 @@
 	}
 	from.sequence = s.Sequence
 	c.release(s)
-	for _, endpoint := range s.Endpoints {
+	for _, endpoint := range s.Held {
+		c.grant(now, endpoint, s.Instance)
+	}
+	for _, endpoint := range s.Claims {
 		if c.grant(now, endpoint, s.Instance) {
 			answer.Granted = append(answer.Granted, endpoint)
-		} else if r := c.rights[endpoint]; r.mayBeInUse() {
+		}
+	}
+	for _, endpoint := range s.named() {
+		if c.rights[endpoint].mayBeInUse() {
 			answer.Held = append(answer.Held, endpoint)
 		}
 	}
@@ -213,10 +234,13 @@
 // mayBeInUse reports whether this instance can have requests in flight.
 func (r *right) mayBeInUse() bool { return r.phase == held || r.phase == yielding || r.used }
 
+// named returns the endpoints that the statement does not release.
+func (s *Statement) named() []string { return slices.Concat(s.Held, s.Claims) }
+
 // release frees what the statement's sender no longer names.
 func (c *Core) release(s Statement) {
-	named := make(map[string]bool, len(s.Endpoints))
-	for _, endpoint := range s.Endpoints {
+	named := make(map[string]bool, len(s.Held)+len(s.Claims))
+	for _, endpoint := range s.named() {
 		named[endpoint] = true
 	}
 	for endpoint, r := range c.rights {
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -59,6 +59,9 @@
 	// bound is the longest time that a request takes.
 	bound time.Duration
 	phase phase
+	// preferred is the rendezvous owner among the live instances of generation.
+	preferred  string
+	generation uint64
 	// since is the sequence of the first statement of the claim, 0 before it
 	// is sent.
 	since   uint64
@@ -101,6 +104,10 @@
 	silent map[string]bool
 	rights map[string]*right
 
+	// live names the live instances; generation counts its changes.
+	live       string
+	generation uint64
+
 	sequence uint64
 	sent     map[uint64]time.Time // when recent statements were sent
 	changed  bool
--- a/internal/ownership/messages.go
+++ b/internal/ownership/messages.go
@@ -9,12 +9,14 @@
 	Instance    string `msgpack:"i"`
 	Incarnation string `msgpack:"n"`
 	// Sequence grows with each statement of an incarnation.
-	Sequence  uint64   `msgpack:"s"`
-	Endpoints []string `msgpack:"e"`
+	Sequence uint64 `msgpack:"s"`
+	// Held are the endpoints that it uses, Claims those that it asks for.
+	Held   []string `msgpack:"h"`
+	Claims []string `msgpack:"c"`
 }
 
-// Answer grants endpoints of a statement, and names those that the answering
-// instance holds itself.
+// Answer grants claims of a statement, and names the endpoints of the statement
+// that the answering instance holds itself.
 type Answer struct {
 	Instance    string   `msgpack:"i"`
 	Incarnation string   `msgpack:"n"`
