Keep a zone's delegates free from watching the store

Change: watchers are chosen among the instances that are not delegates where there are enough, and a part of client blocks holds 256 blocks in place of 512.

--- a/internal/configuration/chunk.go
+++ b/internal/configuration/chunk.go
@@ -25,7 +25,7 @@
 
 // blocksPerChunk is the most client blocks that a chunk holds on average, so
 // that a change of one block moves a few kilobytes.
-const blocksPerChunk = 512
+const blocksPerChunk = 256
 
 // recentChanges is the number of changes that a manifest remembers.
 const recentChanges = 32
--- a/internal/spread/topology.go
+++ b/internal/spread/topology.go
@@ -61,9 +61,28 @@
 	}
 	region := c.regionOf(c.self.Zone)
 	candidates := c.live(func(m membership.Member) bool { return c.regionOf(m.Zone) == region })
+	if free := c.withoutDelegates(candidates); len(free) >= watchersPerRegion {
+		candidates = free
+	}
 	return c.rank(choose(candidates, "watch "+region, watchersPerRegion)) >= 0
 }
 
+// withoutDelegates leaves out those that serve their siblings already.
+func (c *Core) withoutDelegates(members []membership.Member) []membership.Member {
+	busy := make(map[string]bool)
+	seen := make(map[string]bool)
+	for _, member := range members {
+		if seen[member.Zone] {
+			continue
+		}
+		seen[member.Zone] = true
+		for _, delegate := range c.delegates(member.Zone) {
+			busy[delegate.Instance] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return busy[m.Instance] })
+}
+
 // rank returns the place of this instance among members, or -1.
 func (c *Core) rank(members []membership.Member) int {
 	return slices.IndexFunc(members, func(m membership.Member) bool { return m.Instance == c.self.Instance })
