--- a/internal/handover/stage.go
+++ b/internal/handover/stage.go
@@ -38,6 +38,8 @@
 	View          func() *membership.View
 	Configuration func() *configuration.Configuration
 	Owners        func(service string) []membership.Member
+	// Unsettled reports whether endpoints of the zone are changing hands.
+	Unsettled func() bool
 	// Gate holds the quotas of this region.
 	Gate *shift.Gate
 	Now  func() time.Time
@@ -53,6 +55,8 @@
 	avoided   avoided
 	directory atomic.Pointer[directory]
 	inFlight  atomic.Int64
+	settling  atomic.Int64
+	settled   metrics.Counter
 	stopping  atomic.Bool
 	handed    [distances]metrics.Meter
 	received  metrics.Meter
@@ -65,6 +69,7 @@
 		env:       env,
 		received:  metrics.GetOrRegisterMeter("handover.received", env.Registry),
 		exhausted: metrics.GetOrRegisterCounter("handover.exhausted", env.Registry),
+		settled:   metrics.GetOrRegisterCounter("handover.waited_for_owners", env.Registry),
 	}
 	for d, name := range [distances]string{"sibling", "region", "elsewhere"} {
 		s.handed[d] = metrics.GetOrRegisterMeter("handover.to_"+name, env.Registry)
@@ -72,8 +77,48 @@
 	return s
 }
 
-// Serve implements call.Stage.
+// Waiting for endpoints that change hands.
+const (
+	// settleWait is the longest time that a call waits, in steps of settlePause.
+	settleWait  = 600 * time.Millisecond
+	settlePause = 15 * time.Millisecond
+	// maxSettling bounds the calls that wait at once.
+	maxSettling = 512
+)
+
+// Serve implements call.Stage. A caller's own call that finds no capacity while
+// endpoints of the zone change hands is tried again for settleWait; a call that
+// was handed on is answered at once.
 func (s *Stage) Serve(ctx context.Context, c *call.Call) (*call.Result, error) {
+	result, err := s.serveOnce(ctx, c)
+	if err == nil || c.Hops > 0 || !movable(err) || !s.env.Unsettled() {
+		return result, err
+	}
+	defer s.settling.Add(-1)
+	if s.settling.Add(1) > maxSettling {
+		return result, err
+	}
+	s.settled.Inc(1)
+	return s.settle(ctx, c, err)
+}
+
+func (s *Stage) settle(ctx context.Context, c *call.Call, err error) (*call.Result, error) {
+	var result *call.Result
+	for end := s.env.Now().Add(settleWait); s.env.Now().Before(end); {
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(settlePause):
+		}
+		result, err = s.serveOnce(ctx, c)
+		if err == nil || !movable(err) {
+			return result, err
+		}
+	}
+	return nil, err
+}
+
+func (s *Stage) serveOnce(ctx context.Context, c *call.Call) (*call.Result, error) {
 	result, err := s.env.Next.Serve(ctx, c)
 	if err == nil || c.Hops >= MaxHops || !movable(err) {
 		return result, err
@@ -97,8 +142,10 @@
 }
 
 // handOn asks other entries one after the other, as long as each refusal is
-// movable. When all refuse, the first refusal is the answer.
+// movable. When all refuse, the first refusal is the answer. A lookup goes on
+// past an entry that did not answer, but is not called not-run any more.
 func (s *Stage) handOn(ctx context.Context, c *call.Call, first error) (*call.Result, error) {
+	answer := first
 	for _, t := range s.planner(c.Service).plan(c.Service, c.Hops) {
 		if ctx.Err() != nil {
 			break
@@ -108,13 +155,23 @@
 			s.handed[t.distance].Mark(1)
 			return result, nil
 		}
-		if !movable(err) {
+		s.avoid(t.member, c.Service, err)
+		switch {
+		case movable(err):
+		case c.Kind == configuration.Lookup && silent(err):
+			answer = err
+		default:
 			return nil, err
 		}
-		s.avoid(t.member, c.Service, err)
 	}
 	s.exhausted.Inc(1)
-	return nil, first
+	return nil, answer
+}
+
+// silent reports whether an entry was asked and did not answer.
+func silent(err error) bool {
+	var refused *refusal.Refusal
+	return errors.As(err, &refused) && refused.Kind == refusal.PeerFailed
 }
 
 func (s *Stage) planner(service string) *planner {
@@ -143,7 +200,16 @@
 // answerEstimate is spent of the region's link before an answer is known.
 const answerEstimate = 16 << 10
 
+// lookupShare is the part of a lookup's time left, as a divisor, for which one
+// entry is waited for, so that a silent one leaves time to ask another.
+const lookupShare = 2
+
 func (s *Stage) try(ctx context.Context, c *call.Call, t target) (*call.Result, error) {
+	if c.Kind == configuration.Lookup {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, c.Deadline.Sub(s.env.Now())/lookupShare)
+		defer cancel()
+	}
 	if t.distance != toElsewhere {
 		return s.env.Send(ctx, t.member.Link, s.env.Zone, c)
 	}
--- a/internal/handover/stage_test.go
+++ b/internal/handover/stage_test.go
@@ -23,6 +23,20 @@
 	asked   []string
 	now     time.Time
 	own     error
+	// frees is the number of tries at the own endpoints after which one is
+	// free; 0 is never.
+	frees, tries int
+	unsettled    bool
+}
+
+// serve is the own endpoints. Time passes with each try.
+func (e *estate) serve(context.Context, *call.Call) (*call.Result, error) {
+	e.tries++
+	e.now = e.now.Add(settlePause)
+	if e.frees > 0 && e.tries > e.frees {
+		return &call.Result{Instance: "self"}, nil
+	}
+	return nil, e.own
 }
 
 func refused(kind refusal.Kind, outcome refusal.Outcome) error {
@@ -48,7 +62,8 @@
 	gate.Apply(limits)
 	return NewStage(Environment{
 		Zone:          "n1",
-		Next:          call.StageFunc(func(context.Context, *call.Call) (*call.Result, error) { return nil, e.own }),
+		Next:          call.StageFunc(e.serve),
+		Unsettled:     func() bool { return e.unsettled },
 		Send:          e.send,
 		View:          func() *membership.View { return view },
 		Configuration: func() *configuration.Configuration { return c },
@@ -72,6 +87,7 @@
 	full := refused(refusal.NoCapacity, refusal.NotRun)
 	for name, c := range map[string]struct {
 		own     error
+		kindOf  configuration.RouteKind
 		hops    int
 		answers map[string]error
 		limits  shift.Limits
@@ -84,8 +100,13 @@
 		"then other regions with endpoints": {own: full, answers: map[string]error{"sibling": full, "near": full}, asked: []string{"sibling", "near", "far"}, ran: "far"},
 		"the first refusal when all refuse": {own: refused(refusal.UpstreamUnreachable, refusal.NotRun),
 			answers: map[string]error{"sibling": full, "near": full, "far": full}, asked: []string{"sibling", "near", "far"}, kind: refusal.UpstreamUnreachable},
-		"what may have run stays":        {own: refused(refusal.UpstreamFailed, refusal.Unknown), kind: refusal.UpstreamFailed},
-		"an unknown outcome ends it":     {own: full, answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown)}, asked: []string{"sibling"}, kind: refusal.PeerFailed},
+		"what may have run stays":    {own: refused(refusal.UpstreamFailed, refusal.Unknown), kind: refusal.UpstreamFailed},
+		"an unknown outcome ends it": {own: full, answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown)}, asked: []string{"sibling"}, kind: refusal.PeerFailed},
+		"a lookup goes past a silent entry": {own: full, kindOf: configuration.Lookup,
+			answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown)}, asked: []string{"sibling", "near"}, ran: "near"},
+		"and is not called not-run then": {own: full, kindOf: configuration.Lookup,
+			answers: map[string]error{"sibling": refused(refusal.PeerFailed, refusal.Unknown), "near": full, "far": full},
+			asked:   []string{"sibling", "near", "far"}, kind: refusal.PeerFailed},
 		"a refusal for cause stays":      {own: refused(refusal.DeadlineExceeded, refusal.NotRun), kind: refusal.DeadlineExceeded},
 		"the second hop is to a sibling": {own: full, hops: 1, answers: map[string]error{"sibling": full}, asked: []string{"sibling"}, kind: refusal.NoCapacity},
 		"there is no third hop":          {own: full, hops: 2, kind: refusal.NoCapacity},
@@ -95,7 +116,8 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			e := &estate{answers: c.answers, own: c.own, now: time.Unix(1, 0)}
-			result, err := e.stage(c.limits).Serve(context.Background(), &call.Call{Service: "files", Hops: c.hops})
+			result, err := e.stage(c.limits).Serve(context.Background(), &call.Call{
+				Service: "files", Hops: c.hops, Kind: c.kindOf, Deadline: e.now.Add(time.Minute)})
 			g.Expect(e.asked).To(Equal(c.asked))
 			if c.ran != "" {
 				g.Expect(err).NotTo(HaveOccurred())
@@ -136,3 +158,30 @@
 	_, err = s.Receive(context.Background(), "n2", c)
 	g.Expect(err).To(MatchError(ContainSubstring("stopping")))
 }
+
+// A caller's own call waits while endpoints change hands, within a bound; other
+// calls are answered at once.
+func TestWaitForEndpointsThatChangeHands(t *testing.T) {
+	full := refused(refusal.NoCapacity, refusal.NotRun)
+	most := int(settleWait/settlePause) + 1
+	for name, c := range map[string]struct {
+		unsettled   bool
+		hops, frees int
+		tries       int
+		ran         bool
+	}{
+		"the endpoint is taken over": {unsettled: true, frees: 3, tries: 4, ran: true},
+		"nobody takes it over":       {unsettled: true, tries: most},
+		"nothing changes hands":      {tries: 1},
+		"the call was handed on":     {unsettled: true, hops: 1, tries: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := &estate{own: full, now: time.Unix(1, 0), frees: c.frees, unsettled: c.unsettled,
+				answers: map[string]error{"sibling": full, "near": full, "far": full}}
+			_, err := e.stage(shift.Limits{}).Serve(context.Background(), &call.Call{Service: "files", Hops: c.hops})
+			g.Expect(err == nil).To(Equal(c.ran))
+			g.Expect(e.tries).To(Equal(c.tries))
+		})
+	}
+}
