Refuse at once at a new entry that knows the issuers

Cause: measuring the latency beside a workspace at five times its rate showed that a new entry held requests above the rate until their deadline, for 5 s, although it issued all parts itself.

Change: a new entry lets requests wait only while it does not know the issuers of the workspace's owner shares. The walk also adds zones.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -86,7 +86,7 @@
 		s.urgentAt = now.Add(urgentInterval)
 		asked = c.askSiblings(now, s, want, c.options.Fanout, true)
 	}
-	if asked || s.pending(false) || now.Sub(c.settledAt) < c.options.startTime() {
+	if asked || s.pending(false) || c.starting(now, s) {
 		c.refuseLate(now, s)
 		return
 	}
@@ -97,6 +97,22 @@
 	c.refuseLate(now, s)
 }
 
+// starting reports whether this entry has just started and does not yet know
+// the issuers of the workspace's owner shares.
+func (c *Core) starting(now time.Time, s *space) bool {
+	if now.Sub(c.settledAt) >= c.options.startTime() {
+		return false
+	}
+	for _, part := range s.parts {
+		hold, held := c.shares[part]
+		issues := held && !now.Before(hold.startAt)
+		if !issues && !slices.ContainsFunc(s.sources, func(src *source) bool { return src.part == part && src.issues }) {
+			return true
+		}
+	}
+	return false
+}
+
 // soon returns the number of requests that the entry's own parts can serve
 // within a short time. These wait.
 func (s *space) soon() int {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -116,6 +116,8 @@
 	// retryAt is when the issuer is worth asking again.
 	retryAt time.Time
 	pause   time.Duration
+	// issues is true if the issuer's last answer said that it issues the part.
+	issues bool
 	// lost is true after an ask without an answer.
 	lost bool
 }
--- a/internal/quota/core_test.go
+++ b/internal/quota/core_test.go
@@ -38,7 +38,6 @@
 func TestRetryAfterIsWhenATokenExists(t *testing.T) {
 	g := NewWithT(t)
 	c := loneCore()
-	c.settledAt = start.Add(-time.Hour) // not a new entry
 	g.Expect(takeAll(c, start)).To(Equal(20))
 	for id := range uint64(5) {
 		c.Request(start, "azul", id, start.Add(time.Minute))
@@ -54,6 +53,19 @@
 	g.Expect(c.Take(start.Add(301*time.Millisecond), "azul")).To(BeTrue())
 }
 
+func TestNewEntryLetsRequestsWaitForItsShares(t *testing.T) {
+	g := NewWithT(t)
+	c := NewCore(start, Peer{Incarnation: "a-1", Instance: "a", Zone: "z"}, Options{})
+	c.Configure(start, Limits{Revision: 1, Zones: 1, Workspaces: map[string]Limit{"azul": {Rate: 10, Burst: 20}}})
+	c.Request(start, "azul", 1, start.Add(time.Minute))
+	_, decisions := c.Drain()
+	g.Expect(decisions).To(BeEmpty())
+	c.OwnersStored(start, c.PlanOwners(start, start, OwnerTable{}, nil))
+	c.Tick(start.Add(time.Millisecond), time.Millisecond)
+	_, decisions = c.Drain()
+	g.Expect(decisions).To(Equal([]Decision{{ID: 1, Admitted: true}}))
+}
+
 func TestPlanStoredAfterReleaseGivesNothing(t *testing.T) {
 	g := NewWithT(t)
 	c := loneCore()
--- a/internal/quota/fuzz_test.go
+++ b/internal/quota/fuzz_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -83,12 +84,27 @@
 			w.configure(other)
 		}
 	default:
-		if w.draw(4) == 0 {
+		switch w.draw(8) {
+		case 0, 1:
 			w.replaceAll()
+		case 2:
+			w.addZone()
 		}
 	}
 }
 
+// addZone adds a zone to the text, which one new entry and no other has yet.
+func (w *world) addZone() {
+	const maxZones = 6
+	if w.zones == maxZones {
+		return
+	}
+	w.zones++
+	w.limits.Revision++
+	w.limits.Zones = w.zones
+	w.start(fmt.Sprintf("zone-%d", w.zones-1), "")
+}
+
 // spendAll takes every token that any process can spend.
 func (w *world) spendAll() {
 	for _, n := range w.nodes {
--- a/internal/quota/serve.go
+++ b/internal/quota/serve.go
@@ -70,6 +70,7 @@
 		c.owners[g.Part] = g.Owner
 	}
 	src.lost = false
+	src.issues = g.Issues
 	if g.Issues && g.Amount >= src.want/2 {
 		src.retryAt = now
 		src.pause = 0
