Keep the requests that share a link with one that is too large

Cause: an answer above a megabyte that came back over a link, a call above the frame bound, or a call whose deadline had passed before its write, closed the link's connection, so that every other request on it ended as unknown. Found by reading. Change: frames take the largest answer of an upstream (8 MiB) and their buffer grows with what arrives; what is too large is refused alone, a request that was not written says so, and a write has a deadline of its own.

Before: the new row fails, the waiting request is lost. After: it gets its answer.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"lovagescale/internal/dialer"
 	"lovagescale/internal/wire"
 )
@@ -88,9 +90,11 @@
 		return err
 	}
 	defer s.remove(id)
-	if err := s.conn.Send(envelope, writeDeadline(ctx)); err != nil {
-		s.end(err)
-		return &UnreachableError{Peer: c.peer, Sent: true, Cause: err}
+	if err := ctx.Err(); err != nil {
+		return &UnreachableError{Peer: c.peer, Cause: err}
+	}
+	if err := s.conn.Send(envelope, time.Now().Add(writeTimeout)); err != nil {
+		return c.sendFailed(s, err)
 	}
 	select {
 	case <-ctx.Done():
@@ -103,6 +107,17 @@
 	}
 }
 
+// sendFailed ends the session, which other requests share, unless nothing of
+// the frame was written.
+func (c *Client) sendFailed(s *session, err error) error {
+	var tooLarge *wire.FrameTooLargeError
+	if errors.As(err, &tooLarge) {
+		return &UnreachableError{Peer: c.peer, Cause: err}
+	}
+	s.end(err)
+	return &UnreachableError{Peer: c.peer, Sent: true, Cause: err}
+}
+
 func (c *Client) decode(r result, reply any) error {
 	if r.err != nil {
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: r.err}
@@ -117,14 +132,6 @@
 	return &RemoteError{Peer: c.peer, Code: f.Code, Detail: f.Detail}
 }
 
-func writeDeadline(ctx context.Context) time.Time {
-	limit := time.Now().Add(writeTimeout)
-	if deadline, set := ctx.Deadline(); set && deadline.Before(limit) {
-		return deadline
-	}
-	return limit
-}
-
 // connect returns the open session, or dials one.
 func (c *Client) connect(ctx context.Context) (*session, uint64, error) {
 	c.mu.Lock()
@@ -255,7 +262,7 @@
 	if err != nil {
 		return err
 	}
-	if err := framed.Send(envelope, writeDeadline(ctx)); err != nil {
+	if err := framed.Send(envelope, time.Now().Add(writeTimeout)); err != nil {
 		return &UnreachableError{Peer: peer, Cause: err}
 	}
 	for {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"net"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,9 @@
 		}
 		return t, nil
 	})
+	server.Handle("grow", func(context.Context, wire.Envelope) (any, error) {
+		return text{strings.Repeat("x", wire.DefaultMaxFrame)}, nil
+	})
 	server.Handle("wait", func(ctx context.Context, _ wire.Envelope) (any, error) {
 		select {
 		case <-release:
@@ -107,6 +111,22 @@
 		Expect(client.Call(ctx, "echo", text{"b"}, &text{})).To(Succeed())
 	})
 
+	It("keeps the requests that share a link with one that is too large for it", func() {
+		client := NewClient(address)
+		defer client.Close()
+		waited := make(chan error, 1)
+		go func() { waited <- client.Call(ctx, "wait", text{}, &text{}) }()
+		err := client.Call(ctx, "echo", text{strings.Repeat("x", wire.DefaultMaxFrame)}, &text{})
+		Expect(err).To(BeAssignableToTypeOf(&UnreachableError{}))
+		Expect(err.(*UnreachableError).Sent).To(BeFalse())
+		Expect(client.Call(ctx, "grow", text{}, &text{})).To(BeAssignableToTypeOf(&RemoteError{}))
+		ended, stop := context.WithCancel(ctx)
+		stop()
+		Expect(client.Call(ended, "echo", text{}, &text{})).To(BeAssignableToTypeOf(&UnreachableError{}))
+		close(release)
+		Eventually(waited, "10s").Should(Receive(BeNil()))
+	})
+
 	It("says that a request was not sent when nobody listens", func() {
 		client := NewClient("127.0.0.1:1")
 		defer client.Close()
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -161,5 +161,10 @@
 	if err != nil {
 		return false
 	}
-	return conn.Send(envelope, time.Now().Add(writeTimeout)) == nil
+	err = conn.Send(envelope, time.Now().Add(writeTimeout))
+	var tooLarge *wire.FrameTooLargeError
+	if errors.As(err, &tooLarge) && failed == nil {
+		return s.reply(conn, id, nil, tooLarge)
+	}
+	return err == nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -5,6 +5,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -18,9 +19,12 @@
 // Version is the protocol version of every frame.
 const Version = 1
 
-// DefaultMaxFrame bounds a frame in bytes: a megabyte of payload and its
-// envelope.
-const DefaultMaxFrame = 1<<20 + 1<<12
+// DefaultMaxFrame bounds a frame in bytes: the largest answer of an upstream,
+// its headers and the envelope.
+const DefaultMaxFrame = 8<<20 + 256<<10
+
+// firstReadBytes bounds the buffer that a frame gets before it has arrived.
+const firstReadBytes = 16 << 10
 
 // headerBytes is the length field and the version byte.
 const headerBytes = 5
@@ -106,8 +110,9 @@
 // RemoteAddress returns the peer's address.
 func (c *Conn) RemoteAddress() string { return c.conn.RemoteAddr().String() }
 
-// Send writes one envelope by the deadline. After an error the connection must
-// be closed, since a frame may be half written.
+// Send writes one envelope by the deadline. A *FrameTooLargeError or a
+// *MalformedError leaves the connection as it was; after any other error it
+// must be closed, since a frame may be half written.
 func (c *Conn) Send(envelope Envelope, deadline time.Time) error {
 	body, err := msgpack.Marshal(&envelope)
 	if err != nil {
@@ -150,12 +155,14 @@
 	if version := header[headerBytes-1]; version != Version {
 		return Envelope{}, &VersionError{Found: version}
 	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
+	// The buffer grows with what arrives, not with what a header claims.
+	var body bytes.Buffer
+	body.Grow(int(min(size, firstReadBytes)))
+	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
 		return Envelope{}, err
 	}
 	var envelope Envelope
-	if err := msgpack.Unmarshal(body, &envelope); err != nil {
+	if err := msgpack.Unmarshal(body.Bytes(), &envelope); err != nil {
 		return Envelope{}, &MalformedError{Type: "envelope", Cause: err}
 	}
 	return envelope, nil
