--- a/internal/entry/spread_bench_test.go
+++ b/internal/entry/spread_bench_test.go
@@ -141,8 +141,9 @@
 				role, _, _ := strings.Cut(call, " ")
 				roles[role] += float64(count-before[call]) / countWindow.Seconds()
 			}
-			b.ReportMetric(roles["configuration"], "configuration-calls/s")
-			b.ReportMetric(roles["action"], "action-calls/s")
+			for role, rate := range roles {
+				b.ReportMetric(rate, role+"-calls/s")
+			}
 			reportForce(b, "at-once", entries, address, n)
 			surroundings.Store.SetFaults(standin.StoreFaults{SlowMillis: 250})
 			reportForce(b, "slow", entries, address, n)
--- a/internal/spread/fuzz_test.go
+++ b/internal/spread/fuzz_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -409,10 +411,20 @@
 	}
 }
 
+// maxEvents returns the most events of a check: 400, or rapid's number of
+// steps if that is higher.
+func maxEvents() int {
+	steps, err := strconv.Atoi(flag.Lookup("rapid.steps").Value.String())
+	if err != nil {
+		panic(err)
+	}
+	return max(400, steps)
+}
+
 func TestFuzzSpreadNeverReverts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(rapid.Uint64().Draw(t, "seed"), false)
-		steps := rapid.IntRange(50, 400).Draw(t, "steps")
+		steps := rapid.IntRange(50, maxEvents()).Draw(t, "steps")
 		for range steps {
 			w.step(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "draw") })
 			if w.incident != "" {
