Spend the hedge's retry before its slot, and keep endpoints at their connection bound up

A hedge took a slot and gave it back when the budget was empty, without waking a waiter. A full connection bound counted as an endpoint that refuses connections, which rested it for a second; it says nothing of the endpoint. The second fault has a test.

--- a/internal/routing/budget.go
+++ b/internal/routing/budget.go
@@ -29,6 +29,9 @@
 	}
 }
 
+// refund gives back a retry that was not made.
+func (b *budget) refund() { b.amount.Add(retryCost) }
+
 // spend takes one retry, if there is one.
 func (b *budget) spend() bool {
 	if b.amount.Add(-retryCost) < 0 {
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -90,7 +90,9 @@
 		return
 	}
 	r.metrics.failed(exchange.Phase)
+	var limited *upstream.ConnectionLimitError
 	switch {
+	case errors.As(exchange.Cause, &limited): // says nothing of the endpoint
 	case exchange.Phase == upstream.PhaseDial:
 		e.change(func(h *health) { h.lost(now) })
 		e.pool.Close()
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -357,3 +357,37 @@
 		g.Expect(string(result.Answer.Body)).To(gomega.Equal("ok"))
 	}
 }
+
+// With one connection allowed, an action, which needs a new one, takes the place
+// of an idle one, and a second request at once finds none.
+func TestConnectionsStayWithinTheBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	arrived, release := make(chan struct{}, 1), make(chan struct{})
+	u := serveUpstream(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			arrived <- struct{}{}
+			<-release
+		}
+		echo(w, r)
+	})
+	router := newRouter(2, still(), u)
+	pool := router.endpointOf(u).pool
+	pool.SetLimits(1, 1)
+	for _, kind := range []configuration.RouteKind{configuration.Lookup, configuration.Action, configuration.Action} {
+		_, err := router.Serve(t.Context(), request(kind, "/x"))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(pool.Open()).To(gomega.Equal(1))
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := router.Serve(context.Background(), request(configuration.Lookup, "/held"))
+		done <- err
+	}()
+	<-arrived
+	_, err := router.Serve(t.Context(), request(configuration.Action, "/y"))
+	g.Expect(refused(err).Outcome).To(gomega.Equal(refusal.NotRun))
+	g.Expect(router.endpointOf(u).look().downUntil.IsZero()).To(gomega.BeTrue())
+	close(release)
+	g.Expect(<-done).NotTo(gomega.HaveOccurred())
+	g.Expect(pool.Open()).To(gomega.Equal(1))
+}
--- a/internal/routing/serve.go
+++ b/internal/routing/serve.go
@@ -161,12 +161,12 @@
 	if ctx.Err() != nil || d.service.inUse() > r.options.HedgeBelow || !d.service.gate.mayTake(c.Workspace) {
 		return nil
 	}
-	e := r.choose(d)
-	if e == nil {
+	if !d.service.budget.spend() {
 		return nil
 	}
-	if !d.service.budget.spend() {
-		e.inFlight.Add(-1)
+	e := r.choose(d)
+	if e == nil {
+		d.service.budget.refund()
 		return nil
 	}
 	d.service.gate.took(c.Workspace)
