--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -18,7 +18,7 @@
 	// MaxTries bounds the endpoints that one call tries; default 3.
 	MaxTries int
 	// HedgeBelow is the share of slots in use above which lookups are not
-	// hedged; default 0.6.
+	// hedged; default 0.4.
 	HedgeBelow float64
 	// HedgeAfter is the shortest wait before a hedge; default 5 ms.
 	HedgeAfter time.Duration
@@ -55,7 +55,7 @@
 const (
 	defaultRetryShare    = 0.1
 	defaultMaxTries      = 3
-	defaultHedgeBelow    = 0.6
+	defaultHedgeBelow    = 0.4
 	defaultHedgeAfter    = 5 * time.Millisecond
 	defaultQueueWait     = 20 * time.Millisecond
 	defaultQueueLength   = 64
