--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -48,9 +48,5 @@
 		return command.ExitUsage
 	}
 	environment := &command.Environment{Out: os.Stdout, JSON: args.JSON, Platform: args.Platform, Author: args.Author}
-	err = parsed.Run(environment)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "lovagectl: %v\n", err)
-	}
-	return command.ExitCode(err)
+	return command.Report(os.Stderr, parsed.Run(environment), args.JSON)
 }
