--- a/internal/entry/action.go
+++ b/internal/entry/action.go
@@ -40,6 +40,12 @@
 // minRetention keeps a retention above the deadline of any request.
 const minRetention = unit.Duration(time.Minute)
 
+// Bounds of the last write of the journal at a planned stop.
+const (
+	journalCloseLimit = 5 * time.Second
+	journalCloseRetry = 100 * time.Millisecond
+)
+
 // drainPoll is the time between two looks at the actions in progress.
 const drainPoll = 20 * time.Millisecond
 
@@ -136,10 +142,24 @@
 	for e.actions.State().InProgress > 0 && ctx.Err() == nil {
 		wait(ctx, drainPoll)
 	}
-	written := e.journaling.Close(ctx)
+	written := e.closeJournal(ctx)
 	e.log.Info().Bool("written", written).Int("in_progress", e.actions.State().InProgress).Msg("journal of actions closed")
 }
 
+// closeJournal writes the journal a last time and tries again for a while when
+// the store does not answer.
+func (e *Entry) closeJournal(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, journalCloseLimit)
+	defer cancel()
+	for !e.journaling.Close(ctx) {
+		wait(ctx, journalCloseRetry)
+		if ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // actionDump is the state dump of actions.
 type actionDump struct {
 	action.State
