Tell when endpoints have settled, and wait while a sibling still claims

Cause: after an entry had given endpoints up and before their next owner had claimed them, or while a new entry waited for the list, calls did not count the endpoints as changing hands and were refused at once. Change: they do, until 2 s after this entry has done its part; a call waits for at most 1 s. The state dump says when a new instance has settled, so that operators replace the next one then, and logs tell changes with fractions of a second.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -32,7 +32,10 @@
 	publishInterval   = time.Second
 	// settleLimit is how long after endpoints began to change hands requests
 	// wait for them.
-	settleLimit = 3 * time.Second
+	settleLimit = 6 * time.Second
+	// settleAfter is how long they wait after this entry has done its part and
+	// a sibling may still have to claim.
+	settleAfter = 2 * time.Second
 	// strikeInterval gathers strikes into one message.
 	strikeInterval = 50 * time.Millisecond
 	// maxStrikes bounds the strikes of one message and those that wait.
@@ -137,6 +140,10 @@
 // publish gives the router its rights.
 func (o *owning) publish() {
 	held := o.core.Held()
+	if o.held.Value() != int64(len(held)) {
+		o.entry.log.Info().Int("held", len(held)).Int("yielding", len(o.core.Yielding())).
+			Bool("settled", o.core.Settled()).Msg("endpoints held changed")
+	}
 	o.held.Update(int64(len(held)))
 	now := time.Now()
 	rights := make([]routing.Right, 0, len(held))
@@ -151,15 +158,16 @@
 // publishUnsettled tells requests until when endpoints that change hands are
 // worth a wait.
 func (o *owning) publishUnsettled(now time.Time) {
-	if !o.core.Unsettled() {
+	switch {
+	case o.core.Unsettled():
+		if o.unsettledSince.IsZero() {
+			o.unsettledSince = now
+		}
+		o.settlesBy.Store(o.unsettledSince.Add(settleLimit).UnixNano())
+	case !o.unsettledSince.IsZero():
 		o.unsettledSince = time.Time{}
-		o.settlesBy.Store(0)
-		return
-	}
-	if o.unsettledSince.IsZero() {
-		o.unsettledSince = now
+		o.settlesBy.Store(now.Add(settleAfter).UnixNano())
 	}
-	o.settlesBy.Store(o.unsettledSince.Add(settleLimit).UnixNano())
 }
 
 // unsettled reports whether endpoints of the zone have begun to change hands
@@ -249,6 +257,7 @@
 type routingDump struct {
 	Held        []string      `json:"held"`
 	Yielding    []string      `json:"yielding"`
+	Settled     bool          `json:"settled"`
 	Struck      int           `json:"struck_requests"`
 	Quarantined int           `json:"quarantined_requests"`
 	Worst       routing.Worst `json:"worst_served"`
@@ -259,6 +268,7 @@
 	_ = o.entry.loop.Call(ctx, func() { // after the loop the rest is still true
 		dump.Held = o.core.Held()
 		dump.Yielding = o.core.Yielding()
+		dump.Settled = o.core.Settled()
 		dump.Worst = o.worst
 	})
 	dump.Struck, dump.Quarantined = o.entry.router.Quarantine()
--- a/internal/handover/stage.go
+++ b/internal/handover/stage.go
@@ -80,7 +80,7 @@
 // Waiting for endpoints that change hands.
 const (
 	// settleWait is the longest time that a call waits, in steps of settlePause.
-	settleWait  = 600 * time.Millisecond
+	settleWait  = time.Second
 	settlePause = 15 * time.Millisecond
 	// maxSettling bounds the calls that wait at once.
 	maxSettling = 512
--- a/internal/handover/stage_test.go
+++ b/internal/handover/stage_test.go
@@ -163,7 +163,7 @@
 // calls are answered at once.
 func TestWaitForEndpointsThatChangeHands(t *testing.T) {
 	full := refused(refusal.NoCapacity, refusal.NotRun)
-	most := int(settleWait/settlePause) + 1
+	most := int((settleWait+settlePause-1)/settlePause) + 1
 	for name, c := range map[string]struct {
 		unsettled   bool
 		hops, frees int
--- a/internal/settings/log.go
+++ b/internal/settings/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -22,5 +23,6 @@
 	if err != nil || level == "" {
 		parsed = zerolog.InfoLevel
 	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	return zerolog.New(out).Level(parsed).With().Timestamp().Str("program", program).Logger()
 }
