Keep using an endpoint until its preferred owner claims it

An owner stopped at the change of its view, and the sibling's claim came up to two ticks later; a service whose endpoints all moved had none in the zone for that long, and calls were refused as no-capacity. The owner now goes on until the preferred sibling claims, and releases idle endpoints before it answers a claim.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -123,15 +123,20 @@
 
 // tick runs on the control goroutine.
 func (o *owning) tick(ctx context.Context) {
+	o.releaseIdle()
+	for _, out := range o.core.Tick(time.Now()) {
+		go o.send(ctx, out)
+	}
+	o.publish()
+}
+
+// releaseIdle ends the rights to yielded endpoints without requests in flight.
+func (o *owning) releaseIdle() {
 	for _, endpoint := range o.core.Yielding() {
 		if o.entry.router.InFlight(endpoint) == 0 {
 			o.core.Idle(time.Now(), endpoint)
 		}
 	}
-	for _, out := range o.core.Tick(time.Now()) {
-		go o.send(ctx, out)
-	}
-	o.publish()
 }
 
 // publish gives the router its rights.
@@ -194,6 +199,7 @@
 	}
 	var answer ownership.Answer
 	err := o.entry.loop.Call(ctx, func() {
+		o.releaseIdle()
 		answer = o.core.Receive(time.Now(), statement)
 		o.publish()
 	})
--- a/internal/ownership/claim.go
+++ b/internal/ownership/claim.go
@@ -71,7 +71,7 @@
 			c.drop(r)
 		}
 	case held:
-		if preferred != c.self && (preferred != "" || !r.listed) {
+		if !r.listed || (preferred != c.self && preferred != "" && preferred == r.asked) {
 			r.phase = yielding
 		}
 	case yielding:
@@ -124,6 +124,7 @@
 }
 
 func (r *right) claim() {
+	r.asked = ""
 	r.phase = claiming
 	r.since = 0
 	r.granted = make(map[string]bool)
@@ -254,6 +255,7 @@
 func (c *Core) grant(now time.Time, endpoint, instance string) bool {
 	r := c.right(endpoint)
 	if r.phase == held || r.phase == yielding {
+		r.asked = instance
 		return false
 	}
 	if r.promised == instance {
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -69,6 +69,8 @@
 	// used is true for a right that was lost by a pause and can still have
 	// requests in flight.
 	used bool
+	// asked is the sibling that last claimed the endpoint while it was held.
+	asked string
 	// promised is the instance that holds this instance's grant, or "".
 	promised     string
 	blockedUntil time.Time
--- a/internal/ownership/core_test.go
+++ b/internal/ownership/core_test.go
@@ -107,6 +107,8 @@
 	leaving := z.owner()
 	z.useAll()
 	leaving.core.SetLeaving(z.now)
+	g.Expect(leaving.core.Held()).NotTo(gomega.BeEmpty()) // nobody has claimed yet
+	z.converge(2)
 	g.Expect(leaving.core.Held()).To(gomega.BeEmpty())
 	g.Expect(leaving.core.Yielding()).NotTo(gomega.BeEmpty())
 	z.converge(rounds(fuzzBound + time.Second))
