--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -27,7 +27,7 @@
 
 // Intervals and bounds of routing's control.
 const (
-	ownershipInterval = 100 * time.Millisecond
+	ownershipInterval = 20 * time.Millisecond
 	statementTimeout  = 500 * time.Millisecond
 	publishInterval   = time.Second
 	// settleLimit is how long after endpoints began to change hands requests
