Push changes of summaries instead of whole ones, and to siblings too

Cause: a changed summary travelled whole, and each sibling answered a change by comparing all zones with its delegate: the busiest node sent 20.0 KB/s at 150 zones with one replacement per 10 s, above the 11 KB/s for control.

Change: a push carries the changed records with the hashes before and after; the first delegate pushes to its siblings, which compare only after two differing heartbeats. The files of the slice are split by duty.

--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -28,8 +28,12 @@
 	siblings map[string]*sibling
 	zones    map[string]*zone
 	version  uint64
-	pushed   uint32
-	push     map[string]bool
+	// pushed is the own zone's content as last pushed; push holds the zones to
+	// push with their content before the change.
+	pushed content
+	push   map[string]content
+	// mismatches counts replies of the first delegate whose other zones differ.
+	mismatches int
 
 	list map[string]platform.Instance
 	left map[string]bool
@@ -75,7 +79,7 @@
 		lastTick:  now,
 		siblings:  make(map[string]*sibling),
 		zones:     make(map[string]*zone),
-		push:      make(map[string]bool),
+		push:      make(map[string]content),
 		list:      make(map[string]platform.Instance),
 		left:      make(map[string]bool),
 	}
@@ -235,7 +239,7 @@
 		message.Records = c.table.records
 		out = append(out, Outgoing{Peer: request.Peer, SentAt: now, Message: message})
 	}
-	if c.world != reply.World && c.isFirstDelegate(reply.From) {
+	if c.isFirstDelegate(reply.From) && c.missesWorld(reply.World) {
 		out = append(out, c.askWorld(now, request.Peer))
 	}
 	return out
@@ -368,32 +372,3 @@
 	t.content = hashRecords(t.exported)
 	c.table = t
 }
-
-// isReady reports whether this core knows its zone: every listed sibling, or all
-// that it heard in the time after which the others would be suspected.
-func (c *Core) isReady(now time.Time) bool {
-	if now.Sub(c.startedAt) > c.options.SuspectAfter {
-		return true
-	}
-	known := map[string]bool{c.self.Instance: true}
-	for _, s := range c.siblings {
-		known[s.record.Member.Instance] = true
-	}
-	for _, instance := range c.list {
-		if instance.Zone == c.self.Zone && !known[instance.ID] {
-			return false
-		}
-	}
-	return len(c.list) > 0
-}
-
-// isDelegate reports whether this core speaks to other zones.
-func (c *Core) isDelegate() bool {
-	return c.ready && slices.ContainsFunc(c.table.delegates, func(m Member) bool { return m.Incarnation == c.self.Incarnation })
-}
-
-// isFirstDelegate reports whether this core takes other zones' summaries from
-// the sibling.
-func (c *Core) isFirstDelegate(incarnation string) bool {
-	return !c.isDelegate() && c.table.delegates[0].Incarnation == incarnation
-}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"lovagescale/internal/platform"
@@ -15,6 +14,7 @@
 	options Options
 	random  *rand.Rand
 	nodes   []*node
+	byLink  map[string]*node
 	runs    int
 	// cut holds pairs of zones that cannot reach each other.
 	cut map[[2]string]bool
@@ -47,7 +47,9 @@
 			}})
 		}
 	}
+	f.byLink = make(map[string]*node)
 	for _, n := range f.nodes {
+		f.byLink[n.instance.Link] = n
 		f.start(n)
 	}
 	f.list()
@@ -110,11 +112,10 @@
 }
 
 func (f *fleet) carry(from *node, core *Core, request Outgoing) {
-	at := slices.IndexFunc(f.nodes, func(n *node) bool { return n.instance.Link == request.Peer })
-	if at < 0 {
+	to, known := f.byLink[request.Peer]
+	if !known {
 		return
 	}
-	to := f.nodes[at]
 	f.count(from, request.Message)
 	if !to.runs() || f.chance(f.lose) || !f.reachable(from.instance.Zone, to.instance.Zone) {
 		return
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -29,6 +29,10 @@
 	Zone    string   `msgpack:"z"`
 	Version uint64   `msgpack:"v"`
 	Records []Record `msgpack:"r"`
+	// Base is the hash of the content that Records change and Hash that of the
+	// outcome. Base 0 means that Records are the whole.
+	Base uint32 `msgpack:"b,omitempty"`
+	Hash uint32 `msgpack:"h,omitempty"`
 }
 
 // Digest names the version of a zone's summary.
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -43,21 +43,3 @@
 	}
 	return uint32(digest.Sum64())
 }
-
-// delegatesPerZone is the number of members of a zone that speak to others.
-const delegatesPerZone = 2
-
-// delegates chooses the delegates of a zone by rendezvous hashing among its
-// usable members, or among all when none is usable.
-func delegates(members []Member) []Member {
-	candidates := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !m.Usable() })
-	if len(candidates) == 0 {
-		candidates = slices.Clone(members)
-	}
-	slices.SortFunc(candidates, func(a, b Member) int {
-		return cmp.Or(
-			cmp.Compare(xxhash.Sum64String(a.Incarnation), xxhash.Sum64String(b.Incarnation)),
-			cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-	return candidates[:min(len(candidates), delegatesPerZone)]
-}
