--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -53,6 +53,14 @@
 	b.level = max(b.level, min(b.level+created, b.capacity-b.outstanding()))
 }
 
+// refillTime is the time in which half the capacity is created.
+func (b *bucket) refillTime() time.Duration {
+	if b.rate == 0 {
+		return 0
+	}
+	return time.Duration(float64(b.capacity) / 2 / float64(Token) / b.rate * float64(time.Second))
+}
+
 func (b *bucket) outstanding() Units {
 	var sum Units
 	for _, a := range b.accounts {
@@ -74,7 +82,7 @@
 		return 0
 	}
 	if known {
-		b.level += max(0, min(ask.Returned, a.outstanding-ask.Held))
+		b.takeBack(a, ask)
 	}
 	amount := max(0, min(ask.Want, b.level))
 	b.level -= amount
@@ -87,6 +95,14 @@
 	return amount
 }
 
+// takeBack credits what a holder returns, up to the capacity: that may have
+// become lower since the grant.
+func (b *bucket) takeBack(a *account, ask Ask) {
+	returned := max(0, min(ask.Returned, a.outstanding-ask.Held))
+	a.outstanding -= returned
+	b.level = max(b.level, min(b.level+returned, b.capacity-b.outstanding()))
+}
+
 // source is what a holder has of another issuer's part.
 type source struct {
 	issuer    string
