Ask entries that were full last instead of leaving them alone

Cause: an entry that refused for lack of a slot was not asked for 20 ms, so that requests were refused although its slot was free again; refusals within rate weigh more than the messages saved.

Change: such an entry comes after the others at its distance. One that did not answer, or whose region is at its quota, is still left alone.

--- a/internal/handover/stage.go
+++ b/internal/handover/stage.go
@@ -18,7 +18,8 @@
 
 // Times for which an entry is not asked again.
 const (
-	// avoidFull is for one without a free slot of the service.
+	// avoidFull is for one without a free slot of the service, which is asked
+	// after others.
 	avoidFull = 20 * time.Millisecond
 	// avoidLimited is for one whose region takes no more shifted traffic.
 	avoidLimited = 100 * time.Millisecond
@@ -181,7 +182,8 @@
 		configuration: s.env.Configuration(),
 		directory:     s.presentDirectory(),
 		owners:        s.env.Owners(service),
-		skip:          func(m membership.Member) bool { return s.avoided.has(now, m.Incarnation, service) },
+		skip:          func(m membership.Member) bool { return s.avoided.has(now, avoidedKey{m.Incarnation, ""}) },
+		full:          func(m membership.Member) bool { return s.avoided.has(now, avoidedKey{m.Incarnation, service}) },
 		draw:          s.env.Draw,
 	}
 }
