--- a/internal/handover/avoid.go
+++ b/internal/handover/avoid.go
@@ -26,8 +26,8 @@
 	a.until[key] = until
 }
 
-func (a *avoided) has(now time.Time, key avoidedKey) bool {
+func (a *avoided) has(now time.Time, incarnation, service string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return now.Before(a.until[key])
+	return now.Before(a.until[avoidedKey{incarnation, service}]) || now.Before(a.until[avoidedKey{incarnation, ""}])
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -5,9 +5,9 @@
 // at most two entries at each distance. A call that was handed over once goes
 // only to a sibling of the receiver, and after MaxHops it goes nowhere. Only a
 // refusal that is certainly "not-run" is handed on. Calls from other regions
-// spend the region's quotas of package shift. An entry that did not answer
-// or whose region is at its quota is not asked again for a short time; one that
-// was full is asked after others.
+// spend the region's quotas of package shift. An entry that refused or did not
+// answer is not asked again for a short time, so that a shortage everywhere
+// costs few messages.
 //
 // The receiving entry serves the call or refuses it at once, and its refusal
 // arrives as the refusal that it gave. The call carries its workspace's name
--- a/internal/handover/plan.go
+++ b/internal/handover/plan.go
@@ -55,9 +55,8 @@
 	directory     *directory
 	// owners are the siblings that own endpoints of the service.
 	owners []membership.Member
-	// skip reports that an entry is not worth asking now, and full that it had no
-	// free slot a moment ago.
-	skip, full func(membership.Member) bool
+	// skip reports that an entry is not worth asking now.
+	skip func(membership.Member) bool
 	// draw returns a random number below n.
 	draw func(n int) int
 }
@@ -103,25 +102,20 @@
 	return near, far
 }
 
-// pick draws entries of one list. Those that were full come last.
+// pick draws entries of one list.
 func (p *planner) pick(d distance, members []membership.Member) []target {
+	var targets []target
 	if len(members) == 0 {
 		return nil
 	}
-	var targets, full []target
 	first := p.draw(len(members))
 	for i := range members {
 		member := members[(first+i)%len(members)]
-		switch {
-		case p.skip(member):
-		case p.full(member):
-			full = append(full, target{member: member, distance: d})
-		default:
+		if len(targets) < triesPerDistance && !p.skip(member) {
 			targets = append(targets, target{member: member, distance: d})
 		}
 	}
-	targets = append(targets, full...)
-	return targets[:min(len(targets), triesPerDistance)]
+	return targets
 }
 
 // pickZones draws zones and one entry of each.
--- a/internal/handover/stage.go
+++ b/internal/handover/stage.go
@@ -18,8 +18,7 @@
 
 // Times for which an entry is not asked again.
 const (
-	// avoidFull is for one without a free slot of the service, which is asked
-	// after others.
+	// avoidFull is for one without a free slot of the service.
 	avoidFull = 20 * time.Millisecond
 	// avoidLimited is for one whose region takes no more shifted traffic.
 	avoidLimited = 100 * time.Millisecond
@@ -182,8 +181,7 @@
 		configuration: s.env.Configuration(),
 		directory:     s.presentDirectory(),
 		owners:        s.env.Owners(service),
-		skip:          func(m membership.Member) bool { return s.avoided.has(now, avoidedKey{m.Incarnation, ""}) },
-		full:          func(m membership.Member) bool { return s.avoided.has(now, avoidedKey{m.Incarnation, service}) },
+		skip:          func(m membership.Member) bool { return s.avoided.has(now, m.Incarnation, service) },
 		draw:          s.env.Draw,
 	}
 }
--- a/internal/handover/stage_test.go
+++ b/internal/handover/stage_test.go
@@ -130,17 +130,16 @@
 	}
 }
 
-func TestSilentEntriesAreLeftAloneForAWhile(t *testing.T) {
+func TestFullEntriesAreLeftAloneForAWhile(t *testing.T) {
 	g := NewWithT(t)
 	full := refused(refusal.NoCapacity, refusal.NotRun)
-	gone := refused(refusal.PeerFailed, refusal.NotRun)
-	e := &estate{own: full, answers: map[string]error{"sibling": gone}, now: time.Unix(1, 0)}
+	e := &estate{own: full, answers: map[string]error{"sibling": full}, now: time.Unix(1, 0)}
 	s := e.stage(shift.Limits{})
 	for range 2 {
 		_, err := s.Serve(context.Background(), &call.Call{Service: "files"})
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	e.now = e.now.Add(avoidFailed)
+	e.now = e.now.Add(avoidFull)
 	_, err := s.Serve(context.Background(), &call.Call{Service: "files"})
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(e.asked).To(Equal([]string{"sibling", "near", "near", "sibling", "near"}))
@@ -186,16 +185,3 @@
 		})
 	}
 }
-
-func TestFullEntriesAreAskedLast(t *testing.T) {
-	g := NewWithT(t)
-	member := func(id string) membership.Member { return membership.Member{Incarnation: id} }
-	p := &planner{
-		skip: func(m membership.Member) bool { return m.Incarnation == "gone" },
-		full: func(m membership.Member) bool { return m.Incarnation == "full" },
-		draw: func(int) int { return 0 },
-	}
-	picked := p.pick(toSibling, []membership.Member{member("full"), member("gone"), member("free")})
-	g.Expect(picked).To(Equal([]target{{member: member("free")}, {member: member("full")}}))
-	g.Expect(p.pick(toSibling, []membership.Member{member("full")})).To(HaveLen(1))
-}
