--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -9,6 +9,7 @@
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/link"
 	"lovagescale/internal/lookup"
+	"lovagescale/internal/membership"
 	"lovagescale/internal/wire"
 )
 
@@ -20,6 +21,8 @@
 	send     link.Send
 	revision uint64
 	blocks   map[string]string
+	// view is the last one sent, nil before the first.
+	view *membership.View
 }
 
 // follow streams this entry's state to a look-up process.
@@ -58,10 +61,36 @@
 		}
 	}
 	view := e.view.Load()
-	state.Self, state.Members = view.Self, view.Members
+	f.addMembers(&state, view)
 	return f.send(lookup.TypeState, state)
 }
 
+// addMembers gives all members in the first state and what changed in others.
+func (f *follower) addMembers(state *lookup.State, view *membership.View) {
+	state.Self = view.Self
+	previous := f.view
+	f.view = view
+	if previous == nil {
+		state.Whole = true
+		state.Members = view.Members
+		return
+	}
+	if previous == view {
+		return
+	}
+	before := make(map[string]membership.Member, len(previous.Members))
+	for _, member := range previous.Members {
+		before[member.Instance] = member
+	}
+	for _, member := range view.Members {
+		if before[member.Instance] != member {
+			state.Members = append(state.Members, member)
+		}
+		delete(before, member.Instance)
+	}
+	state.Gone = slices.Sorted(maps.Keys(before))
+}
+
 func (f *follower) sendConfiguration(c *configuration.Configuration) error {
 	if c.Revision == f.revision {
 		return nil
--- a/internal/lookup/bench_test.go
+++ b/internal/lookup/bench_test.go
@@ -20,6 +20,7 @@
 
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/platform"
+	"lovagescale/internal/wire"
 )
 
 // The size of two years.
@@ -265,3 +266,26 @@
 	}
 	callers.Wait()
 }
+
+// BenchmarkLookupState encodes what an entry says of the planned fleet: all
+// members, as in the first state of a stream, and none changed, as each second
+// after it.
+func BenchmarkLookupState(b *testing.B) {
+	whole := State{Revision: 1, Whole: true, Self: member("entry-0", "zone-0", platform.Live)}
+	for node := range benchNodes {
+		whole.Members = append(whole.Members, member(fmt.Sprintf("entry-%d", node), zoneName(node%benchZones), platform.Live))
+	}
+	for name, state := range map[string]State{"whole": whole, "unchanged": {Revision: 1, Self: whole.Self}} {
+		b.Run(name, func(b *testing.B) {
+			bytes := 0
+			for b.Loop() {
+				envelope, err := wire.Encode(TypeState, 1, state)
+				if err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(envelope.Body)
+			}
+			b.ReportMetric(float64(bytes), "B")
+		})
+	}
+}
--- a/internal/lookup/lookup.go
+++ b/internal/lookup/lookup.go
@@ -15,6 +15,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -33,10 +34,11 @@
 	encoded map[string]ZoneBlocks
 }
 
-// heard is the last state of one entry.
+// heard is what one entry has said.
 type heard struct {
-	state State
-	at    time.Time
+	self    membership.Member
+	members map[string]membership.Member
+	at      time.Time
 	// silent is set when the entry's stream has ended.
 	silent bool
 }
@@ -61,9 +63,24 @@
 	return Follow{HaveBlocks: have}
 }
 
-// ReceiveState takes the state of the entry with the given link address.
-func (c *Core) ReceiveState(now time.Time, link string, state State) {
-	c.states[link] = heard{state: state, at: now}
+// ReceiveState takes the state of the entry with the given link address and
+// reports whether the table that follows is another one.
+func (c *Core) ReceiveState(now time.Time, link string, state State) bool {
+	before, known := c.states[link]
+	h := heard{self: state.Self, members: before.members, at: now}
+	changed := !known || before.silent || before.self != state.Self
+	if state.Whole || h.members == nil {
+		h.members = make(map[string]membership.Member, len(state.Members))
+		changed = true
+	}
+	for _, member := range state.Members {
+		h.members[member.Instance] = member
+	}
+	for _, instance := range state.Gone {
+		delete(h.members, instance)
+	}
+	c.states[link] = h
+	return changed || len(state.Members) > 0 || len(state.Gone) > 0
 }
 
 // ReceiveCatalogue takes the catalogue of a higher revision and drops the
@@ -161,16 +178,14 @@
 		if h.silent && !allSilent {
 			continue
 		}
-		for _, member := range h.state.Members {
-			members[member.Instance] = member
-		}
+		maps.Copy(members, h.members)
 	}
 	for _, h := range c.states {
 		if h.silent && !allSilent {
-			delete(members, h.state.Self.Instance)
+			delete(members, h.self.Instance)
 			continue
 		}
-		members[h.state.Self.Instance] = h.state.Self
+		members[h.self.Instance] = h.self
 	}
 	return members
 }
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -67,6 +67,17 @@
 		Expect(addresses(core.Table().Entries(client, 0))).NotTo(ContainElement("a"))
 	})
 
+	It("takes what changed of the members and says whether anything did", func() {
+		self := member("a", "n1", platform.Live)
+		Expect(core.ReceiveState(time.Unix(3, 0), "l1", State{Revision: 1, Self: self})).To(BeFalse())
+		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"c", "a", "b", "d"}))
+		Expect(core.ReceiveState(time.Unix(4, 0), "l1", State{Revision: 1, Self: self, Gone: []string{"c"},
+			Members: []membership.Member{member("e", "n2", platform.Live)}})).To(BeTrue())
+		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"e", "a", "b", "d"}))
+		Expect(core.ReceiveState(time.Unix(5, 0), "l1", State{Revision: 1, Self: self, Whole: true})).To(BeTrue())
+		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"a", "b"}))
+	})
+
 	It("keeps the last states when every entry is silent", func() {
 		core.Silent("l1")
 		core.Silent("l2")
--- a/internal/lookup/messages.go
+++ b/internal/lookup/messages.go
@@ -21,11 +21,16 @@
 	HaveBlocks map[string]string `msgpack:"b"`
 }
 
-// State is what an entry says of itself and the members that it knows.
+// State is what an entry says of itself and the members that it knows. The
+// first state of a stream gives all members, later ones what changed.
 type State struct {
-	Revision uint64              `msgpack:"r"`
-	Self     membership.Member   `msgpack:"s"`
-	Members  []membership.Member `msgpack:"m"`
+	Revision uint64            `msgpack:"r"`
+	Self     membership.Member `msgpack:"s"`
+	// Whole is true when Members replaces what earlier states gave.
+	Whole   bool                `msgpack:"w"`
+	Members []membership.Member `msgpack:"m"`
+	// Gone names instances that are no members any more.
+	Gone []string `msgpack:"g"`
 }
 
 // Catalogue is what look-ups need of a configuration revision besides client
--- a/internal/lookup/server.go
+++ b/internal/lookup/server.go
@@ -30,6 +30,9 @@
 	streamSilence = 3 * time.Second
 	streamRetry   = 200 * time.Millisecond
 	stopGrace     = 5 * time.Second
+	// publishInterval is the longest time between two tables, so that the
+	// owners in answers are stamped with a recent time.
+	publishInterval = 5 * time.Second
 )
 
 // Settings are the static settings of a look-up process.
@@ -69,7 +72,9 @@
 	core     *Core
 	table    atomic.Pointer[Table]
 	heardAt  atomic.Int64
-	answers  metrics.Meter
+	// publishedAt belongs to the control goroutine.
+	publishedAt time.Time
+	answers     metrics.Meter
 }
 
 // NewServer returns a look-up process that is not yet listening.
@@ -162,8 +167,11 @@
 			return err
 		}
 		err = s.loop.Call(ctx, func() {
-			s.core.ReceiveState(time.Now(), entry, state)
-			s.publish()
+			now := time.Now()
+			if s.core.ReceiveState(now, entry, state) || now.Sub(s.publishedAt) >= publishInterval {
+				s.publish()
+			}
+			s.heardAt.Store(now.UnixNano())
 		})
 	case TypeCatalogue:
 		var catalogue Catalogue
@@ -198,6 +206,7 @@
 
 // publish runs on the control goroutine.
 func (s *Server) publish() {
+	s.publishedAt = time.Now()
 	s.table.Store(s.core.Table())
 	if heard := s.core.HeardAt(); !heard.IsZero() {
 		s.heardAt.Store(heard.UnixNano())
--- a/internal/ownership/bench_test.go
+++ b/internal/ownership/bench_test.go
@@ -8,6 +8,9 @@
 	"github.com/vmihailenco/msgpack/v5"
 )
 
+// benchTick is the interval at which an entry ticks its ownership.
+const benchTick = 20 * time.Millisecond
+
 // BenchmarkOwnership prints what ownership costs an instance of a zone in which
 // nothing changes: the bytes that it sends and receives and the time of its
 // control loop, by instances and endpoints of the zone.
@@ -18,7 +21,7 @@
 			z.converge(20)
 			bytes, ticks := 0, 0
 			for b.Loop() {
-				z.now = z.now.Add(fuzzTick)
+				z.now = z.now.Add(benchTick)
 				for _, i := range z.instances {
 					z.tick(i)
 				}
@@ -32,7 +35,7 @@
 				}
 				ticks++
 			}
-			seconds := float64(ticks) * fuzzTick.Seconds() * float64(size.instances)
+			seconds := float64(ticks) * benchTick.Seconds() * float64(size.instances)
 			b.ReportMetric(2*float64(bytes)/seconds, "B/s_an_instance")
 			b.ReportMetric(float64(b.Elapsed())/float64(time.Millisecond)/seconds, "ms/s_an_instance")
 		})
