--- a/internal/link/bench_test.go
+++ b/internal/link/bench_test.go
@@ -14,11 +14,8 @@
 	"lovagescale/internal/wire"
 )
 
-// BenchmarkLinkCall is one small request with its reply over loopback. The
-// processor time is that of both ends.
-func BenchmarkLinkCall(b *testing.B) {
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
+// serveEcho runs a server until ctx ends and returns its address.
+func serveEcho(ctx context.Context, b *testing.B) string {
 	server := NewServer(zerolog.Nop(), metrics.NewRegistry())
 	server.Handle("echo", func(context.Context, wire.Envelope) (any, error) { return text{"reply"}, nil })
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -26,7 +23,16 @@
 		b.Fatal(err)
 	}
 	go func() { _ = server.Serve(ctx, listener) }()
-	client := NewClient(listener.Addr().String())
+	return listener.Addr().String()
+}
+
+// BenchmarkLinkCall is one small request with its reply over loopback. The
+// processor time is that of both ends.
+func BenchmarkLinkCall(b *testing.B) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	address := serveEcho(ctx, b)
+	client := NewClient(address)
 	defer client.Close()
 	started := processorTime()
 	for b.Loop() {
@@ -42,18 +48,12 @@
 	const links = 500
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	server := NewServer(zerolog.Nop(), metrics.NewRegistry())
-	server.Handle("echo", func(context.Context, wire.Envelope) (any, error) { return text{"reply"}, nil })
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		b.Fatal(err)
-	}
-	go func() { _ = server.Serve(ctx, listener) }()
+	address := serveEcho(ctx, b)
 	for b.Loop() {
 		before := memory()
 		clients := make([]*Client, links)
 		for i := range clients {
-			clients[i] = NewClient(listener.Addr().String())
+			clients[i] = NewClient(address)
 			if err := clients[i].Call(ctx, "echo", text{}, &text{}); err != nil {
 				b.Fatal(err)
 			}
