Tell strikes until they are heard, and to members that come later

Cause: a strike was sent once to the members in view; one that was missed, or a member that came or came back later, let the request cost it two more endpoints. Change: a strike has an identifier, counts once however often it is told, is sent again after a failure, and is told to members that are new in the view.

--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -38,6 +38,10 @@
 	settleAfter = 2 * time.Second
 	// strikeInterval gathers strikes into one message.
 	strikeInterval = 50 * time.Millisecond
+	// strikeAttempts bounds the sending of a message of strikes; strikeRetry is
+	// the first pause between two, which doubles.
+	strikeAttempts = 6
+	strikeRetry    = 250 * time.Millisecond
 	// maxStrikes bounds the strikes of one message and those that wait.
 	maxStrikes = 256
 )
@@ -47,6 +51,9 @@
 	entry   *Entry
 	core    *ownership.Core // owned by the entry's loop
 	strikes chan quarantine.Strike
+	// welcome holds the links of members that are new to this entry.
+	welcome chan string
+	known   map[string]bool // by incarnation, owned by the entry's loop
 	dropped metrics.Counter
 	held    metrics.Gauge
 	worst   routing.Worst // owned by the entry's loop
@@ -63,6 +70,8 @@
 		entry:   e,
 		core:    ownership.New(time.Now(), e.self.Instance, e.self.Incarnation, ownership.Options{}),
 		strikes: make(chan quarantine.Strike, maxStrikes),
+		welcome: make(chan string, maxStrikes),
+		known:   make(map[string]bool),
 		dropped: metrics.GetOrRegisterCounter("quarantine.dropped_strikes", e.registry),
 		held:    metrics.GetOrRegisterGauge("ownership.held_endpoints", e.registry),
 	}
@@ -100,6 +109,7 @@
 
 // view runs on the control goroutine.
 func (o *owning) view(view *membership.View) {
+	o.welcomeMembers(view)
 	var peers []ownership.Peer
 	for _, m := range view.InZone(o.entry.self.Zone) {
 		peers = append(peers, ownership.Peer{Instance: m.Instance, Incarnation: m.Incarnation, Link: m.Link, Live: m.Usable()})
@@ -112,6 +122,24 @@
 	o.publish()
 }
 
+// welcomeMembers has members that came or came back told of the strikes that
+// they missed.
+func (o *owning) welcomeMembers(view *membership.View) {
+	known := make(map[string]bool, len(view.Members))
+	for _, m := range view.Members {
+		known[m.Incarnation] = true
+		if o.known[m.Incarnation] || m.Incarnation == o.entry.self.Incarnation {
+			continue
+		}
+		select {
+		case o.welcome <- m.Link:
+		default:
+			o.dropped.Inc(1)
+		}
+	}
+	o.known = known
+}
+
 // listed runs on the control goroutine.
 func (o *owning) listed(instances []platform.Instance) {
 	var peers []ownership.Peer
@@ -235,6 +263,11 @@
 		select {
 		case <-ctx.Done():
 			return
+		case peer := <-o.welcome:
+			if missed := o.entry.router.Strikes(maxStrikes); len(missed) > 0 {
+				go o.sendStrikes(ctx, peer, missed)
+			}
+			continue
 		case strike := <-o.strikes:
 			batch = append(batch, strike)
 		}
@@ -250,13 +283,26 @@
 	}
 }
 
+// sendStrikes tells a member of strikes, again after a failure: a member that
+// misses one would let the request cost it two more endpoints.
 func (o *owning) sendStrikes(ctx context.Context, peer string, batch []quarantine.Strike) {
+	unsent := metrics.GetOrRegisterCounter("quarantine.unsent_strikes", o.entry.registry)
+	pause := strikeRetry
+	for range strikeAttempts {
+		if o.sendStrikesOnce(ctx, peer, batch) == nil {
+			return
+		}
+		unsent.Inc(1)
+		wait(ctx, pause)
+		pause *= 2
+	}
+}
+
+func (o *owning) sendStrikesOnce(ctx context.Context, peer string, batch []quarantine.Strike) error {
 	ctx, cancel := context.WithTimeout(ctx, statementTimeout)
 	defer cancel()
 	var reply struct{}
-	if err := o.entry.peers.Client(peer).Call(ctx, typeStrikes, batch, &reply); err != nil {
-		metrics.GetOrRegisterCounter("quarantine.unsent_strikes", o.entry.registry).Inc(1)
-	}
+	return o.entry.peers.Client(peer).Call(ctx, typeStrikes, batch, &reply)
 }
 
 // routingDump is the state dump of routing.
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -16,6 +16,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"lovagescale/internal/call"
@@ -62,6 +63,9 @@
 
 // Strike is one connection that a request cost an endpoint.
 type Strike struct {
+	// ID tells strikes apart, so that one that is told twice counts once; 0
+	// always counts.
+	ID          uint64      `msgpack:"i"`
 	Fingerprint Fingerprint `msgpack:"f"`
 	// Endpoint is named for the logs.
 	Endpoint string `msgpack:"e"`
@@ -69,10 +73,14 @@
 
 // record is what is known of one fingerprint.
 type record struct {
-	strikes int
+	strikes []Strike
 	until   time.Time
 }
 
+func (r *record) has(id uint64) bool {
+	return id != 0 && slices.ContainsFunc(r.strikes, func(s Strike) bool { return s.ID == id })
+}
+
 // Table is the set of struck and quarantined requests. It is not safe for
 // concurrent use.
 type Table struct {
@@ -108,26 +116,42 @@
 		t.records[s.Fingerprint] = r
 	}
 	if now.After(r.until) {
-		r.strikes = 0
+		r.strikes = nil
 	}
-	if r.strikes >= t.options.Strikes {
+	if len(r.strikes) >= t.options.Strikes || r.has(s.ID) {
 		return false
 	}
-	r.strikes++
+	r.strikes = append(r.strikes, s)
 	r.until = now.Add(t.options.Memory)
-	if r.strikes >= t.options.Strikes {
+	if len(r.strikes) >= t.options.Strikes {
 		r.until = now.Add(t.options.Term)
 	}
 	return true
 }
 
+// Strikes returns at most limit strikes that still count, for an entry that
+// missed them.
+func (t *Table) Strikes(now time.Time, limit int) []Strike {
+	var strikes []Strike
+	for _, r := range t.records {
+		if now.After(r.until) {
+			continue
+		}
+		if len(strikes)+len(r.strikes) > limit {
+			break
+		}
+		strikes = append(strikes, r.strikes...)
+	}
+	return strikes
+}
+
 // Struck returns the strikes of the request.
 func (t *Table) Struck(now time.Time, f Fingerprint) int {
 	r, found := t.records[f]
 	if !found || now.After(r.until) {
 		return 0
 	}
-	return r.strikes
+	return len(r.strikes)
 }
 
 // Quarantined returns the time left of a quarantine, or 0.
--- a/internal/routing/exchange.go
+++ b/internal/routing/exchange.go
@@ -107,7 +107,7 @@
 
 // strike records that the call cost the endpoint its connection.
 func (r *Router) strike(c *call.Call, e *endpoint, now time.Time) {
-	s := quarantine.Strike{Fingerprint: quarantine.Of(c), Endpoint: e.key}
+	s := quarantine.Strike{ID: r.newID(), Fingerprint: quarantine.Of(c), Endpoint: e.key}
 	if r.addStrike(now, s) && r.tell != nil {
 		r.tell(s)
 	}
@@ -124,6 +124,20 @@
 	return added
 }
 
+// newID returns a random identifier above 0.
+func (r *Router) newID() uint64 {
+	r.randomMu.Lock()
+	defer r.randomMu.Unlock()
+	return r.random.Uint64() | 1
+}
+
+// Strikes returns the strikes that still count, at most limit.
+func (r *Router) Strikes(limit int) []quarantine.Strike {
+	r.quarantineMu.Lock()
+	defer r.quarantineMu.Unlock()
+	return r.quarantine.Strikes(r.options.Now(), limit)
+}
+
 // OnStrike sets what tells the other entries of a strike. It must be called
 // before Serve and must not block.
 func (r *Router) OnStrike(tell func(quarantine.Strike)) { r.tell = tell }
