Take defaults by cmp.Or and drop functions that nothing calls

Removed without a caller: View.Confirmed, Core.NeedsList of the ownership, RequirePositive, Queue.Waiting and Peers.Keep.

--- a/internal/action/journaling.go
+++ b/internal/action/journaling.go
@@ -1,6 +1,7 @@
 package action
 
 import (
+	"cmp"
 	"context"
 	"sync/atomic"
 	"time"
@@ -50,10 +51,10 @@
 
 // NewJournaling returns the upkeep of the stage's journal.
 func NewJournaling(stage *Stage, options JournalOptions) *Journaling {
-	setDefault(&options.Interval, DefaultJournalInterval)
-	setDefault(&options.FleetWritesPerSecond, DefaultFleetWritesPerSecond)
-	setDefault(&options.BytesPerSecond, DefaultJournalBytesRate)
-	setDefault(&options.Retention, DefaultRetention)
+	options.Interval = cmp.Or(options.Interval, DefaultJournalInterval)
+	options.FleetWritesPerSecond = cmp.Or(options.FleetWritesPerSecond, DefaultFleetWritesPerSecond)
+	options.BytesPerSecond = cmp.Or(options.BytesPerSecond, DefaultJournalBytesRate)
+	options.Retention = cmp.Or(options.Retention, DefaultRetention)
 	registry := stage.env.Registry
 	return &Journaling{
 		stage:    stage,
--- a/internal/action/table.go
+++ b/internal/action/table.go
@@ -1,6 +1,7 @@
 package action
 
 import (
+	"cmp"
 	"time"
 
 	"lovagescale/internal/call"
@@ -33,22 +34,15 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Capacity, DefaultCapacity)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.AnswerBytes, DefaultAnswerBytes)
-	setDefault(&o.AnswersBytes, DefaultAnswersBytes)
-	setDefault(&o.JournalBytes, DefaultJournalBytes)
-	setDefault(&o.JournalAnswerBytes, DefaultJournalAnswerBytes)
+	o.Capacity = cmp.Or(o.Capacity, DefaultCapacity)
+	o.Retention = cmp.Or(o.Retention, DefaultRetention)
+	o.AnswerBytes = cmp.Or(o.AnswerBytes, DefaultAnswerBytes)
+	o.AnswersBytes = cmp.Or(o.AnswersBytes, DefaultAnswersBytes)
+	o.JournalBytes = cmp.Or(o.JournalBytes, DefaultJournalBytes)
+	o.JournalAnswerBytes = cmp.Or(o.JournalAnswerBytes, DefaultJournalAnswerBytes)
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // Sweeping starts when all but a part of the capacity is in use, and is not
 // repeated within an interval, since it reads the whole table.
 const (
--- a/internal/entry/action.go
+++ b/internal/entry/action.go
@@ -1,12 +1,12 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"lovagescale/internal/action"
 	"lovagescale/internal/link"
-	"lovagescale/internal/settings"
 	"lovagescale/internal/store"
 	"lovagescale/internal/tomlfile"
 	"lovagescale/internal/unit"
@@ -71,7 +71,7 @@
 	if s.JournalFleetWritesPerSecond < 0 {
 		text.Add("must not be negative", "action", "journal_fleet_writes_per_second")
 	}
-	settings.Default(&s.Retention, unit.Duration(action.DefaultRetention))
+	s.Retention = cmp.Or(s.Retention, unit.Duration(action.DefaultRetention))
 	if s.Retention < minRetention {
 		text.Addf([]string{"action", "retention"}, "must be at least %v", minRetention.Std())
 	}
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"lovagescale/internal/lookup"
 	"strings"
 	"time"
@@ -71,10 +72,10 @@
 	s.Action.check(text)
 	s.Quota.check(text)
 	settings.CheckLogLevel(text, s.LogLevel)
-	settings.Default(&s.StoreTimeout, defaultStoreTimeout)
-	settings.Default(&s.StopGrace, defaultStopGrace)
-	settings.Default(&s.LeaveGrace, unit.Duration(lookup.AnswerTTL))
-	settings.Default(&s.MaxHeaderBytes, defaultMaxHeaderBytes)
-	settings.Default(&s.WatchWait, defaultWatchWait)
-	settings.Default(&s.Isolation, defaultIsolation)
+	s.StoreTimeout = cmp.Or(s.StoreTimeout, defaultStoreTimeout)
+	s.StopGrace = cmp.Or(s.StopGrace, defaultStopGrace)
+	s.LeaveGrace = cmp.Or(s.LeaveGrace, unit.Duration(lookup.AnswerTTL))
+	s.MaxHeaderBytes = cmp.Or(s.MaxHeaderBytes, defaultMaxHeaderBytes)
+	s.WatchWait = cmp.Or(s.WatchWait, defaultWatchWait)
+	s.Isolation = cmp.Or(s.Isolation, defaultIsolation)
 }
--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -59,9 +59,6 @@
 // Used returns the slots that the workspace uses.
 func (q *Queue) Used(workspace string) int { return q.used[workspace] }
 
-// Waiting returns the number of waiters.
-func (q *Queue) Waiting() int { return q.waiting }
-
 // Ask decides on a workspace that found no free slot among slots.
 func (q *Queue) Ask(workspace string, slots int) (*Ticket, Verdict) {
 	if q.waiting >= q.limit || !q.belowShare(workspace, slots) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +22,6 @@
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/control"
 	"lovagescale/internal/refusal"
-	"lovagescale/internal/settings"
 )
 
 // Headers of callers' requests.
@@ -100,8 +100,8 @@
 		authenticate: authenticate,
 	}
 	gateway.isolation.standard = options.Isolation
-	settings.Default(&gateway.maxBody, defaultMaxBodyBytes)
-	settings.Default(&gateway.maxHeader, defaultMaxHeaderBytes)
+	gateway.maxBody = cmp.Or(gateway.maxBody, defaultMaxBodyBytes)
+	gateway.maxHeader = cmp.Or(gateway.maxHeader, defaultMaxHeaderBytes)
 	return gateway
 }
 
--- a/internal/link/peers.go
+++ b/internal/link/peers.go
@@ -22,20 +22,3 @@
 	}
 	return client
 }
-
-// Keep closes and forgets the clients of all other peers.
-func (p *Peers) Keep(peers []string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	kept := make(map[string]*Client, len(peers))
-	for _, peer := range peers {
-		if client, found := p.clients[peer]; found {
-			kept[peer] = client
-			delete(p.clients, peer)
-		}
-	}
-	for _, client := range p.clients {
-		client.Close()
-	}
-	p.clients = kept
-}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -44,11 +44,6 @@
 	SilentZones []string `json:"silent_zones"`
 }
 
-// Confirmed reports whether the siblings still count on this incarnation.
-func (v *View) Confirmed(now time.Time) bool {
-	return v.ConfirmedUntil.IsZero() || now.Before(v.ConfirmedUntil)
-}
-
 // InZone returns the members of a zone, in order.
 func (v *View) InZone(zone string) []Member {
 	return slices.DeleteFunc(slices.Clone(v.Members), func(m Member) bool { return m.Zone != zone })
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -48,25 +49,18 @@
 
 // WithDefaults returns the options with defaults in place of zeros.
 func (o Options) WithDefaults() Options {
-	fill(&o.HeartbeatInterval, defaultHeartbeatInterval)
-	fill(&o.SuspectAfter, defaultSuspectAfter)
-	fill(&o.DeadAfter, defaultDeadAfter)
-	fill(&o.ListedDeadAfter, defaultListedDeadAfter)
-	fill(&o.DeadRetention, defaultDeadRetention)
-	fill(&o.GossipInterval, defaultGossipInterval)
-	fill(&o.GossipBytesPerSecond, defaultGossipBytesPerSecond)
-	fill(&o.Fanout, defaultFanout)
-	fill(&o.ZoneSilence, defaultZoneSilence)
+	o.HeartbeatInterval = cmp.Or(o.HeartbeatInterval, defaultHeartbeatInterval)
+	o.SuspectAfter = cmp.Or(o.SuspectAfter, defaultSuspectAfter)
+	o.DeadAfter = cmp.Or(o.DeadAfter, defaultDeadAfter)
+	o.ListedDeadAfter = cmp.Or(o.ListedDeadAfter, defaultListedDeadAfter)
+	o.DeadRetention = cmp.Or(o.DeadRetention, defaultDeadRetention)
+	o.GossipInterval = cmp.Or(o.GossipInterval, defaultGossipInterval)
+	o.GossipBytesPerSecond = cmp.Or(o.GossipBytesPerSecond, defaultGossipBytesPerSecond)
+	o.Fanout = cmp.Or(o.Fanout, defaultFanout)
+	o.ZoneSilence = cmp.Or(o.ZoneSilence, defaultZoneSilence)
 	return o
 }
 
-func fill[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // ticksPerHeartbeat is how often Tick should be called in one heartbeat
 // interval.
 const ticksPerHeartbeat = 4
--- a/internal/ownership/core.go
+++ b/internal/ownership/core.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -36,12 +37,6 @@
 // not know yet that this instance exists.
 const unheardFactor = 2
 
-func orDefault(value *time.Duration, fallback time.Duration) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 // phase is what this instance does with an endpoint.
 type phase int
 
@@ -123,11 +118,11 @@
 
 // New returns a core without endpoints and peers.
 func New(now time.Time, instance, incarnation string, options Options) *Core {
-	orDefault(&options.Hold, defaultHold)
-	orDefault(&options.Refresh, defaultRefresh)
-	orDefault(&options.CancelMargin, defaultCancelMargin)
-	orDefault(&options.BoundMargin, defaultBoundMargin)
-	orDefault(&options.ListWait, defaultListWait)
+	options.Hold = cmp.Or(options.Hold, defaultHold)
+	options.Refresh = cmp.Or(options.Refresh, defaultRefresh)
+	options.CancelMargin = cmp.Or(options.CancelMargin, defaultCancelMargin)
+	options.BoundMargin = cmp.Or(options.BoundMargin, defaultBoundMargin)
+	options.ListWait = cmp.Or(options.ListWait, defaultListWait)
 	return &Core{
 		self:        instance,
 		incarnation: incarnation,
@@ -318,20 +313,6 @@
 // outlasts the rights of a sibling that was paused after its last statement.
 func (c *Core) silence() time.Duration { return 2*c.options.Hold + c.options.Refresh }
 
-// NeedsList reports whether a reading of the platform's list can change
-// anything.
-func (c *Core) NeedsList(now time.Time) bool {
-	if !c.listSince.IsZero() {
-		return true
-	}
-	for _, known := range c.peers {
-		if now.Sub(known.lastHeard) > c.silence() {
-			return true
-		}
-	}
-	return false
-}
-
 // Idle records that this instance has no request in flight at an endpoint that
 // it yields.
 func (c *Core) Idle(now time.Time, endpoint string) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -14,6 +14,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
@@ -90,18 +91,10 @@
 
 // NewTable returns an empty table.
 func NewTable(options Options) *Table {
-	if options.Strikes == 0 {
-		options.Strikes = defaultStrikes
-	}
-	if options.Memory == 0 {
-		options.Memory = defaultMemory
-	}
-	if options.Term == 0 {
-		options.Term = defaultTerm
-	}
-	if options.Capacity == 0 {
-		options.Capacity = defaultCapacity
-	}
+	options.Strikes = cmp.Or(options.Strikes, defaultStrikes)
+	options.Memory = cmp.Or(options.Memory, defaultMemory)
+	options.Term = cmp.Or(options.Term, defaultTerm)
+	options.Capacity = cmp.Or(options.Capacity, defaultCapacity)
 	return &Table{options: options, records: make(map[Fingerprint]*record)}
 }
 
--- a/internal/quota/options.go
+++ b/internal/quota/options.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -46,24 +47,17 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Reserved, 0.25)
-	setDefault(&o.GrantTTL, 3*time.Second)
-	setDefault(&o.PauseLimit, 15*time.Second)
-	setDefault(&o.OwnerTTL, 10*time.Minute)
-	setDefault(&o.Horizon, 200*time.Millisecond)
-	setDefault(&o.AskTimeout, 300*time.Millisecond)
-	setDefault(&o.ReturnAfter, time.Second)
-	setDefault(&o.Fanout, 16)
+	o.Reserved = cmp.Or(o.Reserved, 0.25)
+	o.GrantTTL = cmp.Or(o.GrantTTL, 3*time.Second)
+	o.PauseLimit = cmp.Or(o.PauseLimit, 15*time.Second)
+	o.OwnerTTL = cmp.Or(o.OwnerTTL, 10*time.Minute)
+	o.Horizon = cmp.Or(o.Horizon, 200*time.Millisecond)
+	o.AskTimeout = cmp.Or(o.AskTimeout, 300*time.Millisecond)
+	o.ReturnAfter = cmp.Or(o.ReturnAfter, time.Second)
+	o.Fanout = cmp.Or(o.Fanout, 16)
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 // clockMargin is the part by which clocks of two instances may differ in speed.
 const clockMargin = 20
 
--- a/internal/routing/options.go
+++ b/internal/routing/options.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"time"
 
 	"lovagescale/internal/control"
@@ -68,27 +69,21 @@
 	defaultProbeInterval = 5 * time.Second
 )
 
-func orDefault[T int | float64 | time.Duration](value *T, fallback T) {
-	if *value == 0 {
-		*value = fallback
-	}
-}
-
 func (o *Options) fill() {
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	orDefault(&o.RetryShare, defaultRetryShare)
-	orDefault(&o.MaxTries, defaultMaxTries)
-	orDefault(&o.HedgeBelow, defaultHedgeBelow)
-	orDefault(&o.HedgeAfter, defaultHedgeAfter)
-	orDefault(&o.QueueWait, defaultQueueWait)
-	orDefault(&o.QueueLength, defaultQueueLength)
-	orDefault(&o.RampRequests, defaultRampRequests)
-	orDefault(&o.EjectFactor, defaultEjectFactor)
-	orDefault(&o.EjectShare, defaultEjectShare)
-	orDefault(&o.EjectTerm, defaultEjectTerm)
-	orDefault(&o.DrainHold, defaultDrainHold)
-	orDefault(&o.CancelLinger, defaultCancelLinger)
-	orDefault(&o.ProbeInterval, defaultProbeInterval)
+	o.RetryShare = cmp.Or(o.RetryShare, defaultRetryShare)
+	o.MaxTries = cmp.Or(o.MaxTries, defaultMaxTries)
+	o.HedgeBelow = cmp.Or(o.HedgeBelow, defaultHedgeBelow)
+	o.HedgeAfter = cmp.Or(o.HedgeAfter, defaultHedgeAfter)
+	o.QueueWait = cmp.Or(o.QueueWait, defaultQueueWait)
+	o.QueueLength = cmp.Or(o.QueueLength, defaultQueueLength)
+	o.RampRequests = cmp.Or(o.RampRequests, defaultRampRequests)
+	o.EjectFactor = cmp.Or(o.EjectFactor, defaultEjectFactor)
+	o.EjectShare = cmp.Or(o.EjectShare, defaultEjectShare)
+	o.EjectTerm = cmp.Or(o.EjectTerm, defaultEjectTerm)
+	o.DrainHold = cmp.Or(o.DrainHold, defaultDrainHold)
+	o.CancelLinger = cmp.Or(o.CancelLinger, defaultCancelLinger)
+	o.ProbeInterval = cmp.Or(o.ProbeInterval, defaultProbeInterval)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,7 +10,6 @@
 	"os"
 
 	"lovagescale/internal/tomlfile"
-	"lovagescale/internal/unit"
 )
 
 // FileError reports a settings file that cannot be read.
@@ -64,13 +63,6 @@
 	}
 }
 
-// RequirePositive adds a fault unless the duration is above 0.
-func RequirePositive(text *tomlfile.Text, value unit.Duration, path ...string) {
-	if value <= 0 {
-		text.Add("must be above 0", path...)
-	}
-}
-
 // Default sets value to fallback if it is 0.
 func Default[T comparable](value *T, fallback T) {
 	var zero T
