--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -62,11 +62,3 @@
 		text.Add("must be set", path...)
 	}
 }
-
-// Default sets value to fallback if it is 0.
-func Default[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
