Send an object's requests to one endpoint, by region and by endpoint

Change: weighted rendezvous hashing of the object over the region shares, then the highest-ranked endpoint of the region below 1.2 of its slots.

--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 
 	"lovagescale/internal/call"
 	"lovagescale/internal/catalog"
+	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/upstream"
@@ -36,8 +37,10 @@
 	route     *catalog.Route
 	workspace *catalog.Workspace
 	upstream  string
-	started   time.Time
-	deadline  time.Time
+	// object is what a request of a sticky route concerns; 0 is nothing.
+	object   uint64
+	started  time.Time
+	deadline time.Time
 	// fingerprint is that of equal requests.
 	fingerprint quarantine.Fingerprint
 	outgoing    upstream.Request
@@ -134,6 +137,9 @@
 			"request has cost several endpoints their connections").After(left)
 	}
 	q.upstream = e.splitter.Next(q.route)
+	if q.route.Sticky {
+		q.object = placement.Object(q.upstream, q.route.Name, q.asked.Object)
+	}
 	e.usual.arrived(q.upstream)
 	return q, nil
 }
--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -38,7 +38,7 @@
 // and within the bounds. It returns a whole answer or a refusal.
 func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []try, *refusal.Refusal) {
 	homes, restricted := catalog.HomesOf(q.route, q.workspace)
-	region := e.steering.Next(q.upstream, homes, restricted)
+	region := e.steering.Next(q.upstream, q.object, homes, restricted)
 	e.retries.First(q.upstream)
 	var tries []try
 	arrived := 0
@@ -70,11 +70,8 @@
 // choose takes an endpoint of the region.
 func (e *Edge) choose(q *request, region string, tries []try) (*placement.Endpoint, bool) {
 	ask := placement.Ask{
-		Upstream: q.upstream, Region: region, Zone: e.settings.Zone, AtHome: region == e.settings.Region,
-		Overfull: overfull(q.rank()),
-	}
-	if q.route.Sticky {
-		ask.Object = placement.Object(q.upstream, q.route.Name, q.asked.Object)
+		Upstream: q.upstream, Region: region, AtHome: region == e.settings.Region,
+		Object: q.object, Overfull: overfull(q.rank()),
 	}
 	for _, t := range tries {
 		ask.Tried = append(ask.Tried, t.endpoint)
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -180,8 +180,9 @@
 }
 
 // Next returns the region of the upstream's next request, among the homes if the
-// request is restricted to them, or "" when none may be used.
-func (s *Steering) Next(upstream string, homes []string, restricted bool) string {
+// request is restricted to them, or "" when none may be used. Requests for the
+// same object go to the same region while the shares allow it.
+func (s *Steering) Next(upstream string, object uint64, homes []string, restricted bool) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, found := s.upstreams[upstream]
@@ -191,12 +192,28 @@
 	if !found {
 		return s.region
 	}
+	if object != 0 {
+		return regionOf(object, u.weights, s.region)
+	}
 	if region := u.wheel.Next(u.weights); region != "" {
 		return region
 	}
 	return s.region
 }
 
+// regionOf returns the object's region by weighted rendezvous hashing: a share
+// that grows or shrinks moves no more objects than its change.
+func regionOf(object uint64, weights []weighted.Weight, fallback string) string {
+	best, highest := fallback, 0.0
+	for _, w := range weights {
+		uniform := (float64(mix(object, hashText(w.Name))>>11) + 0.5) / (1 << 53)
+		if score := w.Weight / -math.Log(uniform); score > highest {
+			best, highest = w.Name, score
+		}
+	}
+	return best
+}
+
 // home returns this region if it is a home, else the home with the most shares.
 func (s *Steering) home(u *steered, homes []string) string {
 	if slices.Contains(homes, s.region) {
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -69,8 +69,6 @@
 	Upstream string
 	// Region is where the request is to run.
 	Region string
-	// Zone is that of this instance; its endpoints go first.
-	Zone string
 	// AtHome says that Region is this instance's own, which may use cold
 	// endpoints.
 	AtHome bool
@@ -83,20 +81,16 @@
 	Tried []*Endpoint
 }
 
-// Factors of the bound on an endpoint's load.
-const (
-	// balance is the load above the mean at which an object goes to its next
-	// endpoint.
-	balance = 1.25
-	// spareRequest lets single requests pass the bound on quiet endpoints.
-	spareRequest = 1.0
-)
+// spill is the load, as a share of the slots, from which an object goes to its
+// next endpoint. Waiting for a little is shorter than a run of an object that the
+// endpoint does not know.
+const spill = 1.2
 
 // Choose returns an endpoint and counts the request on it, or false when none
 // in the region has room. End must be called for the endpoint.
 func (t *Table) Choose(now time.Time, ask Ask) (*Endpoint, bool) {
 	endpoints := t.upstreams[ask.Upstream][ask.Region]
-	c := newChooser(now, ask, endpoints)
+	c := newChooser(now, ask)
 	for _, e := range endpoints {
 		c.consider(e)
 	}
@@ -117,12 +111,10 @@
 type chooser struct {
 	now time.Time
 	ask Ask
-	// fill is the mean load of the region's endpoints by slot.
-	fill float64
-	// object are the endpoints with the highest rank for the object, in the
-	// instance's zone and elsewhere, that are within the bound.
-	object     [2]*Endpoint
-	objectRank [2]uint64
+	// object is the endpoint with the highest rank for the object among those
+	// below the bound.
+	object     *Endpoint
+	objectRank uint64
 	// least is the endpoint with the lowest load by slot that has room.
 	least     *Endpoint
 	leastFill float64
@@ -131,31 +123,19 @@
 	poorFill float64
 }
 
-func newChooser(now time.Time, ask Ask, endpoints []*Endpoint) *chooser {
-	load, slots := 0, 0
-	for _, e := range endpoints {
-		load += e.load(now)
-		slots += e.Slots
-	}
-	return &chooser{
-		now: now, ask: ask,
-		fill:      float64(load) / math.Max(float64(slots), 1),
-		leastFill: math.Inf(1),
-		poorFill:  math.Inf(1),
-	}
+func newChooser(now time.Time, ask Ask) *chooser {
+	return &chooser{now: now, ask: ask, leastFill: math.Inf(1), poorFill: math.Inf(1)}
 }
 
 func (c *chooser) consider(e *Endpoint) {
-	load := float64(e.load(c.now))
-	slots := float64(e.Slots)
-	if load >= slots*(1+c.ask.Overfull) || c.tried(e) {
+	fill := float64(e.load(c.now)) / float64(e.Slots)
+	if fill >= 1+c.ask.Overfull || c.tried(e) {
 		return
 	}
 	fit, cold := e.condition(c.now)
 	if fit == down || (cold && (!c.ask.AtHome || !e.takeCold(c.now))) {
 		return
 	}
-	fill := load / slots
 	if fit == poor {
 		if fill < c.poorFill {
 			c.poor, c.poorFill = e, fill
@@ -165,15 +145,11 @@
 	if fill < c.leastFill {
 		c.least, c.leastFill = e, fill
 	}
-	if load >= math.Min(slots, balance*c.fill*slots+spareRequest) {
+	if c.ask.Object == 0 || fill >= spill {
 		return
 	}
-	side := 0
-	if e.Zone != c.ask.Zone {
-		side = 1
-	}
-	if rank := mix(c.ask.Object, e.seed); c.ask.Object != 0 && (c.object[side] == nil || rank > c.objectRank[side]) {
-		c.object[side], c.objectRank[side] = e, rank
+	if rank := mix(c.ask.Object, e.seed); c.object == nil || rank > c.objectRank {
+		c.object, c.objectRank = e, rank
 	}
 }
 
@@ -187,7 +163,7 @@
 }
 
 func (c *chooser) best() *Endpoint {
-	for _, e := range []*Endpoint{c.object[0], c.object[1], c.least, c.poor} {
+	for _, e := range []*Endpoint{c.object, c.least, c.poor} {
 		if e != nil {
 			return e
 		}
