Spread a workspace's burst over the window while it is above its rate

Cause: a workspace whose rate was set far below its demand was admitted 41 of 43 requests/s, while each window owes it the rate and the burst. Change: after a whole window above the rate the burst is refilled over the window; the depth stays.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -36,6 +36,7 @@
 // Quotas holds this instance's parts of the workspaces' quotas. It is safe for
 // concurrent use.
 type Quotas struct {
+	window     time.Duration
 	mu         sync.Mutex
 	workspaces map[string]*part
 }
@@ -44,10 +45,16 @@
 type part struct {
 	limiter *rate.Limiter
 	demand  Meter
+	// aboveSince is when the demand on all instances last rose above the rate;
+	// zero while it is not.
+	aboveSince time.Time
 }
 
-// NewQuotas returns quotas without workspaces.
-func NewQuotas() *Quotas { return &Quotas{workspaces: make(map[string]*part)} }
+// NewQuotas returns quotas without workspaces. A workspace may send its burst
+// beside its rate in each window.
+func NewQuotas(window time.Duration) *Quotas {
+	return &Quotas{window: window, workspaces: make(map[string]*part)}
+}
 
 // Admit takes a token of the workspace. Without one it returns false and when to
 // come back.
@@ -112,11 +119,35 @@
 	for name, workspace := range c.Workspaces {
 		p := q.part(now, name)
 		share := ShareOf(p.demand.Rate(), others[name], instances)
-		p.limiter.SetLimitAt(now, rate.Limit(workspace.Rate*share))
+		limit := workspace.Rate
+		if p.above(now, workspace.Rate, others[name]) >= q.window {
+			limit = Sustained(limit, workspace.Burst, q.window)
+		}
+		p.limiter.SetLimitAt(now, rate.Limit(limit*share))
 		p.limiter.SetBurstAt(now, max(int(workspace.Burst*share), 1))
 	}
 }
 
+// above returns how long the demand on all instances has been above the rate.
+func (p *part) above(now time.Time, rate, others float64) time.Duration {
+	if p.demand.Rate()+others <= rate {
+		p.aboveSince = time.Time{}
+		return 0
+	}
+	if p.aboveSince.IsZero() {
+		p.aboveSince = now
+	}
+	return now.Sub(p.aboveSince)
+}
+
+// Sustained returns the rate of a workspace that has been above its rate for a
+// whole window. Its burst is spent by then and comes again in each window, so it
+// is spread over the window; the depth of the buckets stays, since shallow ones
+// lose tokens wherever requests come unevenly.
+func Sustained(limit, burst float64, window time.Duration) float64 {
+	return limit + burst/window.Seconds()
+}
+
 // ShareOf returns an instance's share of a quota, given its own demand, that of
 // the others and the number of instances. The shares of all add up to 1.
 func ShareOf(own, others float64, instances int) float64 {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -95,7 +95,7 @@
 		log:      log.With().Str("instance", s.Instance).Logger(),
 		registry: metrics.NewRegistry(),
 		loop:     control.NewLoop("edge"),
-		quotas:   allowance.NewQuotas(),
+		quotas:   allowance.NewQuotas(s.Bounds.QuotaWindow),
 		retries:  allowance.NewRetryBudget(allowance.RetryOptions{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst}),
 		splitter: catalog.NewSplitter(),
 		steering: placement.NewSteering(s.Region),
@@ -113,7 +113,6 @@
 		registry: placement.NewRegistry(s.Zones, e.pool),
 		items:    make(map[string]Item),
 		peers:    make(map[string]context.CancelFunc),
-		demand:   make(map[string]*allowance.Meter),
 	}
 	e.table.Store(placement.NewTable())
 	e.entries.Store(&map[string][]string{})
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -39,6 +39,9 @@
 	// instances: a share of the first ones, and a number beside it.
 	RetryRatio float64
 	RetryBurst float64
+	// QuotaWindow is the window in which a workspace may send its burst beside its
+	// rate.
+	QuotaWindow time.Duration
 	// LookUpTTL is the longest time that callers keep an answer to a look-up.
 	LookUpTTL time.Duration
 	// MaxShift is the share of a region's requests that may change the region
@@ -54,15 +57,16 @@
 // DefaultBounds returns the bounds of an installation that sets none.
 func DefaultBounds() Bounds {
 	return Bounds{
-		StopGrace:  6 * time.Second,
-		Contact:    4 * time.Second,
-		Drain:      2 * time.Second,
-		CatchUp:    4 * time.Second,
-		LossSlack:  200 * time.Millisecond,
-		RetryRatio: 0.1,
-		RetryBurst: 20,
-		LookUpTTL:  5 * time.Second,
-		MaxShift:   0.15,
-		ColdFactor: 1,
+		StopGrace:   6 * time.Second,
+		Contact:     4 * time.Second,
+		Drain:       2 * time.Second,
+		CatchUp:     4 * time.Second,
+		LossSlack:   200 * time.Millisecond,
+		RetryRatio:  0.1,
+		RetryBurst:  20,
+		QuotaWindow: 5 * time.Second,
+		LookUpTTL:   5 * time.Second,
+		MaxShift:    0.15,
+		ColdFactor:  1,
 	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"lovagescale/internal/allowance"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/mirror"
@@ -34,8 +33,7 @@
 	// items is what the mirror's entries mean.
 	items map[string]Item
 	// peers ends the goroutine of each peer.
-	peers  map[string]context.CancelFunc
-	demand map[string]*allowance.Meter
+	peers map[string]context.CancelFunc
 	// missing are the endpoints that an outage of the store left unregistered,
 	// with the time at which they count as gone.
 	missing map[string]time.Time
