Fill regions to 0.65 of their slots before requests leave

Cause: 16% of the look-ups that ran in sierra (2 endpoints) were late in steady state: at 0.8 of few slots the load of one endpoint varies past its slots.

--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -11,7 +11,7 @@
 
 // comfortable is the share of a region's slots that is filled before its own
 // requests go to other regions, as long as those have more room.
-const comfortable = 0.8
+const comfortable = 0.65
 
 // Plan returns the shares of a region's requests that should run in each
 // region. demand and capacity are in slots, by region. Requests stay in their
