Wait at the object's own endpoint; another one takes it only where there is room

Cause: when endpoints were full, requests went to endpoints that do not know the object and need 3.3 times as long, which filled those too; endpoints that refuse for a common cause were treated by turns, without regard to objects. Change: the object's endpoint takes requests up to a load at which they are still answered within the objective, less for lower ranks; other endpoints take them below 0.75 of their slots only; when most endpoints are poor, none is treated as such. Further tries spend 0.85 of the allowed ratio, 0.5 before.

--- a/internal/allowance/retry.go
+++ b/internal/allowance/retry.go
@@ -13,9 +13,12 @@
 	Burst float64
 }
 
-// prudence is the part of the ratio and of the burst that is spent: a window of
-// the bound may hold what two of ours have saved.
-const prudence = 0.5
+// Parts of the bound that are spent. Saved tries count in the window in which
+// they are spent, so that all of them must fit the burst.
+const (
+	ratioPart = 0.85
+	burstPart = 0.6
+)
 
 // RetryBudget holds this instance's further tries by upstream. It is safe for
 // concurrent use.
@@ -42,8 +45,8 @@
 func (b *RetryBudget) First(upstream string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	limit := prudence * b.options.Burst / float64(b.instances)
-	b.tokens[upstream] = min(b.tokens[upstream]+prudence*b.options.Ratio, max(limit, 1))
+	limit := burstPart * b.options.Burst / float64(b.instances)
+	b.tokens[upstream] = min(b.tokens[upstream]+ratioPart*b.options.Ratio, max(limit, 1))
 }
 
 // Further takes a further try, or reports false when none is left.
--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -71,7 +71,7 @@
 func (e *Edge) choose(q *request, region string, tries []try) (*placement.Endpoint, bool) {
 	ask := placement.Ask{
 		Upstream: q.upstream, Region: region, AtHome: region == e.settings.Region,
-		Object: q.object, Overfull: overfull(q.rank()),
+		Object: q.object, MaxFill: e.maxFill(q, region),
 	}
 	for _, t := range tries {
 		ask.Tried = append(ask.Tried, t.endpoint)
@@ -206,22 +206,27 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// Loads above an endpoint's slots that are accepted for urgent requests, as
-// shares of the slots.
+// Constants of admission.
 const (
-	overfullUrgent = 0.4
-	overfullCommon = 0.15
+	// objectivePart is the part of the objective by which an admitted request
+	// should be answered.
+	objectivePart = 0.85
+	// minWait and maxWait bound the wait that is accepted, in service times.
+	minWait = 0.05
+	maxWait = 1.2
+	// patience is the part of the accepted wait that each lower rank gives up.
+	patience = 0.25
 )
 
-// overfull returns how far an endpoint may be filled above its slots.
-func overfull(rank int) float64 {
-	switch rank {
-	case 0:
-		return overfullUrgent
-	case 1:
-		return overfullCommon
-	}
-	return 0
+// maxFill returns the load, as a multiple of its slots, up to which an endpoint
+// may take the request: a request that waits should still be answered within its
+// objective, and less urgent ones leave room to the others.
+func (e *Edge) maxFill(q *request, region string) float64 {
+	took := e.usual.estimate(q.upstream, q.route.Name, region).Seconds()
+	service := e.usual.serviceTime(q.upstream).Seconds()
+	wait := (objectivePart*q.route.Objective.Seconds() - took) / service
+	wait *= max(1-patience*float64(q.rank()), 0)
+	return 1 + min(max(wait, minWait), maxWait)
 }
 
 // rankOf joins the priorities of a workspace and of a route.
--- a/internal/edge/usual.go
+++ b/internal/edge/usual.go
@@ -66,6 +66,17 @@
 	return firstServiceTime
 }
 
+// estimate returns what an answer to the route takes from a region.
+func (u *usual) estimate(upstream, route, region string) time.Duration {
+	u.mu.Lock()
+	seconds := u.tries[usualKey{route, region}]
+	u.mu.Unlock()
+	if seconds > 0 {
+		return time.Duration(seconds * float64(time.Second))
+	}
+	return u.serviceTime(upstream)
+}
+
 // arrived counts a request.
 func (u *usual) arrived(upstream string) {
 	u.mu.Lock()
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -77,6 +77,13 @@
 	return e.health.fitness(now, int(e.own.Load())), e.cold.active(now)
 }
 
+// coldTurn reports whether a cold endpoint may get a request now.
+func (e *Endpoint) coldTurn(now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.cold.turn(now)
+}
+
 // takeCold takes a turn at a cold endpoint; it reports false when there is none
 // yet.
 func (e *Endpoint) takeCold(now time.Time) bool {
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -140,8 +140,10 @@
 	}
 }
 
+func (p *pacer) turn(now time.Time) bool { return !now.Before(p.next) }
+
 func (p *pacer) take(now time.Time) bool {
-	if now.Before(p.next) {
+	if !p.turn(now) {
 		return false
 	}
 	p.next = now.Add(p.interval)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -74,28 +74,29 @@
 	AtHome bool
 	// Object is what the request concerns; 0 is nothing.
 	Object uint64
-	// Overfull is the load that is accepted above an endpoint's slots, as a share
-	// of the slots.
-	Overfull float64
+	// MaxFill is the load, as a multiple of the slots, below which the object's
+	// own endpoint takes the request.
+	MaxFill float64
 	// Tried are the endpoints that the request was sent to.
 	Tried []*Endpoint
 }
 
-// spill is the load, as a share of the slots, from which an object goes to its
-// next endpoint. Waiting for a little is shorter than a run of an object that the
-// endpoint does not know.
-const spill = 1.2
+// SpillFill is the load, as a multiple of the slots, below which another endpoint
+// than the object's own takes a request. The other one does not know the object
+// and needs several times as long, which only pays where there is room.
+const SpillFill = 0.75
 
 // Choose returns an endpoint and counts the request on it, or false when none
 // in the region has room. End must be called for the endpoint.
 func (t *Table) Choose(now time.Time, ask Ask) (*Endpoint, bool) {
 	endpoints := t.upstreams[ask.Upstream][ask.Region]
-	c := newChooser(now, ask)
+	c := chooser{now: now, ask: ask, least: lowest{fill: math.Inf(1)}}
+	c.poorAllowed = mostArePoor(now, endpoints)
 	for _, e := range endpoints {
 		c.consider(e)
 	}
-	best := c.best()
-	if best == nil {
+	best, cold := c.best()
+	if best == nil || (cold && !best.takeCold(now)) {
 		return nil, false
 	}
 	best.begin(now)
@@ -107,49 +108,70 @@
 	e.end(now, result, pace)
 }
 
+// mostArePoor reports whether more endpoints are poor than sound. Then the cause
+// is common to them, and going by turns would only cost their knowledge of
+// objects.
+func mostArePoor(now time.Time, endpoints []*Endpoint) bool {
+	counts := make([]int, sound+1)
+	for _, e := range endpoints {
+		fit, _ := e.condition(now)
+		counts[fit]++
+	}
+	return counts[poor] >= counts[sound]
+}
+
+// ranked is the endpoint with the highest rank for the object so far.
+type ranked struct {
+	endpoint *Endpoint
+	rank     uint64
+	fill     float64
+	cold     bool
+}
+
+func (r *ranked) take(e *Endpoint, rank uint64, fill float64, cold bool) {
+	if r.endpoint == nil || rank > r.rank {
+		*r = ranked{e, rank, fill, cold}
+	}
+}
+
+// lowest is the endpoint with the lowest load by slot so far.
+type lowest struct {
+	endpoint *Endpoint
+	fill     float64
+	cold     bool
+}
+
 // chooser compares the endpoints for one request.
 type chooser struct {
 	now time.Time
 	ask Ask
-	// object is the endpoint with the highest rank for the object among those
-	// below the bound.
-	object     *Endpoint
-	objectRank uint64
-	// least is the endpoint with the lowest load by slot that has room.
-	least     *Endpoint
-	leastFill float64
-	// poor is the like of least among the endpoints that are left alone.
-	poor     *Endpoint
-	poorFill float64
-}
-
-func newChooser(now time.Time, ask Ask) *chooser {
-	return &chooser{now: now, ask: ask, leastFill: math.Inf(1), poorFill: math.Inf(1)}
+	// poorAllowed treats poor endpoints like sound ones.
+	poorAllowed bool
+	// own is the object's endpoint, spill its first one below SpillFill.
+	own   ranked
+	spill ranked
+	least lowest
 }
 
 func (c *chooser) consider(e *Endpoint) {
-	fill := float64(e.load(c.now)) / float64(e.Slots)
-	if fill >= 1+c.ask.Overfull || c.tried(e) {
-		return
-	}
 	fit, cold := e.condition(c.now)
-	if fit == down || (cold && (!c.ask.AtHome || !e.takeCold(c.now))) {
+	if fit == down || (fit == poor && !c.poorAllowed) || c.tried(e) {
 		return
 	}
-	if fit == poor {
-		if fill < c.poorFill {
-			c.poor, c.poorFill = e, fill
-		}
+	if cold && (!c.ask.AtHome || !e.coldTurn(c.now)) {
 		return
 	}
-	if fill < c.leastFill {
-		c.least, c.leastFill = e, fill
+	fill := float64(e.load(c.now)) / float64(e.Slots)
+	if fill < c.least.fill {
+		c.least = lowest{e, fill, cold}
 	}
-	if c.ask.Object == 0 || fill >= spill {
+	if c.ask.Object == 0 {
 		return
 	}
-	if rank := mix(c.ask.Object, e.seed); c.object == nil || rank > c.objectRank {
-		c.object, c.objectRank = e, rank
+	rank := mix(c.ask.Object, e.seed)
+	c.own.take(e, rank, fill, cold)
+	if fill < SpillFill {
+		c.spill.take(e, rank, fill, cold)
 	}
 }
 
@@ -162,13 +184,18 @@
 	return false
 }
 
-func (c *chooser) best() *Endpoint {
-	for _, e := range []*Endpoint{c.object, c.least, c.poor} {
-		if e != nil {
-			return e
-		}
+// best returns the endpoint for the request and whether it is cold.
+func (c *chooser) best() (*Endpoint, bool) {
+	if c.own.endpoint != nil && c.own.fill < c.ask.MaxFill {
+		return c.own.endpoint, c.own.cold
+	}
+	if c.ask.Object != 0 {
+		return c.spill.endpoint, c.spill.cold
+	}
+	if c.least.fill < math.Max(c.ask.MaxFill, 1) {
+		return c.least.endpoint, c.least.cold
 	}
-	return nil
+	return nil, false
 }
 
 // Object returns the identity of an object's name on an upstream.
