--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -13,8 +13,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -62,6 +64,8 @@
 	ports    Ports
 	log      zerolog.Logger
 	registry metrics.Registry
+	// regions are those of all zones, in order.
+	regions []string
 
 	loop  *control.Loop
 	state *state // owned by loop
@@ -94,6 +98,7 @@
 		ports:    ports,
 		log:      log.With().Str("instance", s.Instance).Logger(),
 		registry: metrics.NewRegistry(),
+		regions:  regionsOf(s.Zones),
 		loop:     control.NewLoop("edge"),
 		quotas:   allowance.NewQuotas(s.Bounds.QuotaWindow),
 		retries:  allowance.NewRetryBudget(allowance.RetryOptions{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst}),
@@ -121,6 +126,10 @@
 	return e
 }
 
+func regionsOf(zones map[string]string) []string {
+	return slices.Compact(slices.Sorted(maps.Values(zones)))
+}
+
 // pool returns the connections to an endpoint, with this instance's part of the
 // connections that the endpoint takes.
 func (e *Edge) pool(record placement.Record) *upstream.Pool {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -224,33 +224,55 @@
 	s.edge.quotas.Divide(now, c, others, s.fleet.Size())
 }
 
+// idleDemand is the demand of the region on an upstream, in slots, below which its
+// shares follow the plan at once: there are no requests that would move.
+const idleDemand = 0.5
+
 // steer moves the shares of this region's requests towards the plan.
 func (s *state) steer(now time.Time, elapsed time.Duration) {
 	table := s.edge.table.Load()
-	own := s.edge.usual.tick(elapsed)
+	arrivals := s.arrivals(now, s.edge.usual.tick(elapsed))
 	step := s.edge.settings.Bounds.MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds()
 	for _, name := range table.Upstreams() {
 		service := s.edge.usual.serviceTime(name).Seconds()
-		demand := map[string]float64{s.edge.settings.Region: own[name] * service}
-		for _, beat := range s.fleet.Live(now) {
-			for _, told := range beat.Upstreams {
-				if told.Name == name {
-					demand[beat.Member.Region] += told.Rate * service
-				}
-			}
+		demand := make(map[string]float64)
+		for region, rate := range arrivals[name] {
+			demand[region] = rate * service
 		}
 		capacity := table.Capacity(now, name)
+		if demand[s.edge.settings.Region] < idleDemand {
+			s.edge.steering.Move(name, placement.Expected(s.edge.regions, capacity), capacity, 1)
+			continue
+		}
 		s.edge.steering.Move(name, demand, capacity, step)
 	}
 }
 
+// arrivals returns the requests per second by upstream and region.
+func (s *state) arrivals(now time.Time, own map[string]float64) map[string]map[string]float64 {
+	arrivals := make(map[string]map[string]float64)
+	add := func(upstream, region string, rate float64) {
+		if arrivals[upstream] == nil {
+			arrivals[upstream] = make(map[string]float64)
+		}
+		arrivals[upstream][region] += rate
+	}
+	for name, rate := range own {
+		add(name, s.edge.settings.Region, rate)
+	}
+	for _, beat := range s.fleet.Live(now) {
+		for _, told := range beat.Upstreams {
+			add(told.Name, beat.Member.Region, told.Rate)
+		}
+	}
+	return arrivals
+}
+
 // publishEntries sets the answers to look-ups, by the caller's region.
 func (s *state) publishEntries(now time.Time) {
 	entries := make(map[string][]string)
-	for _, region := range s.edge.settings.Zones {
-		if _, done := entries[region]; !done {
-			entries[region] = s.fleet.Entries(now, region, maxEntries)
-		}
+	for _, region := range s.edge.regions {
+		entries[region] = s.fleet.Entries(now, region, maxEntries)
 	}
 	entries[""] = s.fleet.Entries(now, "", maxEntries)
 	s.edge.entries.Store(&entries)
@@ -265,7 +287,7 @@
 		Strikes:    s.edge.poison.recent(now),
 	}
 	beats := make(map[string]fleet.Heartbeat)
-	for _, region := range s.edge.settings.Zones {
+	for _, region := range s.edge.regions {
 		beats[region] = common
 	}
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -35,6 +35,20 @@
 	return shares
 }
 
+// Expected returns the demand, in slots, that is assumed before there is any: the
+// same in every region, and as much as fills all slots comfortably.
+func Expected(regions []string, capacity map[string]float64) map[string]float64 {
+	total := 0.0
+	for _, slots := range capacity {
+		total += slots
+	}
+	demand := make(map[string]float64, len(regions))
+	for _, region := range regions {
+		demand[region] = comfortable * total / float64(len(regions))
+	}
+	return demand
+}
+
 // fillOf returns the share of the slots that is filled where demand is spread
 // evenly, or comfortable if that is more.
 func fillOf(demand, capacity map[string]float64) float64 {
