Plan beside requests that must run in a region, and damp news of free slots

Change: requests bound to a region are told apart and taken off its room; the mean load of other instances counts where it is above the last news; refusals for want of room say region, usable endpoints and load.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -58,7 +58,10 @@
 		line = line.Uint64("version", q.catalog.Version)
 	}
 	if q.route != nil {
-		line = line.Str("route", q.route.Name).Str("upstream", q.upstream)
+		line = line.Str("route", q.route.Name).Str("upstream", q.upstream).Str("region", q.region)
+	}
+	if q.cause != nil {
+		line = line.AnErr("cause", q.cause)
 	}
 	if q.workspace != nil {
 		line = line.Str("workspace", q.workspace.Name)
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -37,6 +37,10 @@
 	route     *catalog.Route
 	workspace *catalog.Workspace
 	upstream  string
+	// region is where the request is to run.
+	region string
+	// cause is why it was refused, if it was for want of room.
+	cause error
 	// object is what a request of a sticky route concerns; 0 is nothing.
 	object   uint64
 	started  time.Time
@@ -140,7 +144,6 @@
 	if q.route.Sticky {
 		q.object = placement.Object(q.upstream, q.route.Name, q.asked.Object)
 	}
-	e.usual.arrived(q.upstream)
 	return q, nil
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -230,42 +230,60 @@
 
 // steer moves the shares of this region's requests towards the plan.
 func (s *state) steer(now time.Time, elapsed time.Duration) {
+	s.edge.usual.tick(elapsed)
 	table := s.edge.table.Load()
-	arrivals := s.arrivals(now, s.edge.usual.tick(elapsed))
+	free, bound := s.arrivals(now)
 	step := s.edge.settings.Bounds.MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds()
 	for _, name := range table.Upstreams() {
 		service := s.edge.usual.serviceTime(name).Seconds()
-		demand := make(map[string]float64)
-		for region, rate := range arrivals[name] {
-			demand[region] = rate * service
-		}
 		capacity := table.Capacity(now, name)
+		room := placement.Room(capacity, scaled(bound[name], service))
+		demand := scaled(free[name], service)
 		if demand[s.edge.settings.Region] < idleDemand {
-			s.edge.steering.Move(name, placement.Expected(s.edge.regions, capacity), capacity, 1)
+			s.edge.steering.Move(name, placement.Plan(s.edge.settings.Region, placement.Expected(s.edge.regions, room), room), capacity, 1)
 			continue
 		}
-		s.edge.steering.Move(name, demand, capacity, step)
+		s.edge.steering.Move(name, placement.Plan(s.edge.settings.Region, demand, room), capacity, step)
 	}
 }
 
-// arrivals returns the requests per second by upstream and region.
-func (s *state) arrivals(now time.Time, own map[string]float64) map[string]map[string]float64 {
-	arrivals := make(map[string]map[string]float64)
-	add := func(upstream, region string, rate float64) {
-		if arrivals[upstream] == nil {
-			arrivals[upstream] = make(map[string]float64)
-		}
-		arrivals[upstream][region] += rate
+// rates are requests per second by upstream and region.
+type rates map[string]map[string]float64
+
+func (r rates) add(upstream, region string, rate float64) {
+	if r[upstream] == nil {
+		r[upstream] = make(map[string]float64)
+	}
+	r[upstream][region] += rate
+}
+
+// scaled returns the rates times a duration in seconds: the slots that they fill.
+func scaled(by map[string]float64, seconds float64) map[string]float64 {
+	slots := make(map[string]float64, len(by))
+	for region, rate := range by {
+		slots[region] = rate * seconds
 	}
-	for name, rate := range own {
-		add(name, s.edge.settings.Region, rate)
+	return slots
+}
+
+// arrivals returns the requests that may run anywhere by the region where they
+// arrive, and those that must run in a region by that region.
+func (s *state) arrivals(now time.Time) (free, bound rates) {
+	free, bound = make(rates), make(rates)
+	add := func(at string, demand []fleet.UpstreamDemand) {
+		for _, d := range demand {
+			if d.Region == "" {
+				free.add(d.Upstream, at, d.Rate)
+			} else {
+				bound.add(d.Upstream, d.Region, d.Rate)
+			}
+		}
 	}
+	add(s.edge.settings.Region, s.edge.usual.demand())
 	for _, beat := range s.fleet.Live(now) {
-		for _, told := range beat.Upstreams {
-			add(told.Name, beat.Member.Region, told.Rate)
-		}
+		add(beat.Member.Region, beat.Upstreams)
 	}
-	return arrivals
+	return free, bound
 }
 
 // publishEntries sets the answers to look-ups, by the caller's region.
@@ -282,7 +300,7 @@
 func (s *state) publishBeats(now time.Time) {
 	common := fleet.Heartbeat{
 		Member: s.fleet.Self(), State: s.fleet.State(), Revision: s.mirror.Revision(),
-		Upstreams:  demands(s.edge.usual.demand()),
+		Upstreams:  s.edge.usual.demand(),
 		Workspaces: demands(s.edge.quotas.Demand()),
 		Strikes:    s.edge.poison.recent(now),
 	}
--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -38,14 +38,19 @@
 // and within the bounds. It returns a whole answer or a refusal.
 func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []try, *refusal.Refusal) {
 	homes, restricted := catalog.HomesOf(q.route, q.workspace)
-	region := e.steering.Next(q.upstream, q.object, homes, restricted)
+	q.region = e.steering.Next(q.upstream, q.object, homes, restricted)
+	if restricted {
+		e.usual.arrived(q.upstream, q.region)
+	} else {
+		e.usual.arrived(q.upstream, "")
+	}
 	e.retries.First(q.upstream)
 	var tries []try
 	arrived := 0
 	for {
-		endpoint, found := e.choose(q, region, tries)
-		if !found {
-			return nil, tries, e.noRoom(q, tries)
+		endpoint, err := e.choose(q, tries)
+		if err != nil {
+			return nil, tries, e.noRoom(q, tries, err)
 		}
 		answer, result := e.exchange(ctx, q, endpoint)
 		tries = append(tries, try{endpoint, result})
@@ -68,10 +73,10 @@
 }
 
 // choose takes an endpoint of the region.
-func (e *Edge) choose(q *request, region string, tries []try) (*placement.Endpoint, bool) {
+func (e *Edge) choose(q *request, tries []try) (*placement.Endpoint, error) {
 	ask := placement.Ask{
-		Upstream: q.upstream, Region: region, AtHome: region == e.settings.Region,
-		Object: q.object, MaxFill: e.maxFill(q, region),
+		Upstream: q.upstream, Region: q.region, AtHome: q.region == e.settings.Region,
+		Object: q.object, MaxFill: e.maxFill(q),
 	}
 	for _, t := range tries {
 		ask.Tried = append(ask.Tried, t.endpoint)
@@ -176,7 +181,8 @@
 }
 
 // noRoom refuses a request for which there is no endpoint.
-func (e *Edge) noRoom(q *request, tries []try) *refusal.Refusal {
+func (e *Edge) noRoom(q *request, tries []try, cause error) *refusal.Refusal {
+	q.cause = cause
 	if ranTry(tries) {
 		return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown,
 			"the endpoint gave no answer and no other one has room")
@@ -221,8 +227,8 @@
 // maxFill returns the load, as a multiple of its slots, up to which an endpoint
 // may take the request: a request that waits should still be answered within its
 // objective, and less urgent ones leave room to the others.
-func (e *Edge) maxFill(q *request, region string) float64 {
-	took := e.usual.estimate(q.upstream, q.route.Name, region).Seconds()
+func (e *Edge) maxFill(q *request) float64 {
+	took := e.usual.estimate(q.upstream, q.route.Name, q.region).Seconds()
 	service := e.usual.serviceTime(q.upstream).Seconds()
 	wait := (objectivePart*q.route.Objective.Seconds() - took) / service
 	wait *= max(1-patience*float64(q.rank()), 0)
--- a/internal/edge/usual.go
+++ b/internal/edge/usual.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagescale/internal/allowance"
+	"lovagescale/internal/fleet"
 )
 
 // usualSmoothing is the weight of one more answer in the usual durations.
@@ -19,16 +20,20 @@
 	mu       sync.Mutex
 	tries    map[usualKey]float64 // seconds
 	services map[string]float64   // seconds, in the instance's own region
-	arrivals map[string]*allowance.Meter
+	arrivals map[arrivalKey]*allowance.Meter
 }
 
+// arrivalKey names a demand: requests to an upstream that may run anywhere, or,
+// with a region, those that must run there.
+type arrivalKey struct{ upstream, region string }
+
 type usualKey struct{ route, region string }
 
 func newUsual() *usual {
 	return &usual{
 		tries:    make(map[usualKey]float64),
 		services: make(map[string]float64),
-		arrivals: make(map[string]*allowance.Meter),
+		arrivals: make(map[arrivalKey]*allowance.Meter),
 	}
 }
 
@@ -77,35 +82,37 @@
 	return u.serviceTime(upstream)
 }
 
-// arrived counts a request.
-func (u *usual) arrived(upstream string) {
+// arrived counts a request; region is where it must run, or "".
+func (u *usual) arrived(upstream, region string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	meter, found := u.arrivals[upstream]
+	key := arrivalKey{upstream, region}
+	meter, found := u.arrivals[key]
 	if !found {
 		meter = &allowance.Meter{}
-		u.arrivals[upstream] = meter
+		u.arrivals[key] = meter
 	}
 	meter.Count()
 }
 
-// tick ends a period and returns the arrivals per second.
-func (u *usual) tick(elapsed time.Duration) map[string]float64 {
+// tick ends a period of measuring.
+func (u *usual) tick(elapsed time.Duration) {
 	u.mu.Lock()
+	defer u.mu.Unlock()
 	for _, meter := range u.arrivals {
 		meter.Tick(elapsed)
 	}
-	u.mu.Unlock()
-	return u.demand()
 }
 
-// demand returns the arrivals per second by upstream.
-func (u *usual) demand() map[string]float64 {
+// demand returns the arrivals that are worth telling.
+func (u *usual) demand() []fleet.UpstreamDemand {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	rates := make(map[string]float64, len(u.arrivals))
-	for name, meter := range u.arrivals {
-		rates[name] = meter.Rate()
+	var told []fleet.UpstreamDemand
+	for key, meter := range u.arrivals {
+		if meter.Rate() >= demandResolution {
+			told = append(told, fleet.UpstreamDemand{Upstream: key.upstream, Region: key.region, Rate: meter.Rate()})
+		}
 	}
-	return rates
+	return told
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -61,6 +61,16 @@
 	Rate     float64
 }
 
+// UpstreamDemand is the arrival of requests to an upstream, per second.
+type UpstreamDemand struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack struct{} `msgpack:",as_array"`
+	Upstream string
+	// Region is where the requests must run; empty is anywhere.
+	Region string
+	Rate   float64
+}
+
 // Heartbeat tells a peer that its sender lives and what it does.
 type Heartbeat struct {
 	Member Member `msgpack:"m"`
@@ -70,8 +80,8 @@
 	// Uses are those at endpoints of the receiver's region.
 	Uses []Use `msgpack:"u,omitempty"`
 	// Upstreams and Workspaces are the demand by upstream and by workspace.
-	Upstreams  []Demand `msgpack:"d,omitempty"`
-	Workspaces []Demand `msgpack:"w,omitempty"`
+	Upstreams  []UpstreamDemand `msgpack:"d,omitempty"`
+	Workspaces []Demand         `msgpack:"w,omitempty"`
 	// Strikes are the requests that cost endpoints their connection.
 	Strikes []quarantine.Strike `msgpack:"k,omitempty"`
 }
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,8 @@
 	// of toldAt in Unix nanoseconds.
 	toldOthers atomic.Int64
 	toldAt     atomic.Int64
+	// othersMean belongs to the control loop.
+	othersMean float64
 
 	mu     sync.Mutex
 	health health
@@ -58,8 +61,17 @@
 // Own returns the requests under way from this instance.
 func (e *Endpoint) Own() int { return int(e.own.Load()) }
 
-// SetOthers sets the requests that the other instances told.
-func (e *Endpoint) SetOthers(n int) { e.others.Store(int64(n)) }
+// othersSmoothing is the weight of the last news in the mean load of the other
+// instances.
+const othersSmoothing = 0.15
+
+// SetOthers sets the requests that the other instances told. Their mean counts
+// where it is more than the last news: instances that all act on the same news
+// of free slots would fill them several times over.
+func (e *Endpoint) SetOthers(n int) {
+	e.othersMean += othersSmoothing * (float64(n) - e.othersMean)
+	e.others.Store(max(int64(n), int64(math.Round(e.othersMean))))
+}
 
 // begin counts a request.
 func (e *Endpoint) begin(now time.Time) {
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -49,6 +49,20 @@
 	return demand
 }
 
+// leastRoom is the part of a region's slots that the plan counts with even where
+// requests that must run there fill them.
+const leastRoom = 0.02
+
+// Room returns the slots that are left beside requests that must run in their
+// region; all figures are in slots.
+func Room(capacity, bound map[string]float64) map[string]float64 {
+	room := make(map[string]float64, len(capacity))
+	for region, slots := range capacity {
+		room[region] = math.Max(slots-bound[region]/comfortable, leastRoom*slots)
+	}
+	return room
+}
+
 // fillOf returns the share of the slots that is filled where demand is spread
 // evenly, or comfortable if that is more.
 func fillOf(demand, capacity map[string]float64) float64 {
@@ -180,8 +194,9 @@
 	return &Steering{region: region, upstreams: make(map[string]*steered)}
 }
 
-// Move brings the upstream's shares nearer to the plan by at most step.
-func (s *Steering) Move(upstream string, demand, capacity map[string]float64, step float64) {
+// Move brings the upstream's shares nearer to the plan by at most step; regions
+// without capacity lose theirs at once.
+func (s *Steering) Move(upstream string, plan, capacity map[string]float64, step float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, found := s.upstreams[upstream]
@@ -189,7 +204,7 @@
 		u = &steered{wheel: weighted.NewWheel()}
 		s.upstreams[upstream] = u
 	}
-	u.shares.Move(Plan(s.region, demand, capacity), capacity, step)
+	u.shares.Move(plan, capacity, step)
 	u.weights = u.shares.Weights()
 }
 
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -17,6 +17,7 @@
 package placement
 
 import (
+	"fmt"
 	"math"
 	"time"
 
@@ -86,9 +87,27 @@
 // and needs several times as long, which only pays where there is room.
 const SpillFill = 0.75
 
-// Choose returns an endpoint and counts the request on it, or false when none
-// in the region has room. End must be called for the endpoint.
-func (t *Table) Choose(now time.Time, ask Ask) (*Endpoint, bool) {
+// NoRoomError reports that no endpoint of a region takes a request.
+type NoRoomError struct {
+	Upstream string
+	Region   string
+	// Registered is the endpoints of the region, Usable those of them that may get
+	// requests now, and Cold those that must wait for a turn.
+	Registered, Usable, Cold int
+	// OwnFill is the load of the object's endpoint as a multiple of its slots, and
+	// MaxFill the load that was allowed.
+	OwnFill, MaxFill float64
+}
+
+// Error implements the error interface.
+func (e *NoRoomError) Error() string {
+	return fmt.Sprintf("upstream %q has no room in region %q: %d of %d endpoints are usable, %d wait for a turn; the object's one is filled to %.2f of %.2f",
+		e.Upstream, e.Region, e.Usable, e.Registered, e.Cold, e.OwnFill, e.MaxFill)
+}
+
+// Choose returns an endpoint and counts the request on it, or a *NoRoomError.
+// End must be called for the endpoint.
+func (t *Table) Choose(now time.Time, ask Ask) (*Endpoint, error) {
 	endpoints := t.upstreams[ask.Upstream][ask.Region]
 	c := chooser{now: now, ask: ask, least: lowest{fill: math.Inf(1)}}
 	c.poorAllowed = mostArePoor(now, endpoints)
@@ -97,10 +116,11 @@
 	}
 	best, cold := c.best()
 	if best == nil || (cold && !best.takeCold(now)) {
-		return nil, false
+		return nil, &NoRoomError{Upstream: ask.Upstream, Region: ask.Region, Registered: len(endpoints),
+			Usable: c.usable, Cold: c.waiting, OwnFill: c.own.fill, MaxFill: ask.MaxFill}
 	}
 	best.begin(now)
-	return best, true
+	return best, nil
 }
 
 // End takes the result of a request at an endpoint of Choose.
@@ -151,6 +171,10 @@
 	own   ranked
 	spill ranked
 	least lowest
+	// usable counts the endpoints that were compared, waiting the cold ones that
+	// had no turn.
+	usable  int
+	waiting int
 }
 
 func (c *chooser) consider(e *Endpoint) {
@@ -159,8 +183,10 @@
 		return
 	}
 	if cold && (!c.ask.AtHome || !e.coldTurn(c.now)) {
+		c.waiting++
 		return
 	}
+	c.usable++
 	fill := float64(e.load(c.now)) / float64(e.Slots)
 	if fill < c.least.fill {
 		c.least = lowest{e, fill, cold}
