Report to delegates of the region, and share service times over the fleet

Change: instances report to two delegates of their region; those sum up, exchange digests between regions and follow the store; the others pull from them. Shares start from even demand, and service times are means over all instances.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -165,7 +165,10 @@
 const meterSmoothing = 0.4
 
 // Count counts one event.
-func (m *Meter) Count() { m.count++ }
+func (m *Meter) Count() { m.Add(1) }
+
+// Add counts an amount.
+func (m *Meter) Add(amount float64) { m.count += amount }
 
 // Tick ends a period.
 func (m *Meter) Tick(elapsed time.Duration) {
@@ -176,5 +179,5 @@
 	m.count = 0
 }
 
-// Rate returns events per second.
+// Rate returns events, or their amounts, per second.
 func (m *Meter) Rate() float64 { return m.rate }
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -17,7 +17,8 @@
 	Revision  uint64                        `json:"store_revision"`
 	Version   uint64                        `json:"configuration_version"`
 	Evacuated []string                      `json:"evacuated_zones"`
-	Peers     []fleet.Heartbeat             `json:"peers"`
+	Peers     []fleet.Member                `json:"peers"`
+	Delegates []fleet.Member                `json:"delegates"`
 	Shares    map[string]map[string]float64 `json:"region_shares"`
 	Endpoints []placement.Description       `json:"endpoints"`
 }
@@ -31,7 +32,8 @@
 		d.State = e.state.fleet.State().String()
 		d.Revision = e.state.mirror.Revision()
 		d.Evacuated = e.state.registry.Evacuated()
-		d.Peers = e.state.fleet.Live(now)
+		d.Peers = e.state.fleet.Peers()
+		d.Delegates = e.state.fleet.Delegates(now, e.settings.Region)
 		for _, endpoint := range e.table.Load().Endpoints() {
 			d.Endpoints = append(d.Endpoints, endpoint.Describe(now))
 		}
@@ -46,7 +48,7 @@
 // counters count what the instance does.
 type counters struct {
 	requests, answered, lookUps             metrics.Counter
-	storeCalls, storeFailures, beatFailures metrics.Counter
+	storeCalls, storeFailures, talkFailures metrics.Counter
 	latency                                 metrics.Timer
 }
 
@@ -57,7 +59,7 @@
 		lookUps:       metrics.GetOrRegisterCounter("edge.lookups", registry),
 		storeCalls:    metrics.GetOrRegisterCounter("edge.store.calls", registry),
 		storeFailures: metrics.GetOrRegisterCounter("edge.store.failures", registry),
-		beatFailures:  metrics.GetOrRegisterCounter("edge.heartbeat.failures", registry),
+		talkFailures:  metrics.GetOrRegisterCounter("edge.peer.failures", registry),
 		latency:       metrics.GetOrRegisterTimer("edge.latency", registry),
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -74,12 +74,19 @@
 	catalog   atomic.Pointer[catalog.Catalog]
 	table     atomic.Pointer[placement.Table]
 	entries   atomic.Pointer[map[string][]string]
-	beats     atomic.Pointer[map[string]fleet.Heartbeat]
 	instances atomic.Int64
 	revision  atomic.Uint64
 	// storeHeard is when the store last answered, in Unix nanoseconds.
 	storeHeard atomic.Int64
-	leaving    atomic.Bool
+	// delegateHeardAt is when a delegate that follows the store last answered, in
+	// Unix nanoseconds.
+	delegateHeardAt atomic.Int64
+	// delegate says that this instance is a delegate of its region.
+	delegate atomic.Bool
+	pulling  atomic.Bool
+	leaving  atomic.Bool
+
+	peers *link.Peers
 
 	quotas   *allowance.Quotas
 	retries  *allowance.RetryBudget
@@ -100,6 +107,7 @@
 		registry: metrics.NewRegistry(),
 		regions:  regionsOf(s.Zones),
 		loop:     control.NewLoop("edge"),
+		peers:    link.NewPeers(),
 		quotas:   allowance.NewQuotas(s.Bounds.QuotaWindow),
 		retries:  allowance.NewRetryBudget(allowance.RetryOptions{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst}),
 		splitter: catalog.NewSplitter(),
@@ -117,11 +125,10 @@
 		fleet:    fleet.New(self),
 		registry: placement.NewRegistry(s.Zones, e.pool),
 		items:    make(map[string]Item),
-		peers:    make(map[string]context.CancelFunc),
 	}
 	e.table.Store(placement.NewTable())
 	e.entries.Store(&map[string][]string{})
-	e.beats.Store(&map[string]fleet.Heartbeat{})
+	e.delegate.Store(true)
 	e.instances.Store(1)
 	return e
 }
@@ -152,9 +159,9 @@
 	}
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	e.state.ctx = background
 	links := link.NewServer(e.log, e.registry)
-	links.Handle(fleet.TypeHeartbeat, e.heartbeat)
+	links.Handle(fleet.TypeReport, e.reported)
+	links.Handle(fleet.TypeExchange, e.exchanged)
 	links.Handle(fleet.TypePull, e.pulled)
 
 	var group errgroup.Group
@@ -172,6 +179,7 @@
 	}
 	group.Go(func() error { e.follow(background); return nil })
 	group.Go(func() error { e.join(background); return nil })
+	group.Go(func() error { e.talk(background); return nil })
 	group.Go(func() error { e.register(background); return nil })
 	group.Go(func() error {
 		defer stopBackground()
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,15 +24,29 @@
 	maxFollowPause = time.Second
 	// pullTimeout bounds one pull from a peer.
 	pullTimeout = time.Second
+	// batchPause lets further changes come with the same answer of the store.
+	batchPause = 60 * time.Millisecond
+	// restPause is the pause of an instance that leaves following to its delegates.
+	restPause = 250 * time.Millisecond
+	// delegateFresh is how old the news of a delegate and of its store may be.
+	delegateFresh = 1500 * time.Millisecond
+	storeFresh    = watchWait + 700*time.Millisecond
 	// joinPause is the pause between two rounds of asking the seeds.
 	joinPause = 500 * time.Millisecond
 )
 
-// follow keeps the mirror up to date with the store until ctx ends.
+// follow keeps the mirror up to date with the store until ctx ends. Delegates
+// always do; the others leave it to them while they are heard and follow the
+// store themselves.
 func (e *Edge) follow(ctx context.Context) {
 	whole := true
 	pause := followPause
 	for ctx.Err() == nil {
+		if !whole && e.delegateFollows(time.Now()) {
+			sleep(ctx, restPause)
+			continue
+		}
+		started := time.Now()
 		var err error
 		if whole {
 			err = e.readWhole(ctx)
@@ -49,6 +63,7 @@
 			e.log.Warn().Err(err).Msg("store is read whole")
 		default:
 			e.counters.storeFailures.Inc(1)
+			e.lostStore(ctx, started)
 			e.log.Warn().Err(err).Dur("pause", pause).Msg("store is not followed")
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, maxFollowPause)
@@ -76,27 +91,59 @@
 	if err != nil {
 		return err
 	}
-	return e.loop.Call(ctx, func() {
+	err = e.loop.Call(ctx, func() {
 		now := time.Now()
 		e.heardStore(now)
 		e.state.changed(now, e.state.mirror.Apply(changes, revision))
 	})
+	if len(changes) > 0 {
+		sleep(ctx, batchPause)
+	}
+	return err
+}
+
+// delegateFollows reports whether this instance may leave following the store to
+// its delegates.
+func (e *Edge) delegateFollows(now time.Time) bool {
+	return !e.delegate.Load() && now.UnixNano()-e.delegateHeardAt.Load() < int64(delegateFresh)
+}
+
+// delegateHeard notes that a delegate answered that follows the store.
+func (e *Edge) delegateHeard(now time.Time, reply fleet.Reply) {
+	if reply.StoreAgeMillis <= storeFresh.Milliseconds() {
+		e.delegateHeardAt.Store(now.UnixNano())
+	}
 }
 
 // heardStore notes that the store answered; after an outage, endpoints get time
 // to register again.
 func (e *Edge) heardStore(now time.Time) {
-	last := time.Unix(0, e.storeHeard.Load())
-	if e.storeHeard.Load() != 0 && now.Sub(last) > outageAfter {
-		e.state.settleUntil = now.Add(settleTime)
-		e.log.Info().Dur("outage", now.Sub(last)).Msg("store is followed again")
-	}
 	e.storeHeard.Store(now.UnixNano())
+	failedSince := e.state.storeFailedSince
+	e.state.storeFailedSince = time.Time{}
+	if !failedSince.IsZero() && now.Sub(failedSince) > outageAfter {
+		e.state.settle(now, settleTime)
+		e.log.Info().Dur("outage", now.Sub(failedSince)).Msg("store is followed again")
+	}
+}
+
+// lostStore notes that a call which began at started failed.
+func (e *Edge) lostStore(ctx context.Context, started time.Time) {
+	err := e.loop.Call(ctx, func() {
+		if e.state.storeFailedSince.IsZero() {
+			e.state.storeFailedSince = started
+			e.log.Warn().Msg("store is lost")
+		}
+	})
+	if err != nil && ctx.Err() == nil {
+		e.log.Error().Err(err).Msg("loss of the store is not noted")
+	}
 }
 
-// storeSilent reports whether the store has not answered lately.
+// storeSilent reports whether this instance does not follow the store by itself
+// now.
 func (e *Edge) storeSilent(now time.Time) bool {
-	return now.Sub(time.Unix(0, e.storeHeard.Load())) > watchWait+watchWait/2
+	return !e.delegate.Load() || now.Sub(time.Unix(0, e.storeHeard.Load())) > storeFresh
 }
 
 // join asks the seeds for their mirror until this instance has one.
@@ -128,8 +175,12 @@
 		return err
 	}
 	return e.loop.Call(ctx, func() {
+		now := time.Now()
+		if !e.state.storeFailedSince.IsZero() {
+			e.state.settle(now, settleTime)
+		}
 		changed := e.state.mirror.Merge(delta)
-		e.state.changed(time.Now(), changed)
+		e.state.changed(now, changed)
 		e.log.Info().Str("peer", client.Peer()).Uint64("revision", delta.Revision).Int("changed", len(changed)).
 			Msg("mirror was taken from a peer")
 	})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -9,82 +9,210 @@
 	"lovagescale/internal/wire"
 )
 
-// Times of heartbeats.
+// Times of reports and exchanges.
 const (
-	// nearBeat is the time between heartbeats to instances of the region, farBeat
-	// to the others.
-	nearBeat = 250 * time.Millisecond
-	farBeat  = 500 * time.Millisecond
-	// beatTimeout bounds one heartbeat.
-	beatTimeout = time.Second
+	// reportInterval is the time between two reports to a delegate in a region of
+	// at most instancesPerInterval instances; in a larger one it grows with them,
+	// so that a delegate's work does not.
+	reportInterval       = 250 * time.Millisecond
+	instancesPerInterval = 8
+	maxReportInterval    = time.Second
+	// exchangeInterval is the time between two exchanges of a delegate with another
+	// region.
+	exchangeInterval = 500 * time.Millisecond
+	// talkTimeout bounds a report or an exchange.
+	talkTimeout = 700 * time.Millisecond
 )
 
-// connect keeps one goroutine for each peer.
-func (s *state) connect() {
-	known := make(map[string]bool)
-	for _, member := range s.fleet.Peers() {
-		known[member.Link] = true
-		if _, running := s.peers[member.Link]; running {
-			continue
+// talk reports to the delegates of the region, and as a delegate exchanges with
+// the other regions, until ctx ends.
+func (e *Edge) talk(ctx context.Context) {
+	exchanged := time.Time{}
+	for ctx.Err() == nil {
+		now := time.Now()
+		var t turn
+		if err := e.loop.Call(ctx, func() { t = e.state.turn(now) }); err != nil {
+			return
 		}
-		ctx, cancel := context.WithCancel(s.ctx)
-		s.peers[member.Link] = cancel
-		go s.edge.beat(ctx, member)
+		for _, delegate := range t.reportTo {
+			go e.report(ctx, delegate, t.report)
+		}
+		if now.Sub(exchanged) >= exchangeInterval {
+			exchanged = now
+			for _, delegate := range t.exchangeWith {
+				go e.exchangeDigest(ctx, delegate, t.exchange)
+			}
+		}
+		sleep(ctx, jitter(t.interval))
 	}
-	for address, cancel := range s.peers {
-		if !known[address] {
-			cancel()
-			delete(s.peers, address)
+}
+
+// turn is what an instance tells at one time.
+type turn struct {
+	report       fleet.Report
+	reportTo     []fleet.Member
+	exchange     fleet.Exchange
+	exchangeWith []fleet.Member
+	interval     time.Duration
+}
+
+// turn returns what to tell now.
+func (s *state) turn(now time.Time) turn {
+	own := s.activity(now)
+	self := s.fleet.Self()
+	t := turn{interval: s.reportInterval()}
+	t.report = fleet.Report{Status: fleet.Status{Member: self, State: s.fleet.State()}, Activity: own, Known: s.fleet.Known()}
+	place := -1
+	for i, delegate := range s.fleet.Delegates(now, self.Region) {
+		if delegate == self {
+			place = i
+		} else {
+			t.reportTo = append(t.reportTo, delegate)
 		}
 	}
+	if place < 0 {
+		return t
+	}
+	t.exchange = fleet.Exchange{Digest: s.fleet.OwnDigest(now, own), Known: s.fleet.Known()}
+	for _, region := range s.edge.regions {
+		if region == self.Region {
+			continue
+		}
+		if others := s.fleet.Delegates(now, region); len(others) > 0 {
+			t.exchangeWith = append(t.exchangeWith, others[min(place, len(others)-1)])
+		}
+	}
+	return t
+}
+
+func (s *state) reportInterval() time.Duration {
+	n := s.fleet.KnownInRegion(s.edge.settings.Region)
+	return min(max(reportInterval*time.Duration(n)/instancesPerInterval, reportInterval), maxReportInterval)
 }
 
-// beat sends heartbeats to a peer until ctx ends, and takes the peer's mirror
-// when the store is silent and the peer knows more.
-func (e *Edge) beat(ctx context.Context, member fleet.Member) {
-	client := link.NewClient(member.Link)
-	defer client.Close()
-	interval := farBeat
-	if member.Region == e.settings.Region {
-		interval = nearBeat
+// activity returns what this instance does.
+func (s *state) activity(now time.Time) fleet.Activity {
+	activity := fleet.Activity{
+		Upstreams:  s.edge.usual.demand(),
+		Workspaces: demands(s.edge.quotas.Demand()),
+		Services:   s.edge.usual.served(),
+		Strikes:    s.edge.poison.recent(now),
 	}
-	for ctx.Err() == nil {
-		beat, found := (*e.beats.Load())[member.Region]
-		if found {
-			e.beatOnce(ctx, client, beat)
+	for id, endpoint := range s.edge.table.Load().Endpoints() {
+		if n := endpoint.Own(); n > 0 {
+			activity.Uses = append(activity.Uses, fleet.Use{Endpoint: id, InFlight: n})
 		}
-		sleep(ctx, jitter(interval))
 	}
+	return activity
+}
+
+// report sends a report to a delegate and takes its digests.
+func (e *Edge) report(ctx context.Context, delegate fleet.Member, report fleet.Report) {
+	e.tell(ctx, delegate, fleet.TypeReport, report, func(now time.Time, reply fleet.Reply) {
+		e.delegateHeard(now, reply)
+		for _, digest := range reply.Digests {
+			own := fleet.Activity{}
+			if digest.Region == e.settings.Region {
+				own = report.Activity
+			}
+			e.state.digested(now, digest, own)
+		}
+	})
+}
+
+// exchangeDigest sends this region's digest to a delegate of another region and
+// takes that region's.
+func (e *Edge) exchangeDigest(ctx context.Context, delegate fleet.Member, exchange fleet.Exchange) {
+	e.tell(ctx, delegate, fleet.TypeExchange, exchange, func(now time.Time, reply fleet.Reply) {
+		for _, digest := range reply.Digests {
+			if digest.Region != e.settings.Region {
+				e.state.digested(now, digest, fleet.Activity{})
+			}
+		}
+	})
 }
 
-func (e *Edge) beatOnce(ctx context.Context, client *link.Client, beat fleet.Heartbeat) {
-	calling, cancel := context.WithTimeout(ctx, beatTimeout)
+// tell sends a message and takes the reply on the control loop. When the peer's
+// mirror is ahead and this instance does not follow the store itself, it pulls.
+func (e *Edge) tell(ctx context.Context, to fleet.Member, messageType string, message any, take func(time.Time, fleet.Reply)) {
+	calling, cancel := context.WithTimeout(ctx, talkTimeout)
 	defer cancel()
-	var reply fleet.Acknowledgement
-	if err := client.Call(calling, fleet.TypeHeartbeat, beat, &reply); err != nil {
-		e.counters.beatFailures.Inc(1)
-		e.log.Debug().Err(err).Str("peer", client.Peer()).Msg("heartbeat was not acknowledged")
+	client := e.peers.Client(to.Link)
+	var reply fleet.Reply
+	err := client.Call(calling, messageType, message, &reply)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		e.counters.talkFailures.Inc(1)
+		e.log.Info().Err(err).Str("peer", to.Instance).Str("type", messageType).Msg("peer did not answer")
+		e.loop.TryPost(func() { e.state.fleet.Failed(time.Now(), to.Instance) })
+		return
+	}
+	err = e.loop.Call(ctx, func() {
+		now := time.Now()
+		e.state.settle(now, time.Duration(reply.SettleMillis)*time.Millisecond)
+		take(now, reply)
+	})
+	if err != nil {
 		return
 	}
-	if reply.Revision <= e.revision.Load() || !e.storeSilent(time.Now()) {
+	if reply.Revision > e.revision.Load() && e.storeSilent(time.Now()) {
+		e.pullOnce(ctx, client)
+	}
+}
+
+// pullOnce pulls unless a pull is under way.
+func (e *Edge) pullOnce(ctx context.Context, client *link.Client) {
+	if !e.pulling.CompareAndSwap(false, true) {
 		return
 	}
+	defer e.pulling.Store(false)
 	if err := e.pull(ctx, client); err != nil {
 		e.log.Warn().Err(err).Str("peer", client.Peer()).Msg("peer gave no mirror")
 	}
 }
 
-// heartbeat takes a peer's heartbeat.
-func (e *Edge) heartbeat(ctx context.Context, request wire.Envelope) (any, error) {
-	var beat fleet.Heartbeat
-	if err := request.Decode(&beat); err != nil {
+// digested takes a digest.
+func (s *state) digested(now time.Time, digest fleet.Digest, own fleet.Activity) {
+	s.fleet.Digested(now, digest, own)
+	s.edge.poison.told(now, digest.Activity.Strikes)
+}
+
+// reported answers a report of the region.
+func (e *Edge) reported(ctx context.Context, request wire.Envelope) (any, error) {
+	var report fleet.Report
+	if err := request.Decode(&report); err != nil {
 		return nil, err
 	}
+	return e.reply(ctx, report.Known, func(now time.Time) {
+		if e.state.fleet.Heard(now, report) {
+			e.poison.told(now, report.Activity.Strikes)
+		}
+	})
+}
+
+// exchanged answers an exchange of another region.
+func (e *Edge) exchanged(ctx context.Context, request wire.Envelope) (any, error) {
+	var exchange fleet.Exchange
+	if err := request.Decode(&exchange); err != nil {
+		return nil, err
+	}
+	return e.reply(ctx, exchange.Known, func(now time.Time) {
+		e.state.digested(now, exchange.Digest, fleet.Activity{})
+	})
+}
+
+// reply takes a message and returns what this instance knows.
+func (e *Edge) reply(ctx context.Context, known map[string]uint64, take func(time.Time)) (any, error) {
+	var reply fleet.Reply
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
-		if e.state.fleet.Heard(now, beat) {
-			e.poison.told(now, beat.Strikes)
-		}
+		take(now)
+		reply.Revision = e.state.mirror.Revision()
+		reply.StoreAgeMillis = now.Sub(time.Unix(0, e.storeHeard.Load())).Milliseconds()
+		reply.SettleMillis = max(e.state.settleUntil.Sub(now).Milliseconds(), 0)
+		reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), known)
 	})
-	return fleet.Acknowledgement{Revision: e.revision.Load()}, err
+	return reply, err
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"time"
 
 	"lovagescale/internal/catalog"
@@ -17,8 +16,9 @@
 // may take to register again.
 const settleTime = 2500 * time.Millisecond
 
-// outageAfter is the silence of the store that counts as an outage.
-const outageAfter = 3500 * time.Millisecond
+// outageAfter is the time without the store after which entries may have expired
+// there.
+const outageAfter = 2 * time.Second
 
 // shiftPart is the part of the bound on changes of region that the shares use.
 const shiftPart = 0.6
@@ -26,21 +26,23 @@
 // state is the control state of an instance. It belongs to the control loop.
 type state struct {
 	edge     *Edge
-	ctx      context.Context
 	mirror   *mirror.Mirror
 	fleet    *fleet.Core
 	registry *placement.Registry
 	// items is what the mirror's entries mean.
 	items map[string]Item
-	// peers ends the goroutine of each peer.
-	peers map[string]context.CancelFunc
+	// others is what the other instances do, as of the last tick.
+	others fleet.Others
 	// missing are the endpoints that an outage of the store left unregistered,
 	// with the time at which they count as gone.
 	missing map[string]time.Time
 	// settleUntil is the end of the time after an outage in which removals wait.
 	settleUntil time.Time
-	tickedAt    time.Time
-	dirty       bool
+	// storeFailedSince is when the first call that failed began since the store
+	// last answered; zero while it answers.
+	storeFailedSince time.Time
+	tickedAt         time.Time
+	dirty            bool
 }
 
 // changed takes the keys that changed in the mirror.
@@ -79,7 +81,6 @@
 		s.dirty = true
 	case fleet.Member:
 		s.fleet.Registered(now, item)
-		s.connect()
 	case Evacuation:
 		s.registry.Evacuate(item.Zone)
 		s.dirty = true
@@ -106,6 +107,13 @@
 	}
 }
 
+// settle lets removals of endpoints wait.
+func (s *state) settle(now time.Time, wait time.Duration) {
+	if until := now.Add(wait); wait > 0 && until.After(s.settleUntil) {
+		s.settleUntil = until
+	}
+}
+
 // missed forgets an endpoint, after a while if the store was out: its entry may
 // have expired although the endpoint lives.
 func (s *state) missed(now time.Time, id string) {
@@ -162,16 +170,17 @@
 	s.tickedAt = now
 	s.forgetMissing(now)
 	s.fleet.Expire(now)
-	s.connect()
+	s.edge.delegate.Store(s.fleet.IsDelegate(now))
+	s.others = s.fleet.Others(now)
+	s.edge.usual.learn(s.others.Services)
 	s.edge.instances.Store(int64(s.fleet.Size()))
 	s.edge.retries.SetInstances(s.fleet.Size())
 	s.updateState()
-	s.countOthers(now)
+	s.countOthers()
 	s.edge.quotas.Tick(elapsed)
 	s.divide(now)
 	s.steer(now, elapsed)
 	s.publishEntries(now)
-	s.publishBeats(now)
 	if s.dirty {
 		s.publish(now)
 	}
@@ -197,31 +206,17 @@
 }
 
 // countOthers sets what the other instances have under way at each endpoint.
-func (s *state) countOthers(now time.Time) {
-	others := make(map[string]int)
-	for _, beat := range s.fleet.Live(now) {
-		for _, use := range beat.Uses {
-			others[use.Endpoint] += use.InFlight
-		}
-	}
+func (s *state) countOthers() {
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
-		endpoint.SetOthers(others[id])
+		endpoint.SetOthers(s.others.Uses[id])
 	}
 }
 
 // divide sets this instance's parts of the quotas.
 func (s *state) divide(now time.Time) {
-	c := s.edge.catalog.Load()
-	if c == nil {
-		return
+	if c := s.edge.catalog.Load(); c != nil {
+		s.edge.quotas.Divide(now, c, s.others.Workspaces, s.fleet.Size())
 	}
-	others := make(map[string]float64)
-	for _, beat := range s.fleet.Remembered(now) {
-		for _, demand := range beat.Workspaces {
-			others[demand.Name] += demand.Rate
-		}
-	}
-	s.edge.quotas.Divide(now, c, others, s.fleet.Size())
 }
 
 // idleDemand is the demand of the region on an upstream, in slots, below which its
@@ -232,18 +227,25 @@
 func (s *state) steer(now time.Time, elapsed time.Duration) {
 	s.edge.usual.tick(elapsed)
 	table := s.edge.table.Load()
-	free, bound := s.arrivals(now)
+	free, bound := s.arrivals()
+	own := s.edge.settings.Region
 	step := s.edge.settings.Bounds.MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds()
 	for _, name := range table.Upstreams() {
 		service := s.edge.usual.serviceTime(name).Seconds()
 		capacity := table.Capacity(now, name)
 		room := placement.Room(capacity, scaled(bound[name], service))
 		demand := scaled(free[name], service)
-		if demand[s.edge.settings.Region] < idleDemand {
-			s.edge.steering.Move(name, placement.Plan(s.edge.settings.Region, placement.Expected(s.edge.regions, room), room), capacity, 1)
+		expected := placement.Expected(s.edge.regions, room)
+		for _, region := range s.edge.regions {
+			if _, told := s.others.Upstreams[region]; !told && region != own {
+				demand[region] = expected[region]
+			}
+		}
+		if demand[own] < idleDemand || !s.edge.steering.Steers(name) {
+			s.edge.steering.Move(name, placement.Plan(own, expected, room), capacity, 1)
 			continue
 		}
-		s.edge.steering.Move(name, placement.Plan(s.edge.settings.Region, demand, room), capacity, step)
+		s.edge.steering.Move(name, placement.Plan(own, demand, room), capacity, step)
 	}
 }
 
@@ -268,20 +270,20 @@
 
 // arrivals returns the requests that may run anywhere by the region where they
 // arrive, and those that must run in a region by that region.
-func (s *state) arrivals(now time.Time) (free, bound rates) {
+func (s *state) arrivals() (free, bound rates) {
 	free, bound = make(rates), make(rates)
 	add := func(at string, demand []fleet.UpstreamDemand) {
 		for _, d := range demand {
 			if d.Region == "" {
-				free.add(d.Upstream, at, d.Rate)
+				free.add(d.Upstream, at, float64(d.Rate))
 			} else {
-				bound.add(d.Upstream, d.Region, d.Rate)
+				bound.add(d.Upstream, d.Region, float64(d.Rate))
 			}
 		}
 	}
 	add(s.edge.settings.Region, s.edge.usual.demand())
-	for _, beat := range s.fleet.Live(now) {
-		add(beat.Member.Region, beat.Upstreams)
+	for region, demand := range s.others.Upstreams {
+		add(region, demand)
 	}
 	return free, bound
 }
@@ -296,28 +298,6 @@
 	s.edge.entries.Store(&entries)
 }
 
-// publishBeats sets the heartbeat for the peers of each region.
-func (s *state) publishBeats(now time.Time) {
-	common := fleet.Heartbeat{
-		Member: s.fleet.Self(), State: s.fleet.State(), Revision: s.mirror.Revision(),
-		Upstreams:  s.edge.usual.demand(),
-		Workspaces: demands(s.edge.quotas.Demand()),
-		Strikes:    s.edge.poison.recent(now),
-	}
-	beats := make(map[string]fleet.Heartbeat)
-	for _, region := range s.edge.regions {
-		beats[region] = common
-	}
-	for id, endpoint := range s.edge.table.Load().Endpoints() {
-		if n := endpoint.Own(); n > 0 {
-			beat := beats[endpoint.Region]
-			beat.Uses = append(beat.Uses, fleet.Use{Endpoint: id, InFlight: n})
-			beats[endpoint.Region] = beat
-		}
-	}
-	s.edge.beats.Store(&beats)
-}
-
 // demandResolution is the demand, in requests per second, below which nothing is
 // told.
 const demandResolution = 0.1
@@ -326,7 +306,7 @@
 	var told []fleet.Demand
 	for name, rate := range rates {
 		if rate >= demandResolution {
-			told = append(told, fleet.Demand{Name: name, Rate: rate})
+			told = append(told, fleet.Demand{Workspace: name, Rate: float32(rate)})
 		}
 	}
 	return told
--- /dev/null
+++ b/internal/fleet/digest.go
@@ -0,0 +1,240 @@
+package fleet
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lovagescale/internal/quarantine"
+)
+
+// digestLifetime is how long the uses and the demand of a region count after its
+// last digest.
+const digestLifetime = 3 * time.Second
+
+// received is a region's digest and when it was made.
+type received struct {
+	digest Digest
+	at     time.Time
+	// own is this instance's part of it.
+	own Activity
+}
+
+// OwnDigest returns the digest of this instance's region from the reports to
+// this instance and its own activity.
+func (c *Core) OwnDigest(now time.Time, own Activity) Digest {
+	members := []Status{c.self}
+	sum := newSum()
+	sum.add(own)
+	for _, p := range c.peers {
+		if p.status.Member.Region != c.self.Member.Region {
+			continue
+		}
+		if p.reports(now, SilentAfter) {
+			members = append(members, p.status)
+			sum.add(p.activity)
+		} else if p.reports(now, RememberDemand) {
+			sum.addWorkspaces(p.activity)
+		}
+	}
+	slices.SortFunc(members, func(a, b Status) int { return cmp.Compare(a.Member.Instance, b.Member.Instance) })
+	return Digest{Region: c.self.Member.Region, Hash: hashOf(members), Members: members, Activity: sum.activity()}
+}
+
+// Digests returns the digests of all regions, the own one made now, without the
+// members that the receiver knows.
+func (c *Core) Digests(now time.Time, own Activity, known map[string]uint64) []Digest {
+	digests := []Digest{c.OwnDigest(now, own)}
+	for region, r := range c.digests {
+		if region == c.self.Member.Region || now.Sub(r.at) > RememberDemand {
+			continue
+		}
+		digest := r.digest
+		digest.AgeMillis = now.Sub(r.at).Milliseconds()
+		digests = append(digests, digest)
+	}
+	for i := range digests {
+		if digests[i].Hash == known[digests[i].Region] {
+			digests[i].Members = nil
+		}
+	}
+	return digests
+}
+
+// Known returns the hashes of the members that this instance knows, by region.
+func (c *Core) Known() map[string]uint64 {
+	known := make(map[string]uint64, len(c.digests))
+	for region, r := range c.digests {
+		known[region] = r.digest.Hash
+	}
+	return known
+}
+
+// Digested takes a digest. own is this instance's part of it, for its own
+// region's.
+func (c *Core) Digested(now time.Time, digest Digest, own Activity) {
+	at := now.Add(-time.Duration(digest.AgeMillis) * time.Millisecond)
+	last, found := c.digests[digest.Region]
+	if found && at.Before(last.at) {
+		return
+	}
+	if len(digest.Members) == 0 && found && last.digest.Hash == digest.Hash {
+		digest.Members = last.digest.Members
+	}
+	c.digests[digest.Region] = &received{digest: digest, at: at, own: own}
+	for _, status := range digest.Members {
+		if p := c.learn(now, status); p != nil && at.After(p.heardAt) {
+			p.heardAt = at
+			p.status.State = status.State
+		}
+	}
+}
+
+// Others is what the other instances do.
+type Others struct {
+	// Uses are their requests under way by endpoint.
+	Uses map[string]int
+	// Upstreams is the demand on upstreams by the region where it arrives.
+	Upstreams map[string][]UpstreamDemand
+	// Workspaces is the demand of workspaces, which is remembered for longer.
+	Workspaces map[string]float64
+	// Services are the answers of upstreams.
+	Services map[string]Service
+}
+
+// add takes an activity of a region, or takes one out with sign -1.
+func (o *Others) add(region string, activity Activity, sign int) {
+	for _, use := range activity.Uses {
+		o.Uses[use.Endpoint] += sign * use.InFlight
+	}
+	for _, d := range activity.Upstreams {
+		d.Rate *= float32(sign)
+		o.Upstreams[region] = append(o.Upstreams[region], d)
+	}
+	for _, service := range activity.Services {
+		sum := o.Services[service.Upstream]
+		sum.Answers += float32(sign) * service.Answers
+		sum.Busy += float32(sign) * service.Busy
+		o.Services[service.Upstream] = sum
+	}
+}
+
+func (o *Others) addWorkspaces(activity Activity, sign float64) {
+	for _, d := range activity.Workspaces {
+		o.Workspaces[d.Workspace] += sign * float64(d.Rate)
+	}
+}
+
+// Others returns what the other instances do, as of their last digests and
+// reports.
+func (c *Core) Others(now time.Time) Others {
+	others := Others{
+		Uses:       make(map[string]int),
+		Upstreams:  make(map[string][]UpstreamDemand),
+		Workspaces: make(map[string]float64),
+		Services:   make(map[string]Service),
+	}
+	home := c.self.Member.Region
+	delegate := c.IsDelegate(now)
+	for region, r := range c.digests {
+		if region == home && delegate {
+			continue
+		}
+		if now.Sub(r.at) <= digestLifetime {
+			others.add(region, r.digest.Activity, 1)
+			others.add(region, r.own, -1)
+		}
+		if now.Sub(r.at) <= RememberDemand {
+			others.addWorkspaces(r.digest.Activity, 1)
+			others.addWorkspaces(r.own, -1)
+		}
+	}
+	if delegate {
+		digest := c.OwnDigest(now, Activity{})
+		others.add(home, digest.Activity, 1)
+		others.addWorkspaces(digest.Activity, 1)
+	}
+	return others
+}
+
+// sum adds activities.
+type sum struct {
+	uses       map[string]int
+	upstreams  map[[2]string]float32
+	workspaces map[string]float32
+	services   map[string]Service
+	strikes    map[uint64]quarantine.Strike
+}
+
+func newSum() *sum {
+	return &sum{
+		uses:       make(map[string]int),
+		upstreams:  make(map[[2]string]float32),
+		workspaces: make(map[string]float32),
+		services:   make(map[string]Service),
+		strikes:    make(map[uint64]quarantine.Strike),
+	}
+}
+
+func (s *sum) add(a Activity) {
+	for _, use := range a.Uses {
+		s.uses[use.Endpoint] += use.InFlight
+	}
+	for _, d := range a.Upstreams {
+		s.upstreams[[2]string{d.Upstream, d.Region}] += d.Rate
+	}
+	for _, service := range a.Services {
+		total := s.services[service.Upstream]
+		total.Upstream = service.Upstream
+		total.Answers += service.Answers
+		total.Busy += service.Busy
+		s.services[service.Upstream] = total
+	}
+	for _, strike := range a.Strikes {
+		s.strikes[strike.ID] = strike
+	}
+	s.addWorkspaces(a)
+}
+
+func (s *sum) addWorkspaces(a Activity) {
+	for _, d := range a.Workspaces {
+		s.workspaces[d.Workspace] += d.Rate
+	}
+}
+
+func (s *sum) activity() Activity {
+	var a Activity
+	for _, endpoint := range slices.Sorted(maps.Keys(s.uses)) {
+		a.Uses = append(a.Uses, Use{Endpoint: endpoint, InFlight: s.uses[endpoint]})
+	}
+	for key, rate := range s.upstreams {
+		a.Upstreams = append(a.Upstreams, UpstreamDemand{Upstream: key[0], Region: key[1], Rate: rate})
+	}
+	for workspace, rate := range s.workspaces {
+		a.Workspaces = append(a.Workspaces, Demand{Workspace: workspace, Rate: rate})
+	}
+	for _, service := range s.services {
+		a.Services = append(a.Services, service)
+	}
+	for _, strike := range s.strikes {
+		a.Strikes = append(a.Strikes, strike)
+	}
+	return a
+}
+
+// hashOf returns the hash of members in their order; it is never 0.
+func hashOf(members []Status) uint64 {
+	hash := xxhash.New()
+	var number [9]byte
+	for _, m := range members {
+		_, _ = hash.WriteString(m.Member.Instance) // never fails
+		binary.BigEndian.PutUint64(number[:], uint64(m.Member.Incarnation))
+		number[8] = byte(m.State)
+		_, _ = hash.Write(number[:]) // never fails
+	}
+	return hash.Sum64() | 1
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -1,19 +1,23 @@
 // Package fleet knows the other instances: who is registered in the store, who
-// is heard, and what each of them does.
+// is heard, and what they do.
 //
-// Registration gives identities and addresses, heartbeats give life. An
-// instance that is heard lives, whether its registration has lapsed or not; one
-// that is silent for SilentAfter is given no callers, and one that is neither
-// registered nor heard for ForgottenAfter is forgotten.
+// Registration gives identities and addresses, reports give life. Each instance
+// reports to the delegates of its region, the first instances by name that
+// answer; a delegate sums up what its region does in a digest, exchanges digests
+// with the delegates of the other regions and answers reports with all of them.
+// So traffic grows with instances and regions, not with their products.
 //
-// How it fails: an instance that hears nobody names itself and counts the
-// others' last demand for RememberDemand, so that no share of a quota is taken
-// twice by a short partition.
+// How it fails: a delegate that does not answer is passed over for SuspectFor,
+// and the next one by name takes its place. An instance that reaches no other one
+// of its region is its own delegate. A member that is silent for SilentAfter gets
+// no callers; its demand counts for RememberDemand, so that a short partition
+// gives no share of a quota away twice. One that is neither registered nor heard
+// for ForgottenAfter is forgotten.
 package fleet
 
 import (
+	"cmp"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -25,41 +29,60 @@
 	ForgottenAfter = 10 * time.Second
 	// RememberDemand is how long the demand of a silent instance is counted.
 	RememberDemand = 15 * time.Second
+	// SuspectFor is how long a delegate that did not answer is passed over.
+	SuspectFor = 2 * time.Second
 )
 
+// delegates is the number of a region's delegates.
+const delegates = 2
+
 // peer is what is known of another instance.
 type peer struct {
-	member     Member
+	status     Status
 	registered bool
-	state      State
-	heardAt    time.Time
 	knownSince time.Time
-	last       Heartbeat
+	// heardAt is the last sign of life, by a report or by a digest.
+	heardAt time.Time
+	// reportedAt is the last report to this instance.
+	reportedAt   time.Time
+	activity     Activity
+	suspectUntil time.Time
+}
+
+func (p *peer) live(now time.Time) bool {
+	return !p.heardAt.IsZero() && now.Sub(p.heardAt) <= SilentAfter
+}
+
+func (p *peer) reports(now time.Time, within time.Duration) bool {
+	return !p.reportedAt.IsZero() && now.Sub(p.reportedAt) <= within
 }
 
 // Core is the set of instances as one of them sees it. It is not safe for
 // concurrent use.
 type Core struct {
-	self  Member
-	state State
+	self  Status
 	peers map[string]*peer
+	// digests are the last ones of each region, the own one as a delegate gave it.
+	digests map[string]*received
 }
 
 // New returns a core that knows its own instance only.
-func New(self Member) *Core { return &Core{self: self, peers: make(map[string]*peer)} }
+func New(self Member) *Core {
+	return &Core{self: Status{Member: self}, peers: make(map[string]*peer), digests: make(map[string]*received)}
+}
 
 // Self returns the instance's own record.
-func (c *Core) Self() Member { return c.self }
+func (c *Core) Self() Member { return c.self.Member }
 
 // SetState changes the instance's own state.
-func (c *Core) SetState(state State) { c.state = state }
+func (c *Core) SetState(state State) { c.self.State = state }
 
 // State returns the instance's own state.
-func (c *Core) State() State { return c.state }
+func (c *Core) State() State { return c.self.State }
 
 // Registered learns of a registration.
 func (c *Core) Registered(now time.Time, member Member) {
-	if p := c.learn(now, member); p != nil {
+	if p := c.learn(now, Status{Member: member}); p != nil {
 		p.registered = true
 	}
 }
@@ -71,36 +94,46 @@
 	}
 }
 
-// Heard takes a heartbeat. It reports false for one of an earlier run of the
-// instance.
-func (c *Core) Heard(now time.Time, beat Heartbeat) bool {
-	p := c.learn(now, beat.Member)
-	if p == nil || p.member.Incarnation != beat.Member.Incarnation {
-		return false
-	}
-	p.heardAt = now
-	p.state = beat.State
-	p.last = beat
-	return true
-}
-
 // learn returns the record of the instance, renewed by a later run; nil for the
-// instance itself.
-func (c *Core) learn(now time.Time, member Member) *peer {
-	if member.Instance == c.self.Instance {
+// instance itself and for an earlier run.
+func (c *Core) learn(now time.Time, status Status) *peer {
+	member := status.Member
+	if member.Instance == c.self.Member.Instance {
 		return nil
 	}
 	p, found := c.peers[member.Instance]
-	if !found {
-		p = &peer{member: member, knownSince: now}
+	switch {
+	case !found:
+		p = &peer{status: status, knownSince: now}
 		c.peers[member.Instance] = p
-	}
-	if member.Incarnation > p.member.Incarnation {
-		*p = peer{member: member, knownSince: now, registered: p.registered}
+	case member.Incarnation > p.status.Member.Incarnation:
+		*p = peer{status: status, knownSince: now, registered: p.registered}
+	case member.Incarnation < p.status.Member.Incarnation:
+		return nil
 	}
 	return p
 }
 
+// Heard takes a report. It returns false for one of an earlier run.
+func (c *Core) Heard(now time.Time, report Report) bool {
+	p := c.learn(now, report.Status)
+	if p == nil {
+		return false
+	}
+	p.heardAt = now
+	p.reportedAt = now
+	p.status.State = report.Status.State
+	p.activity = report.Activity
+	return true
+}
+
+// Failed learns that an instance did not answer.
+func (c *Core) Failed(now time.Time, instance string) {
+	if p, found := c.peers[instance]; found {
+		p.suspectUntil = now.Add(SuspectFor)
+	}
+}
+
 // Expire forgets instances that are neither registered nor heard.
 func (c *Core) Expire(now time.Time) {
 	for name, p := range c.peers {
@@ -114,80 +147,69 @@
 	}
 }
 
+// Delegates returns the delegates of a region, this instance perhaps among them.
+func (c *Core) Delegates(now time.Time, region string) []Member {
+	var candidates []Member
+	if c.self.Member.Region == region && c.self.State != Leaving {
+		candidates = append(candidates, c.self.Member)
+	}
+	for _, p := range c.peers {
+		if p.status.Member.Region == region && p.status.State != Leaving && !now.Before(p.suspectUntil) {
+			candidates = append(candidates, p.status.Member)
+		}
+	}
+	sortMembers(candidates)
+	return candidates[:min(len(candidates), delegates)]
+}
+
+// IsDelegate reports whether this instance is a delegate of its region.
+func (c *Core) IsDelegate(now time.Time) bool {
+	return slices.Contains(c.Delegates(now, c.self.Member.Region), c.self.Member)
+}
+
 // Peers returns the other instances, ordered by name.
 func (c *Core) Peers() []Member {
 	var members []Member
 	for _, p := range c.peers {
-		members = append(members, p.member)
+		members = append(members, p.status.Member)
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
+	sortMembers(members)
 	return members
 }
 
+func sortMembers(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return cmp.Compare(a.Instance, b.Instance) })
+}
+
 // Takes returns the instances that take callers, this one included, ordered by
 // name.
 func (c *Core) Takes(now time.Time) []Member {
 	var members []Member
-	if c.state == Ready {
-		members = append(members, c.self)
+	if c.self.State == Ready {
+		members = append(members, c.self.Member)
 	}
 	for _, p := range c.peers {
-		if p.state == Ready && p.live(now) {
-			members = append(members, p.member)
+		if p.status.State == Ready && p.live(now) {
+			members = append(members, p.status.Member)
 		}
 	}
-	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
+	sortMembers(members)
 	return members
 }
 
-func (p *peer) live(now time.Time) bool {
-	return !p.heardAt.IsZero() && now.Sub(p.heardAt) <= SilentAfter
-}
-
-// Live returns the last heartbeats of the instances that are heard.
-func (c *Core) Live(now time.Time) []Heartbeat { return c.heard(now, SilentAfter) }
-
-// Remembered returns the last heartbeats of the instances whose demand counts.
-func (c *Core) Remembered(now time.Time) []Heartbeat { return c.heard(now, RememberDemand) }
-
-func (c *Core) heard(now time.Time, within time.Duration) []Heartbeat {
-	var beats []Heartbeat
-	for _, p := range c.peers {
-		if !p.heardAt.IsZero() && now.Sub(p.heardAt) <= within {
-			beats = append(beats, p.last)
-		}
-	}
-	return beats
-}
-
 // Size returns the number of instances that may be running: this one and those
 // that are registered or were heard lately.
 func (c *Core) Size() int { return len(c.peers) + 1 }
 
-// LiveInRegion returns the number of instances of the region that are heard,
-// this one included.
-func (c *Core) LiveInRegion(now time.Time, region string) int {
-	n := 0
-	if c.self.Region == region {
-		n++
-	}
-	for _, p := range c.peers {
-		if p.member.Region == region && p.live(now) {
-			n++
-		}
-	}
-	return n
-}
-
 // KnownInRegion returns the number of instances of the region that may be
 // running, this one included.
 func (c *Core) KnownInRegion(region string) int {
 	n := 0
-	if c.self.Region == region {
+	if c.self.Member.Region == region {
 		n++
 	}
 	for _, p := range c.peers {
-		if p.member.Region == region {
+		if p.status.Member.Region == region {
 			n++
 		}
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -4,8 +4,9 @@
 
 // Types of the messages between instances.
 const (
-	TypeHeartbeat = "fleet.heartbeat"
-	TypePull      = "fleet.pull"
+	TypeReport   = "fleet.report"
+	TypeExchange = "fleet.exchange"
+	TypePull     = "fleet.pull"
 )
 
 // State says whether callers are to be sent to an instance.
@@ -45,7 +46,13 @@
 	Link    string `msgpack:"l"`
 }
 
-// Use is the requests that an instance has under way at an endpoint.
+// Status is a member with its state.
+type Status struct {
+	Member Member `msgpack:"m"`
+	State  State  `msgpack:"s"`
+}
+
+// Use is the requests under way at an endpoint.
 type Use struct {
 	//lint:ignore U1000 read by the msgpack library
 	_msgpack struct{} `msgpack:",as_array"`
@@ -53,12 +60,12 @@
 	InFlight int
 }
 
-// Demand is the arrival of requests at an instance, per second.
+// Demand is the arrival of requests of a workspace, per second.
 type Demand struct {
 	//lint:ignore U1000 read by the msgpack library
-	_msgpack struct{} `msgpack:",as_array"`
-	Name     string
-	Rate     float64
+	_msgpack  struct{} `msgpack:",as_array"`
+	Workspace string
+	Rate      float32
 }
 
 // UpstreamDemand is the arrival of requests to an upstream, per second.
@@ -68,28 +75,64 @@
 	Upstream string
 	// Region is where the requests must run; empty is anywhere.
 	Region string
-	Rate   float64
+	Rate   float32
 }
 
-// Heartbeat tells a peer that its sender lives and what it does.
-type Heartbeat struct {
-	Member Member `msgpack:"m"`
-	State  State  `msgpack:"s"`
-	// Revision is that of the sender's mirror.
-	Revision uint64 `msgpack:"v"`
-	// Uses are those at endpoints of the receiver's region.
-	Uses []Use `msgpack:"u,omitempty"`
-	// Upstreams and Workspaces are the demand by upstream and by workspace.
-	Upstreams  []UpstreamDemand `msgpack:"d,omitempty"`
-	Workspaces []Demand         `msgpack:"w,omitempty"`
-	// Strikes are the requests that cost endpoints their connection.
-	Strikes []quarantine.Strike `msgpack:"k,omitempty"`
+// Service is the answers of an upstream's endpoints to instances of their region,
+// per second, and the time that they took together.
+type Service struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack struct{} `msgpack:",as_array"`
+	Upstream string
+	Answers  float32
+	// Busy is in seconds per second.
+	Busy float32
+}
+
+// Activity is what one or several instances do.
+type Activity struct {
+	Uses       []Use               `msgpack:"u,omitempty"`
+	Upstreams  []UpstreamDemand    `msgpack:"d,omitempty"`
+	Workspaces []Demand            `msgpack:"w,omitempty"`
+	Services   []Service           `msgpack:"b,omitempty"`
+	Strikes    []quarantine.Strike `msgpack:"k,omitempty"`
+}
+
+// Report tells a delegate of the region that its sender lives and what it does.
+type Report struct {
+	Status   Status   `msgpack:"s"`
+	Activity Activity `msgpack:"a"`
+	// Known are the hashes of the members that the sender knows, by region.
+	Known map[string]uint64 `msgpack:"h,omitempty"`
 }
 
-// Acknowledgement answers a heartbeat.
-type Acknowledgement struct {
-	// Revision is that of the receiver's mirror.
+// Digest is a region's members and what they do together.
+type Digest struct {
+	Region string `msgpack:"r"`
+	// AgeMillis is how old the digest is at its sender.
+	AgeMillis int64 `msgpack:"a"`
+	// Hash is that of the members, which are left out where they are known.
+	Hash     uint64   `msgpack:"h"`
+	Members  []Status `msgpack:"m,omitempty"`
+	Activity Activity `msgpack:"t"`
+}
+
+// Reply answers a report with the digests of all regions.
+type Reply struct {
+	// Revision is that of the delegate's mirror.
 	Revision uint64 `msgpack:"v"`
+	// StoreAgeMillis is how long ago the store answered the delegate.
+	StoreAgeMillis int64 `msgpack:"s"`
+	// SettleMillis is how long removals still wait after an outage of the store.
+	SettleMillis int64    `msgpack:"t,omitempty"`
+	Digests      []Digest `msgpack:"d"`
+}
+
+// Exchange carries a delegate's digest of its region to one of another region,
+// which answers with a Reply that holds its own.
+type Exchange struct {
+	Digest Digest            `msgpack:"d"`
+	Known  map[string]uint64 `msgpack:"h,omitempty"`
 }
 
 // Pull asks a peer for what its mirror has after a revision; the reply is a
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -208,6 +208,14 @@
 	u.weights = u.shares.Weights()
 }
 
+// Steers reports whether the upstream has shares.
+func (s *Steering) Steers(upstream string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, found := s.upstreams[upstream]
+	return found
+}
+
 // Next returns the region of the upstream's next request, among the homes if the
 // request is restricted to them, or "" when none may be used. Requests for the
 // same object go to the same region while the shares allow it.
