Let removals wait only after the store answered nobody, and pass over late records

Ruled out: records that arrive late (guarded against too). Change: an outage is the time in which the store answered no instance, as told by the ages in replies; records of an endpoint are ordered by start and sequence.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -46,7 +46,6 @@
 			sleep(ctx, restPause)
 			continue
 		}
-		started := time.Now()
 		var err error
 		if whole {
 			err = e.readWhole(ctx)
@@ -63,7 +62,6 @@
 			e.log.Warn().Err(err).Msg("store is read whole")
 		default:
 			e.counters.storeFailures.Inc(1)
-			e.lostStore(ctx, started)
 			e.log.Warn().Err(err).Dur("pause", pause).Msg("store is not followed")
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, maxFollowPause)
@@ -115,29 +113,10 @@
 	}
 }
 
-// heardStore notes that the store answered; after an outage, endpoints get time
-// to register again.
+// heardStore notes that the store answered this instance.
 func (e *Edge) heardStore(now time.Time) {
 	e.storeHeard.Store(now.UnixNano())
-	failedSince := e.state.storeFailedSince
-	e.state.storeFailedSince = time.Time{}
-	if !failedSince.IsZero() && now.Sub(failedSince) > outageAfter {
-		e.state.settle(now, settleTime)
-		e.log.Info().Dur("outage", now.Sub(failedSince)).Msg("store is followed again")
-	}
-}
-
-// lostStore notes that a call which began at started failed.
-func (e *Edge) lostStore(ctx context.Context, started time.Time) {
-	err := e.loop.Call(ctx, func() {
-		if e.state.storeFailedSince.IsZero() {
-			e.state.storeFailedSince = started
-			e.log.Warn().Msg("store is lost")
-		}
-	})
-	if err != nil && ctx.Err() == nil {
-		e.log.Error().Err(err).Msg("loss of the store is not noted")
-	}
+	e.state.storeSeen(now, now)
 }
 
 // storeSilent reports whether this instance does not follow the store by itself
@@ -176,9 +155,6 @@
 	}
 	return e.loop.Call(ctx, func() {
 		now := time.Now()
-		if !e.state.storeFailedSince.IsZero() {
-			e.state.settle(now, settleTime)
-		}
 		changed := e.state.mirror.Merge(delta)
 		e.state.changed(now, changed)
 		e.log.Info().Str("peer", client.Peer()).Uint64("revision", delta.Revision).Int("changed", len(changed)).
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -151,7 +151,7 @@
 	}
 	err = e.loop.Call(ctx, func() {
 		now := time.Now()
-		e.state.settle(now, time.Duration(reply.SettleMillis)*time.Millisecond)
+		e.state.storeSeen(now, now.Add(-time.Duration(reply.StoreAgeMillis)*time.Millisecond))
 		take(now, reply)
 	})
 	if err != nil {
@@ -211,7 +211,6 @@
 		take(now)
 		reply.Revision = e.state.mirror.Revision()
 		reply.StoreAgeMillis = now.Sub(time.Unix(0, e.storeHeard.Load())).Milliseconds()
-		reply.SettleMillis = max(e.state.settleUntil.Sub(now).Milliseconds(), 0)
 		reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), known)
 	})
 	return reply, err
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -16,9 +16,9 @@
 // may take to register again.
 const settleTime = 2500 * time.Millisecond
 
-// outageAfter is the time without the store after which entries may have expired
-// there.
-const outageAfter = 2 * time.Second
+// outageAfter is the time in which the store answered nobody after which entries
+// may have expired there.
+const outageAfter = 3 * time.Second
 
 // shiftPart is the part of the bound on changes of region that the shares use.
 const shiftPart = 0.6
@@ -38,11 +38,11 @@
 	missing map[string]time.Time
 	// settleUntil is the end of the time after an outage in which removals wait.
 	settleUntil time.Time
-	// storeFailedSince is when the first call that failed began since the store
-	// last answered; zero while it answers.
-	storeFailedSince time.Time
-	tickedAt         time.Time
-	dirty            bool
+	// storeSeenAt is when the store last answered any instance, as far as this one
+	// knows.
+	storeSeenAt time.Time
+	tickedAt    time.Time
+	dirty       bool
 }
 
 // changed takes the keys that changed in the mirror.
@@ -76,8 +76,11 @@
 	case *catalog.Catalog:
 		s.apply(now, item)
 	case placement.Record:
+		if !s.registry.Register(now, item, s.cold(item.Upstream)) {
+			s.edge.log.Warn().Str("endpoint", item.ID).Uint64("sequence", item.Sequence).Msg("older record is passed over")
+			return
+		}
 		delete(s.missing, item.ID)
-		s.registry.Register(now, item, s.cold(item.Upstream))
 		s.dirty = true
 	case fleet.Member:
 		s.fleet.Registered(now, item)
@@ -107,11 +110,19 @@
 	}
 }
 
-// settle lets removals of endpoints wait.
-func (s *state) settle(now time.Time, wait time.Duration) {
-	if until := now.Add(wait); wait > 0 && until.After(s.settleUntil) {
-		s.settleUntil = until
+// storeSeen learns that the store answered an instance at a time. After a time in
+// which it answered nobody, endpoints get time to register again: their entries
+// may have expired although they live.
+func (s *state) storeSeen(now, at time.Time) {
+	if !at.After(s.storeSeenAt) {
+		return
+	}
+	outage := at.Sub(s.storeSeenAt)
+	if !s.storeSeenAt.IsZero() && outage > outageAfter {
+		s.settleUntil = now.Add(settleTime)
+		s.edge.log.Info().Dur("outage", outage).Msg("store answers again")
 	}
+	s.storeSeenAt = at
 }
 
 // missed forgets an endpoint, after a while if the store was out: its entry may
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -122,10 +122,8 @@
 	// Revision is that of the delegate's mirror.
 	Revision uint64 `msgpack:"v"`
 	// StoreAgeMillis is how long ago the store answered the delegate.
-	StoreAgeMillis int64 `msgpack:"s"`
-	// SettleMillis is how long removals still wait after an outage of the store.
-	SettleMillis int64    `msgpack:"t,omitempty"`
-	Digests      []Digest `msgpack:"d"`
+	StoreAgeMillis int64    `msgpack:"s"`
+	Digests        []Digest `msgpack:"d"`
 }
 
 // Exchange carries a delegate's digest of its region to one of another region,
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -8,7 +8,9 @@
 	ID string
 	// Born is the start of the endpoint's lifetime in Unix milliseconds; 0 where
 	// it is not told.
-	Born     int64
+	Born int64
+	// Sequence rises with each record of one lifetime.
+	Sequence uint64
 	Upstream string
 	Address  string
 	Zone     string
@@ -19,6 +21,15 @@
 	ColdLeft time.Duration
 }
 
+// older reports whether the record was written before the other one, although it
+// may have reached the store later.
+func (r Record) older(other Record) bool {
+	if r.Born != other.Born {
+		return r.Born < other.Born
+	}
+	return r.Sequence < other.Sequence
+}
+
 // sameLifetime reports whether both records are of one run at one address.
 func (r Record) sameLifetime(other Record) bool {
 	return r.ID == other.ID && r.Born == other.Born && r.Upstream == other.Upstream &&
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -14,17 +14,21 @@
 	zones     map[string]string
 	pools     PoolFactory
 	endpoints map[string]*Endpoint
-	draining  map[string]bool
+	// latest are the last records, those of removed endpoints included.
+	latest    map[string]Record
 	evacuated map[string]bool
 }
 
+// maxLatest bounds the records that are remembered.
+const maxLatest = 20000
+
 // NewRegistry returns a registry; zones gives the region of each zone.
 func NewRegistry(zones map[string]string, pools PoolFactory) *Registry {
 	return &Registry{
 		zones:     zones,
 		pools:     pools,
 		endpoints: make(map[string]*Endpoint),
-		draining:  make(map[string]bool),
+		latest:    make(map[string]Record),
 		evacuated: make(map[string]bool),
 	}
 }
@@ -37,9 +41,14 @@
 	Interval time.Duration
 }
 
-// Register takes an endpoint's record. An endpoint that started again under its
-// identifier is a new one.
-func (r *Registry) Register(now time.Time, record Record, cold Cold) {
+// Register takes an endpoint's record and reports whether it is news. An endpoint
+// that started again under its identifier is a new one; a record that was written
+// before one that is known, but came later, says nothing.
+func (r *Registry) Register(now time.Time, record Record, cold Cold) bool {
+	if latest, seen := r.latest[record.ID]; seen && record.older(latest) {
+		return false
+	}
+	r.remember(record)
 	known, found := r.endpoints[record.ID]
 	if !found || !known.sameLifetime(record) {
 		if found {
@@ -48,10 +57,24 @@
 		known = newEndpoint(record, r.zones[record.Zone], r.pools(record))
 		r.endpoints[record.ID] = known
 	}
-	r.draining[record.ID] = record.Draining
 	if record.ColdLeft > 0 {
 		known.Chill(now, now.Add(record.ColdLeft), cold.Interval)
 	}
+	return true
+}
+
+// remember keeps the record; when there are too many, those of removed endpoints
+// are dropped.
+func (r *Registry) remember(record Record) {
+	r.latest[record.ID] = record
+	if len(r.latest) <= maxLatest {
+		return
+	}
+	for id := range r.latest {
+		if _, registered := r.endpoints[id]; !registered && id != record.ID {
+			delete(r.latest, id)
+		}
+	}
 }
 
 // Remove forgets an endpoint.
@@ -62,7 +85,6 @@
 	}
 	known.Pool.Retire(true)
 	delete(r.endpoints, id)
-	delete(r.draining, id)
 }
 
 // Evacuate says that a zone's endpoints are to get nothing.
@@ -96,7 +118,7 @@
 	t := NewTable()
 	for id, e := range r.endpoints {
 		t.all[id] = e
-		if r.draining[id] || r.evacuated[e.Zone] {
+		if r.latest[id].Draining || r.evacuated[e.Zone] {
 			continue
 		}
 		regions, found := t.upstreams[e.Upstream]
