Test the new slices, and mend what the tests found

Found by the tests: a mirror that had read the store whole gave older peers no removals from before; a workspace above its rate could exceed a window by the depth of its buckets (264 of 258), now counted by window; with two endpoints, one poor one counted as most.

--- /dev/null
+++ b/internal/allowance/allowance_test.go
@@ -0,0 +1,216 @@
+package allowance_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"lovagescale/internal/allowance"
+	"lovagescale/internal/catalog"
+	_ "lovagescale/internal/fuzzseed"
+)
+
+func TestAllowance(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "allowance")
+}
+
+var start = time.UnixMilli(1_000_000)
+
+const window = 5 * time.Second
+
+func quotaOf(rate, burst float64) *catalog.Catalog {
+	return catalog.New(1, nil, nil, []*catalog.Workspace{{Name: "azul", Rate: rate, Burst: burst}}, catalog.Limits{})
+}
+
+// node is one instance with its demand in requests per second.
+type node struct {
+	quotas *allowance.Quotas
+	demand float64
+	owed   float64
+}
+
+// play runs instances for a while in steps of 50 ms, which tell each other their
+// demand every 250 ms, and returns what was admitted in each step.
+func play(nodes []*node, c *catalog.Catalog, steps int, each func(step int)) []int {
+	const step = 50 * time.Millisecond
+	var admitted []int
+	for i := range steps {
+		now := start.Add(time.Duration(i) * step)
+		each(i)
+		if i%5 == 0 {
+			total := 0.0
+			for _, n := range nodes {
+				n.quotas.Tick(5 * step)
+				total += n.quotas.Demand()["azul"]
+			}
+			for _, n := range nodes {
+				others := total - n.quotas.Demand()["azul"]
+				n.quotas.Divide(now, c, map[string]float64{"azul": others}, len(nodes))
+			}
+		}
+		count := 0
+		for _, n := range nodes {
+			for n.owed += n.demand * step.Seconds(); n.owed >= 1; n.owed-- {
+				if _, ok := n.quotas.Admit(now, c.Workspaces["azul"]); ok {
+					count++
+				}
+			}
+		}
+		admitted = append(admitted, count)
+	}
+	return admitted
+}
+
+func newNodes(n int) []*node {
+	nodes := make([]*node, n)
+	for i := range nodes {
+		nodes[i] = &node{quotas: allowance.NewQuotas(window)}
+	}
+	return nodes
+}
+
+// mostIn returns the most that was admitted in a window of steps.
+func mostIn(admitted []int, steps int) int {
+	most, sum := 0, 0
+	for i, n := range admitted {
+		sum += n
+		if i >= steps {
+			sum -= admitted[i-steps]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+var _ = Describe("Quotas", func() {
+	It("admits a workspace within its rate, wherever its requests come", func() {
+		nodes := newNodes(8)
+		c := quotaOf(40, 40)
+		refused := 0
+		admitted := play(nodes, c, 600, func(step int) {
+			for i, n := range nodes {
+				n.demand = 0
+				if i == step/200 {
+					n.demand = 24
+				}
+			}
+		})
+		for _, n := range admitted {
+			refused -= n
+		}
+		refused += 24 * 30
+		Expect(refused).To(BeNumerically("<", 24*30/20), "requests refused within the rate after two moves of all demand")
+	})
+
+	It("gives a workspace that is far above its rate what each window owes it", func() {
+		nodes := newNodes(8)
+		c := quotaOf(43, 43)
+		admitted := play(nodes, c, 800, func(int) {
+			for _, n := range nodes {
+				n.demand = 10
+			}
+		})
+		sum := 0
+		for _, n := range admitted[400:] {
+			sum += n
+		}
+		Expect(sum).To(BeNumerically(">", 43*20), "admitted in the last 20 s")
+		Expect(mostIn(admitted, 100)).To(BeNumerically("<=", 43*5+43))
+	})
+
+	It("takes a lower limit at once", func() {
+		quotas := allowance.NewQuotas(window)
+		wide, narrow := quotaOf(100, 100), quotaOf(10, 10)
+		quotas.Divide(start, wide, nil, 1)
+		quotas.Divide(start.Add(time.Second), narrow, nil, 1)
+		now := start.Add(time.Second)
+		count := 0
+		for range 100 {
+			if _, ok := quotas.Admit(now, narrow.Workspaces["azul"]); ok {
+				count++
+			}
+		}
+		Expect(count).To(BeNumerically("<=", 10))
+	})
+
+	It("says when to come back", func() {
+		quotas := allowance.NewQuotas(window)
+		c := quotaOf(2, 1)
+		quotas.Divide(start, c, nil, 1)
+		wait, ok := quotas.Admit(start, c.Workspaces["azul"])
+		Expect(ok).To(BeFalse())
+		Expect(wait).To(BeNumerically("~", 500*time.Millisecond, 300*time.Millisecond))
+	})
+
+	It("does not bound a workspace without a rate", func() {
+		quotas := allowance.NewQuotas(window)
+		c := quotaOf(0, 0)
+		for range 1000 {
+			_, ok := quotas.Admit(start, c.Workspaces["azul"])
+			Expect(ok).To(BeTrue())
+		}
+	})
+})
+
+// TestFuzzQuotaOverTheFleet moves demand about at random: no window holds more
+// than the bound that the users check.
+func TestFuzzQuotaOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := float64(rapid.IntRange(10, 200).Draw(rt, "rate"))
+		burst := rate * rapid.Float64Range(0.5, 1).Draw(rt, "burst")
+		nodes := newNodes(rapid.IntRange(1, 10).Draw(rt, "instances"))
+		changes := rapid.SliceOfN(rapid.IntRange(0, 4), len(nodes)*6, len(nodes)*6).Draw(rt, "demand")
+		admitted := play(nodes, quotaOf(rate, burst), 600, func(step int) {
+			for i, n := range nodes {
+				n.demand = float64(changes[step/100*len(nodes)+i]) * rate / float64(len(nodes))
+			}
+		})
+		bound := (rate*window.Seconds()+burst)*1.1 + 20
+		if most := mostIn(admitted, 100); float64(most) > bound {
+			rt.Fatalf("%d requests in a window, the bound is %.0f", most, bound)
+		}
+	})
+}
+
+var _ = Describe("ShareOf", func() {
+	It("divides the whole quota", func() {
+		demand := []float64{0, 1, 5, 30}
+		total, sum := 36.0, 0.0
+		for _, own := range demand {
+			sum += allowance.ShareOf(own, total-own, len(demand))
+		}
+		Expect(sum).To(BeNumerically("~", 1, 1e-9))
+	})
+})
+
+// TestFuzzRetryBudget lets instances send first and further tries at random: in
+// any window, further tries stay within the ratio of the first ones and the burst.
+func TestFuzzRetryBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const ratio, burst = 0.2, 56.0
+		instances := rapid.IntRange(1, 12).Draw(rt, "instances")
+		budgets := make([]*allowance.RetryBudget, instances)
+		for i := range budgets {
+			budgets[i] = allowance.NewRetryBudget(allowance.RetryOptions{Ratio: ratio, Burst: burst})
+			budgets[i].SetInstances(instances)
+		}
+		first, further := 0, 0
+		for range rapid.IntRange(1, 4000).Draw(rt, "requests") {
+			b := budgets[rapid.IntRange(0, instances-1).Draw(rt, "instance")]
+			b.First("files")
+			first++
+			for range rapid.IntRange(0, 3).Draw(rt, "tries") {
+				if b.Further("files") {
+					further++
+				}
+			}
+			if limit := ratio*float64(first) + burst; float64(further) > limit {
+				rt.Fatalf("%d further tries after %d first ones, the bound is %.0f", further, first, limit)
+			}
+		}
+	})
+}
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -45,6 +45,11 @@
 type part struct {
 	limiter *rate.Limiter
 	demand  Meter
+	// recent are the requests admitted in the last periods, of which window is the
+	// sum; most is what a window may hold.
+	recent []int
+	window int
+	most   float64
 	// aboveSince is when the demand on all instances last rose above the rate;
 	// zero while it is not.
 	aboveSince time.Time
@@ -66,7 +71,12 @@
 	defer q.mu.Unlock()
 	p := q.part(now, workspace.Name)
 	p.demand.Count()
-	if workspace.Rate <= 0 || p.limiter.AllowN(now, 1) {
+	if workspace.Rate <= 0 {
+		return 0, true
+	}
+	if float64(p.window+1) <= p.most && p.limiter.AllowN(now, 1) {
+		p.window++
+		p.recent[len(p.recent)-1]++
 		return 0, true
 	}
 	missing := 1 - p.limiter.TokensAt(now)
@@ -78,7 +88,7 @@
 func (q *Quotas) part(now time.Time, workspace string) *part {
 	p, found := q.workspaces[workspace]
 	if !found {
-		p = &part{limiter: rate.NewLimiter(0, 0)}
+		p = &part{limiter: rate.NewLimiter(0, 0), recent: make([]int, 1)}
 		p.limiter.SetLimitAt(now, 0)
 		q.workspaces[workspace] = p
 	}
@@ -101,8 +111,22 @@
 func (q *Quotas) Tick(elapsed time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	periods := int(math.Ceil(q.window.Seconds()/max(elapsed.Seconds(), minPeriod.Seconds()))) + 1
 	for _, p := range q.workspaces {
 		p.demand.Tick(elapsed)
+		p.roll(periods)
+	}
+}
+
+// minPeriod bounds the periods that a window is divided into.
+const minPeriod = 50 * time.Millisecond
+
+// roll starts a period and drops those that have left the window.
+func (p *part) roll(periods int) {
+	p.recent = append(p.recent, 0)
+	for len(p.recent) > periods {
+		p.window -= p.recent[0]
+		p.recent = p.recent[1:]
 	}
 }
 
@@ -123,6 +147,7 @@
 		if p.above(now, workspace.Rate, others[name]) >= q.window {
 			limit = Sustained(limit, workspace.Burst, q.window)
 		}
+		p.most = max((workspace.Rate*q.window.Seconds()+workspace.Burst)*share, 1)
 		p.limiter.SetLimitAt(now, rate.Limit(limit*share))
 		p.limiter.SetBurstAt(now, max(int(workspace.Burst*share), 1))
 	}
@@ -142,8 +167,9 @@
 
 // Sustained returns the rate of a workspace that has been above its rate for a
 // whole window. Its burst is spent by then and comes again in each window, so it
-// is spread over the window; the depth of the buckets stays, since shallow ones
-// lose tokens wherever requests come unevenly.
+// is spread over the window. The depth of the buckets stays, since shallow ones
+// lose tokens wherever requests come unevenly; what a window may hold is counted
+// apart.
 func Sustained(limit, burst float64, window time.Duration) float64 {
 	return limit + burst/window.Seconds()
 }
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,92 @@
+package catalog_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/catalog"
+	"lovagescale/internal/weighted"
+)
+
+func TestCatalog(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "catalog")
+}
+
+func route(name, host, prefix string) *catalog.Route {
+	return &catalog.Route{Name: name, Host: host, Prefix: prefix, Timeout: time.Second,
+		Parts: []weighted.Weight{{Name: "files", Weight: 1}}}
+}
+
+var _ = Describe("Catalog", func() {
+	c := catalog.New(7,
+		[]*catalog.Route{route("root", "a.example", "/x/"), route("deep", "a.example", "/x/y/"), route("other", "b.example", "/x/")},
+		nil,
+		[]*catalog.Workspace{{Name: "azul", Keys: []string{"k1", "k2"}}, {Name: "verde", Keys: []string{"k3"}}},
+		catalog.Limits{})
+
+	DescribeTable("matches host and longest prefix",
+		func(host, path, expected string) {
+			found, ok := c.Match(host, path)
+			Expect(ok).To(Equal(expected != ""))
+			if ok {
+				Expect(found.Name).To(Equal(expected))
+			}
+		},
+		Entry("short prefix", "a.example", "/x/1", "root"),
+		Entry("longest prefix", "a.example", "/x/y/1", "deep"),
+		Entry("prefix ends with its slash", "a.example", "/x/yy", "root"),
+		Entry("host with a port and capitals", "A.example:8080", "/x/1", "root"),
+		Entry("another host", "b.example", "/x/y/1", "other"),
+		Entry("unknown host", "c.example", "/x/1", ""),
+		Entry("unknown path", "a.example", "/z/1", ""),
+	)
+
+	It("finds the workspace of each key and of no other one", func() {
+		workspace, found := c.Authenticate("k2")
+		Expect(found).To(BeTrue())
+		Expect(workspace.Name).To(Equal("azul"))
+		_, found = c.Authenticate("k4")
+		Expect(found).To(BeFalse())
+		_, found = c.Authenticate("")
+		Expect(found).To(BeFalse())
+	})
+
+	DescribeTable("joins the homes of route and workspace",
+		func(ofRoute, ofWorkspace, expected []string, restricted bool) {
+			homes, bound := catalog.HomesOf(&catalog.Route{Homes: ofRoute}, &catalog.Workspace{Homes: ofWorkspace})
+			Expect(bound).To(Equal(restricted))
+			Expect(homes).To(HaveLen(len(expected)))
+			for _, region := range expected {
+				Expect(homes).To(ContainElement(region))
+			}
+		},
+		Entry("none", nil, nil, nil, false),
+		Entry("route only", []string{"n"}, nil, []string{"n"}, true),
+		Entry("workspace only", nil, []string{"s"}, []string{"s"}, true),
+		Entry("both, in common", []string{"n", "s"}, []string{"s", "e"}, []string{"s"}, true),
+		Entry("both, nothing in common", []string{"n"}, []string{"s"}, nil, true),
+	)
+})
+
+var _ = Describe("Splitter", func() {
+	It("keeps the weights in every run of requests and after a change", func() {
+		splitter := catalog.NewSplitter()
+		split := &catalog.Route{Name: "r", Parts: []weighted.Weight{{Name: "a", Weight: 90}, {Name: "b", Weight: 10}}}
+		count := map[string]int{}
+		for range 50 {
+			count[splitter.Next(split)]++
+		}
+		Expect(count).To(Equal(map[string]int{"a": 45, "b": 5}))
+		changed := &catalog.Route{Name: "r", Parts: []weighted.Weight{{Name: "b", Weight: 1}, {Name: "c", Weight: 3}}}
+		count = map[string]int{}
+		for range 40 {
+			count[splitter.Next(changed)]++
+		}
+		Expect(count["a"]).To(BeZero())
+		Expect(count["b"]).To(BeNumerically("~", 10, 1))
+	})
+})
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,151 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/fleet"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+var start = time.UnixMilli(1_000_000)
+
+func member(name, region string) fleet.Member {
+	return fleet.Member{Instance: name, Incarnation: 1, Zone: region + "-1", Region: region, Callers: name + ":1", Link: name + ":2"}
+}
+
+func report(m fleet.Member, state fleet.State, activity fleet.Activity) fleet.Report {
+	return fleet.Report{Status: fleet.Status{Member: m, State: state}, Activity: activity}
+}
+
+func uses(endpoint string, n int) fleet.Activity {
+	return fleet.Activity{Uses: []fleet.Use{{Endpoint: endpoint, InFlight: n}}}
+}
+
+func demand(workspace string, rate float32) fleet.Activity {
+	return fleet.Activity{Workspaces: []fleet.Demand{{Workspace: workspace, Rate: rate}}}
+}
+
+func instances(members []fleet.Member) []string {
+	names := []string{}
+	for _, m := range members {
+		names = append(names, m.Instance)
+	}
+	return names
+}
+
+var _ = Describe("Core", func() {
+	var core *fleet.Core
+
+	BeforeEach(func() {
+		core = fleet.New(member("n2", "north"))
+		core.SetState(fleet.Ready)
+	})
+
+	It("sends callers to instances that are ready and heard, and to no silent one", func() {
+		core.Heard(start, report(member("n1", "north"), fleet.Ready, fleet.Activity{}))
+		core.Heard(start, report(member("n3", "north"), fleet.Leaving, fleet.Activity{}))
+		core.Registered(start, member("n4", "north"))
+		Expect(core.Entries(start, "north", 64)).To(Equal([]string{"n1:1", "n2:1"}))
+		later := start.Add(fleet.SilentAfter + time.Millisecond)
+		Expect(core.Entries(later, "north", 64)).To(Equal([]string{"n2:1"}))
+	})
+
+	It("names the instances of other regions where a region has none", func() {
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 3, Members: []fleet.Status{{Member: member("s1", "south"), State: fleet.Ready}}}, fleet.Activity{})
+		Expect(core.Entries(start, "south", 64)).To(Equal([]string{"s1:1"}))
+		Expect(core.Entries(start, "east", 64)).To(Equal([]string{"n2:1", "s1:1"}))
+	})
+
+	It("passes over a delegate that does not answer, and takes its place", func() {
+		core.Registered(start, member("n0", "north"))
+		core.Registered(start, member("n1", "north"))
+		Expect(instances(core.Delegates(start, "north"))).To(Equal([]string{"n0", "n1"}))
+		Expect(core.IsDelegate(start)).To(BeFalse())
+		core.Failed(start, "n0")
+		Expect(instances(core.Delegates(start, "north"))).To(Equal([]string{"n1", "n2"}))
+		Expect(core.IsDelegate(start)).To(BeTrue())
+		Expect(core.IsDelegate(start.Add(fleet.SuspectFor))).To(BeFalse())
+	})
+
+	It("is its own delegate when no other instance of the region answers", func() {
+		core.Registered(start, member("n0", "north"))
+		core.Failed(start, "n0")
+		Expect(instances(core.Delegates(start, "north"))).To(Equal([]string{"n2"}))
+	})
+
+	It("takes nothing from an earlier run of an instance", func() {
+		again := member("n1", "north")
+		again.Incarnation = 2
+		Expect(core.Heard(start, report(again, fleet.Ready, uses("e", 1)))).To(BeTrue())
+		Expect(core.Heard(start, report(member("n1", "north"), fleet.Leaving, uses("e", 9)))).To(BeFalse())
+		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 1}))
+	})
+
+	It("sums up its region as a delegate and does not count itself among the others", func() {
+		core.Heard(start, report(member("n1", "north"), fleet.Ready, uses("e", 2)))
+		core.Heard(start, report(member("n3", "north"), fleet.Ready, uses("e", 3)))
+		digest := core.OwnDigest(start, uses("e", 4))
+		Expect(digest.Activity.Uses).To(Equal([]fleet.Use{{Endpoint: "e", InFlight: 9}}))
+		Expect(digest.Members).To(HaveLen(3))
+		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 5}))
+	})
+
+	It("takes its own part off the digest of its delegate", func() {
+		core.Registered(start, member("n0", "north"))
+		core.Registered(start, member("n1", "north"))
+		core.Digested(start, fleet.Digest{Region: "north", Hash: 1, Activity: uses("e", 7)}, uses("e", 4))
+		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 3}))
+	})
+
+	It("counts uses for a short time and demand on quotas for a long one", func() {
+		both := uses("e", 2)
+		both.Workspaces = demand("azul", 5).Workspaces
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, Activity: both}, fleet.Activity{})
+		later := core.Others(start.Add(5 * time.Second))
+		Expect(later.Uses).To(BeEmpty())
+		Expect(later.Workspaces).To(Equal(map[string]float64{"azul": 5}))
+		Expect(core.Others(start.Add(fleet.RememberDemand + time.Second)).Workspaces).To(BeEmpty())
+	})
+
+	It("counts the demand of a member that has fallen silent", func() {
+		core.Heard(start, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
+		digest := core.OwnDigest(start.Add(5*time.Second), fleet.Activity{})
+		Expect(digest.Members).To(HaveLen(1))
+		Expect(digest.Activity.Workspaces).To(HaveLen(1))
+	})
+
+	It("leaves out members that the receiver knows, who keeps them", func() {
+		south := fleet.Digest{Region: "south", Hash: 11, Members: []fleet.Status{{Member: member("s1", "south"), State: fleet.Ready}}}
+		core.Digested(start, south, fleet.Activity{})
+		for _, digest := range core.Digests(start, fleet.Activity{}, map[string]uint64{"south": 11}) {
+			if digest.Region == "south" {
+				Expect(digest.Members).To(BeEmpty())
+			}
+		}
+		core.Digested(start.Add(2*time.Second), fleet.Digest{Region: "south", Hash: 11}, fleet.Activity{})
+		Expect(core.Entries(start.Add(4*time.Second), "south", 64)).To(Equal([]string{"s1:1"}))
+	})
+
+	It("passes over a digest that is older than one it has", func() {
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, Activity: uses("e", 1)}, fleet.Activity{})
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, AgeMillis: 400, Activity: uses("e", 9)}, fleet.Activity{})
+		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 1}))
+	})
+
+	It("forgets an instance that is neither registered nor heard", func() {
+		core.Registered(start, member("n1", "north"))
+		core.Unregistered("n1")
+		core.Expire(start.Add(time.Second))
+		Expect(core.Size()).To(Equal(2))
+		core.Expire(start.Add(fleet.ForgottenAfter + time.Second))
+		Expect(core.Size()).To(Equal(1))
+	})
+})
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -35,7 +35,7 @@
 	revision uint64
 	entries  map[string]store.Entry
 	removed  map[string]uint64
-	// forgotten is the highest revision of a removal that is not remembered.
+	// forgotten is the revision up to which removals may be missing in removed.
 	forgotten uint64
 }
 
@@ -117,6 +117,7 @@
 				changed = append(changed, m.remove(key, delta.Revision)...)
 			}
 		}
+		m.forgotten = max(m.forgotten, delta.Revision)
 	}
 	m.revision = delta.Revision
 	return changed
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -137,7 +137,7 @@
 		fit, _ := e.condition(now)
 		counts[fit]++
 	}
-	return counts[poor] >= counts[sound]
+	return counts[poor] > counts[sound]
 }
 
 // ranked is the endpoint with the highest rank for the object so far.
