--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -78,6 +78,8 @@
 	revision  atomic.Uint64
 	// storeHeard is when the store last answered, in Unix nanoseconds.
 	storeHeard atomic.Int64
+	// storeLost says that the last call to follow the store failed.
+	storeLost atomic.Bool
 	// delegateHeardAt is when a delegate that follows the store last answered, in
 	// Unix nanoseconds.
 	delegateHeardAt atomic.Int64
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -17,8 +17,8 @@
 // Times of following the store.
 const (
 	// watchWait is how long a watch waits; a connection that has gone silent is
-	// noticed after it.
-	watchWait = 2 * time.Second
+	// noticed after it. It is short, since the region depends on its delegates.
+	watchWait = time.Second
 	// followPause is the pause after a failed call, and maxFollowPause the longest.
 	followPause    = 150 * time.Millisecond
 	maxFollowPause = time.Second
@@ -62,6 +62,7 @@
 			e.log.Warn().Err(err).Msg("store is read whole")
 		default:
 			e.counters.storeFailures.Inc(1)
+			e.storeLost.Store(true)
 			e.log.Warn().Err(err).Dur("pause", pause).Msg("store is not followed")
 			sleep(ctx, jitter(pause))
 			pause = min(2*pause, maxFollowPause)
@@ -110,19 +111,32 @@
 func (e *Edge) delegateHeard(now time.Time, reply fleet.Reply) {
 	if reply.StoreAgeMillis <= storeFresh.Milliseconds() {
 		e.delegateHeardAt.Store(now.UnixNano())
+	} else {
+		e.delegateHeardAt.Store(0)
 	}
 }
 
 // heardStore notes that the store answered this instance.
 func (e *Edge) heardStore(now time.Time) {
 	e.storeHeard.Store(now.UnixNano())
+	e.storeLost.Store(false)
 	e.state.storeSeen(now, now)
 }
 
+// storeAge returns how long ago the store answered this instance; after a call
+// that failed, it counts as too long.
+func (e *Edge) storeAge(now time.Time) time.Duration {
+	age := now.Sub(time.Unix(0, e.storeHeard.Load()))
+	if e.storeLost.Load() {
+		return max(age, storeFresh+time.Millisecond)
+	}
+	return age
+}
+
 // storeSilent reports whether this instance does not follow the store by itself
 // now.
 func (e *Edge) storeSilent(now time.Time) bool {
-	return !e.delegate.Load() || now.Sub(time.Unix(0, e.storeHeard.Load())) > storeFresh
+	return !e.delegate.Load() || e.storeAge(now) > storeFresh
 }
 
 // join asks the seeds for their mirror until this instance has one.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -210,7 +210,7 @@
 		now := time.Now()
 		take(now)
 		reply.Revision = e.state.mirror.Revision()
-		reply.StoreAgeMillis = now.Sub(time.Unix(0, e.storeHeard.Load())).Milliseconds()
+		reply.StoreAgeMillis = e.storeAge(now).Milliseconds()
 		reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), known)
 	})
 	return reply, err
