Lend from pools of the region before refusing within a rate

Change: instances hold half of each quota; the other half lies in pools with the delegates of the regions, from which an instance borrows before it refuses.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -26,6 +26,10 @@
 	return catalog.New(1, nil, nil, []*catalog.Workspace{{Name: "azul", Rate: rate, Burst: burst}}, catalog.Limits{})
 }
 
+func demands(own, others float64) func(string) allowance.Demands {
+	return func(string) allowance.Demands { return allowance.Demands{Own: own, Others: others} }
+}
+
 // node is one instance with its demand in requests per second.
 type node struct {
 	quotas *allowance.Quotas
@@ -49,7 +53,7 @@
 			}
 			for _, n := range nodes {
 				others := total - n.quotas.Demand()["azul"]
-				n.quotas.Divide(now, c, map[string]float64{"azul": others}, len(nodes))
+				n.quotas.Divide(now, c, demands(n.quotas.Demand()["azul"], others), len(nodes))
 			}
 		}
 		count := 0
@@ -68,7 +72,7 @@
 func newNodes(n int) []*node {
 	nodes := make([]*node, n)
 	for i := range nodes {
-		nodes[i] = &node{quotas: allowance.NewQuotas(window)}
+		nodes[i] = &node{quotas: allowance.NewQuotas(window, allowance.Part{Rate: 1, Burst: 1})}
 	}
 	return nodes
 }
@@ -123,10 +127,10 @@
 	})
 
 	It("takes a lower limit at once", func() {
-		quotas := allowance.NewQuotas(window)
+		quotas := allowance.NewQuotas(window, allowance.Part{Rate: 1, Burst: 1})
 		wide, narrow := quotaOf(100, 100), quotaOf(10, 10)
-		quotas.Divide(start, wide, nil, 1)
-		quotas.Divide(start.Add(time.Second), narrow, nil, 1)
+		quotas.Divide(start, wide, demands(0, 0), 1)
+		quotas.Divide(start.Add(time.Second), narrow, demands(0, 0), 1)
 		now := start.Add(time.Second)
 		count := 0
 		for range 100 {
@@ -138,16 +142,16 @@
 	})
 
 	It("says when to come back", func() {
-		quotas := allowance.NewQuotas(window)
+		quotas := allowance.NewQuotas(window, allowance.Part{Rate: 1, Burst: 1})
 		c := quotaOf(2, 1)
-		quotas.Divide(start, c, nil, 1)
+		quotas.Divide(start, c, demands(0, 0), 1)
 		wait, ok := quotas.Admit(start, c.Workspaces["azul"])
 		Expect(ok).To(BeFalse())
 		Expect(wait).To(BeNumerically("~", 500*time.Millisecond, 300*time.Millisecond))
 	})
 
 	It("does not bound a workspace without a rate", func() {
-		quotas := allowance.NewQuotas(window)
+		quotas := allowance.NewQuotas(window, allowance.Part{Rate: 1, Burst: 1})
 		c := quotaOf(0, 0)
 		for range 1000 {
 			_, ok := quotas.Admit(start, c.Workspaces["azul"])
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -1,10 +1,12 @@
 // Package allowance bounds what all instances together do with what each of
 // them knows: requests of a workspace, and tries beyond a request's first.
 //
-// Quotas divides a workspace's rate and burst among the instances: a part
-// evenly, so that an instance always has some, and the rest by the demand that
-// the instances tell each other. The parts add up to the whole when all know
-// the same. RetryBudget lets an upstream's further tries grow with the first
+// Quotas divides a part of a workspace's rate and burst among its holders: some
+// evenly, so that each always has a little, and the rest by the demand that they
+// tell each other. The parts add up to the whole when all know the same. Instances
+// hold LocalPart of each quota; the rest lies in pools, one a region, from which
+// an instance borrows before it refuses: among many instances the shares are too
+// small for requests that come unevenly. RetryBudget lets an upstream's further tries grow with the first
 // ones that this instance sends.
 //
 // How it fails: an instance that hears nobody keeps its last part until the
@@ -36,7 +38,9 @@
 // Quotas holds this instance's parts of the workspaces' quotas. It is safe for
 // concurrent use.
 type Quotas struct {
-	window     time.Duration
+	window time.Duration
+	// whole is the part of the quotas that all holders have together.
+	whole      Part
 	mu         sync.Mutex
 	workspaces map[string]*part
 }
@@ -55,10 +59,20 @@
 	aboveSince time.Time
 }
 
-// NewQuotas returns quotas without workspaces. A workspace may send its burst
-// beside its rate in each window.
-func NewQuotas(window time.Duration) *Quotas {
-	return &Quotas{window: window, workspaces: make(map[string]*part)}
+// Part is a part of each quota, of its rate and of its burst.
+type Part struct{ Rate, Burst float64 }
+
+// Local is the part of a quota that instances hold; Pooled lies in the pools. The
+// many small buckets of instances need more of the burst than the few pools.
+var (
+	Local  = Part{Rate: 0.5, Burst: 0.75}
+	Pooled = Part{Rate: 0.5, Burst: 0.25}
+)
+
+// NewQuotas returns quotas without workspaces, of which all holders have the part
+// whole. A workspace may send its burst beside its rate in each window.
+func NewQuotas(window time.Duration, whole Part) *Quotas {
+	return &Quotas{window: window, whole: whole, workspaces: make(map[string]*part)}
 }
 
 // Admit takes a token of the workspace. Without one it returns false and when to
@@ -130,9 +144,12 @@
 	}
 }
 
-// Divide sets this instance's parts. others is the demand of the other instances
-// by workspace, and instances how many there may be, this one included.
-func (q *Quotas) Divide(now time.Time, c *catalog.Catalog, others map[string]float64, instances int) {
+// Demands is the demand on one holder and on all others, in requests per second.
+type Demands struct{ Own, Others float64 }
+
+// Divide sets this holder's parts, by the demand of each workspace, among a number
+// of holders, this one included.
+func (q *Quotas) Divide(now time.Time, c *catalog.Catalog, demand func(workspace string) Demands, holders int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for name := range q.workspaces {
@@ -142,20 +159,22 @@
 	}
 	for name, workspace := range c.Workspaces {
 		p := q.part(now, name)
-		share := ShareOf(p.demand.Rate(), others[name], instances)
+		d := demand(name)
+		share := ShareOf(d.Own, d.Others, holders)
+		rateShare, burstShare := q.whole.Rate*share, q.whole.Burst*share
 		limit := workspace.Rate
-		if p.above(now, workspace.Rate, others[name]) >= q.window {
+		if p.above(now, workspace.Rate, d) >= q.window {
 			limit = Sustained(limit, workspace.Burst, q.window)
 		}
-		p.most = max((workspace.Rate*q.window.Seconds()+workspace.Burst)*share, 1)
-		p.limiter.SetLimitAt(now, rate.Limit(limit*share))
-		p.limiter.SetBurstAt(now, max(int(workspace.Burst*share), 1))
+		p.most = max(workspace.Rate*q.window.Seconds()*rateShare+workspace.Burst*burstShare, 1)
+		p.limiter.SetLimitAt(now, rate.Limit(limit*rateShare))
+		p.limiter.SetBurstAt(now, max(int(workspace.Burst*burstShare), 1))
 	}
 }
 
-// above returns how long the demand on all instances has been above the rate.
-func (p *part) above(now time.Time, rate, others float64) time.Duration {
-	if p.demand.Rate()+others <= rate {
+// above returns how long the demand on all holders has been above the rate.
+func (p *part) above(now time.Time, rate float64, d Demands) time.Duration {
+	if d.Own+d.Others <= rate {
 		p.aboveSince = time.Time{}
 		return 0
 	}
@@ -174,10 +193,10 @@
 	return limit + burst/window.Seconds()
 }
 
-// ShareOf returns an instance's share of a quota, given its own demand, that of
-// the others and the number of instances. The shares of all add up to 1.
-func ShareOf(own, others float64, instances int) float64 {
-	n := float64(max(instances, 1))
+// ShareOf returns a holder's share of a quota, given its own demand, that of the
+// others and the number of holders. The shares of all add up to 1.
+func ShareOf(own, others float64, holders int) float64 {
+	n := float64(max(holders, 1))
 	return evenPart/n + (1-evenPart)*(own+demandFloor)/(own+others+n*demandFloor)
 }
 
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -49,6 +49,7 @@
 type counters struct {
 	requests, answered, lookUps             metrics.Counter
 	storeCalls, storeFailures, talkFailures metrics.Counter
+	loans                                   metrics.Counter
 	latency                                 metrics.Timer
 }
 
@@ -60,6 +61,7 @@
 		storeCalls:    metrics.GetOrRegisterCounter("edge.store.calls", registry),
 		storeFailures: metrics.GetOrRegisterCounter("edge.store.failures", registry),
 		talkFailures:  metrics.GetOrRegisterCounter("edge.peer.failures", registry),
+		loans:         metrics.GetOrRegisterCounter("edge.quota.loans", registry),
 		latency:       metrics.GetOrRegisterTimer("edge.latency", registry),
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -91,6 +91,7 @@
 	peers *link.Peers
 
 	quotas   *allowance.Quotas
+	lending  *lending
 	retries  *allowance.RetryBudget
 	splitter *catalog.Splitter
 	steering *placement.Steering
@@ -110,7 +111,8 @@
 		regions:  regionsOf(s.Zones),
 		loop:     control.NewLoop("edge"),
 		peers:    link.NewPeers(),
-		quotas:   allowance.NewQuotas(s.Bounds.QuotaWindow),
+		quotas:   allowance.NewQuotas(s.Bounds.QuotaWindow, allowance.Local),
+		lending:  newLending(s.Bounds.QuotaWindow),
 		retries:  allowance.NewRetryBudget(allowance.RetryOptions{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst}),
 		splitter: catalog.NewSplitter(),
 		steering: placement.NewSteering(s.Region),
@@ -165,6 +167,7 @@
 	links.Handle(fleet.TypeReport, e.reported)
 	links.Handle(fleet.TypeExchange, e.exchanged)
 	links.Handle(fleet.TypePull, e.pulled)
+	links.Handle(fleet.TypeBorrow, e.lend)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -122,7 +122,7 @@
 	if refused := e.identify(q, r); refused != nil {
 		return q, refused
 	}
-	if wait, admitted := e.quotas.Admit(q.started, q.workspace); !admitted {
+	if wait, admitted := e.admit(r.Context(), q); !admitted {
 		return q, refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, refusal.NotRun,
 			"workspace is above its rate").After(max(wait, minRetryAfter))
 	}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lovagescale/internal/allowance"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/mirror"
@@ -189,6 +190,7 @@
 	s.updateState()
 	s.countOthers()
 	s.edge.quotas.Tick(elapsed)
+	s.edge.lending.pool.Tick(elapsed)
 	s.divide(now)
 	s.steer(now, elapsed)
 	s.publishEntries(now)
@@ -223,11 +225,22 @@
 	}
 }
 
-// divide sets this instance's parts of the quotas.
+// divide sets this instance's parts of the quotas, and those of its region's pool.
 func (s *state) divide(now time.Time) {
-	if c := s.edge.catalog.Load(); c != nil {
-		s.edge.quotas.Divide(now, c, s.others.Workspaces, s.fleet.Size())
+	c := s.edge.catalog.Load()
+	if c == nil {
+		return
 	}
+	own := s.edge.quotas.Demand()
+	s.edge.quotas.Divide(now, c, func(workspace string) allowance.Demands {
+		return allowance.Demands{Own: own[workspace], Others: s.others.Workspaces[workspace]}
+	}, s.fleet.Size())
+	s.edge.lending.pool.Divide(now, c, func(workspace string) allowance.Demands {
+		region := own[workspace] + s.others.Region[workspace]
+		return allowance.Demands{Own: region, Others: own[workspace] + s.others.Workspaces[workspace] - region}
+	}, len(s.edge.regions))
+	delegates := s.fleet.Delegates(now, s.edge.settings.Region)
+	s.edge.lending.delegates.Store(&delegates)
 }
 
 // idleDemand is the demand of the region on an upstream, in slots, below which its
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -102,6 +102,8 @@
 	Upstreams map[string][]UpstreamDemand
 	// Workspaces is the demand of workspaces, which is remembered for longer.
 	Workspaces map[string]float64
+	// Region is the part of Workspaces in this instance's region.
+	Region map[string]float64
 	// Services are the answers of upstreams.
 	Services map[string]Service
 }
@@ -123,9 +125,12 @@
 	}
 }
 
-func (o *Others) addWorkspaces(activity Activity, sign float64) {
+func (o *Others) addWorkspaces(activity Activity, sign float64, home bool) {
 	for _, d := range activity.Workspaces {
 		o.Workspaces[d.Workspace] += sign * float64(d.Rate)
+		if home {
+			o.Region[d.Workspace] += sign * float64(d.Rate)
+		}
 	}
 }
 
@@ -136,6 +141,7 @@
 		Uses:       make(map[string]int),
 		Upstreams:  make(map[string][]UpstreamDemand),
 		Workspaces: make(map[string]float64),
+		Region:     make(map[string]float64),
 		Services:   make(map[string]Service),
 	}
 	home := c.self.Member.Region
@@ -149,14 +155,14 @@
 			others.add(region, r.own, -1)
 		}
 		if now.Sub(r.at) <= RememberDemand {
-			others.addWorkspaces(r.digest.Activity, 1)
-			others.addWorkspaces(r.own, -1)
+			others.addWorkspaces(r.digest.Activity, 1, region == home)
+			others.addWorkspaces(r.own, -1, region == home)
 		}
 	}
 	if delegate {
 		digest := c.OwnDigest(now, Activity{})
 		others.add(home, digest.Activity, 1)
-		others.addWorkspaces(digest.Activity, 1)
+		others.addWorkspaces(digest.Activity, 1, true)
 	}
 	return others
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -7,6 +7,7 @@
 	TypeReport   = "fleet.report"
 	TypeExchange = "fleet.exchange"
 	TypePull     = "fleet.pull"
+	TypeBorrow   = "fleet.borrow"
 )
 
 // State says whether callers are to be sent to an instance.
@@ -133,6 +134,19 @@
 	Known  map[string]uint64 `msgpack:"h,omitempty"`
 }
 
+// Borrow asks the delegate that holds the region's pool of a workspace for one
+// request.
+type Borrow struct {
+	Workspace string `msgpack:"w"`
+}
+
+// Loan answers a Borrow.
+type Loan struct {
+	Granted bool `msgpack:"g"`
+	// WaitMillis is when there may be something again, if it is not granted.
+	WaitMillis int64 `msgpack:"t"`
+}
+
 // Pull asks a peer for what its mirror has after a revision; the reply is a
 // mirror.Delta.
 type Pull struct {
