--- a/internal/command/ask.go
+++ b/internal/command/ask.go
@@ -7,8 +7,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/link"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/spread"
 )
 
@@ -22,13 +22,13 @@
 
 // answer is what one listed instance said.
 type answer[R any] struct {
-	Instance platform.Instance
+	Instance instancelist.Instance
 	Reply    R
 	Err      error
 }
 
 // askAll sends a request to the link of every instance.
-func askAll[R any](ctx context.Context, instances []platform.Instance, messageType string, request any) []answer[R] {
+func askAll[R any](ctx context.Context, instances []instancelist.Instance, messageType string, request any) []answer[R] {
 	answers := make([]answer[R], len(instances))
 	var group errgroup.Group
 	group.SetLimit(askAtOnce)
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -21,7 +21,7 @@
 	"github.com/pkg/errors"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/store"
 	"lovagescale/internal/tomlfile"
 )
@@ -98,7 +98,9 @@
 }
 
 // list reads the platform's list of instances.
-func (e *Environment) list() *platform.Client { return platform.NewClient(e.Platform, callTimeout) }
+func (e *Environment) list() *instancelist.Client {
+	return instancelist.NewClient(e.Platform, callTimeout)
+}
 
 // print writes value as JSON, or text for people.
 func (e *Environment) print(value any, format string, arguments ...any) error {
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/spread"
 )
 
@@ -167,7 +167,7 @@
 	}
 	for _, a := range askAll[spread.StatusReply](ctx, instances, spread.TypeStatus, struct{}{}) {
 		i := slices.IndexFunc(o.Order, func(z zoneChoice) bool { return z.Zone == a.Instance.Zone })
-		if i < 0 || a.Err != nil || a.Instance.State != platform.Live {
+		if i < 0 || a.Err != nil || a.Instance.State != instancelist.Live {
 			continue
 		}
 		o.Order[i].Entries = append(o.Order[i].Entries, a.Instance.ID)
--- a/internal/command/recover.go
+++ b/internal/command/recover.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/spread"
 )
 
@@ -19,7 +19,7 @@
 	if err != nil {
 		return err
 	}
-	var source platform.Instance
+	var source instancelist.Instance
 	var best uint64
 	for _, a := range askAll[spread.StatusReply](ctx, instances, spread.TypeStatus, struct{}{}) {
 		if a.Err == nil && a.Reply.Revision > best {
@@ -47,12 +47,12 @@
 }
 
 // download pulls a whole configuration from an entry.
-func download(ctx context.Context, source platform.Instance) (configuration.Manifest, configuration.Chunks, error) {
+func download(ctx context.Context, source instancelist.Instance) (configuration.Manifest, configuration.Chunks, error) {
 	var request spread.PullRequest
 	var manifest configuration.Manifest
 	chunks := make(configuration.Chunks)
 	for {
-		a := askAll[spread.PullReply](ctx, []platform.Instance{source}, spread.TypePull, request)[0]
+		a := askAll[spread.PullReply](ctx, []instancelist.Instance{source}, spread.TypePull, request)[0]
 		if a.Err != nil {
 			return manifest, nil, a.Err
 		}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/spread"
 )
 
@@ -91,8 +91,8 @@
 	z.Instances = append(z.Instances, a.Reply)
 }
 
-func nameOf(instance platform.Instance) string {
-	if instance.State == platform.Leaving {
+func nameOf(instance instancelist.Instance) string {
+	if instance.State == instancelist.Leaving {
 		return instance.ID + " (leaving)"
 	}
 	return instance.ID
--- a/internal/entry/action_bench_test.go
+++ b/internal/entry/action_bench_test.go
@@ -14,7 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/standin"
 	"lovagescale/internal/store"
 	"lovagescale/internal/unit"
@@ -62,10 +62,10 @@
 func startEstate(b *testing.B) (entries [2]*Entry, key string) {
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
-	var instances []platform.Instance
+	var instances []instancelist.Instance
 	for i := range 2 {
-		instances = append(instances, platform.Instance{ID: fmt.Sprintf("north-1-%d", i), Zone: "north-1",
-			Address: fmt.Sprintf("127.90.1.%d:7001", i+1), Link: fmt.Sprintf("127.90.1.%d:7002", i+1), State: platform.Live})
+		instances = append(instances, instancelist.Instance{ID: fmt.Sprintf("north-1-%d", i), Zone: "north-1",
+			Address: fmt.Sprintf("127.90.1.%d:7001", i+1), Link: fmt.Sprintf("127.90.1.%d:7002", i+1), State: instancelist.Live})
 	}
 	surroundings := standin.NewServer(standin.Settings{Platform: benchPlatform, Control: benchControl, Instance: instances,
 		Upstream: []standin.UpstreamSettings{{Service: "letters", Zone: "north-1", Addresses: []string{benchUpstream}, Slots: 64}}})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,11 +23,11 @@
 	"lovagescale/internal/control"
 	"lovagescale/internal/gateway"
 	"lovagescale/internal/handover"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/link"
 	"lovagescale/internal/lookup"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/operator"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/shift"
 	"lovagescale/internal/store"
@@ -49,7 +49,7 @@
 	log      zerolog.Logger
 	registry metrics.Registry
 	store    store.Client
-	list     *platform.Client
+	list     *instancelist.Client
 
 	peers     *link.Peers
 	loop      *control.Loop
@@ -83,7 +83,7 @@
 		log:      log.With().Str("instance", s.Instance).Str("availability_zone", s.Zone).Logger(),
 		registry: metrics.NewRegistry(),
 		store:    store.NewHTTPClient(s.Platform, "configuration", s.StoreTimeout.Std()),
-		list:     platform.NewClient(s.Platform, s.StoreTimeout.Std()),
+		list:     instancelist.NewClient(s.Platform, s.StoreTimeout.Std()),
 		peers:    link.NewPeers(),
 		loop:     control.NewLoop("entry"),
 		self: membership.Member{
@@ -92,7 +92,7 @@
 			Zone:        s.Zone,
 			Address:     s.Address,
 			Link:        s.Link,
-			State:       platform.Live,
+			State:       instancelist.Live,
 		},
 	}
 	e.changes.init()
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -9,8 +9,8 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/unit"
 	"lovagescale/internal/wire"
 )
@@ -128,7 +128,7 @@
 }
 
 // putList runs on the control goroutine.
-func (e *Entry) putList(instances []platform.Instance) {
+func (e *Entry) putList(instances []instancelist.Instance) {
 	e.members.Listed(instances)
 	e.owning.listed(instances)
 	e.publishMembers()
--- a/internal/entry/ownership.go
+++ b/internal/entry/ownership.go
@@ -10,10 +10,10 @@
 	"github.com/rcrowley/go-metrics"
 
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/link"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/ownership"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/wire"
@@ -116,7 +116,7 @@
 	}
 	now := time.Now()
 	o.core.SetPeers(now, peers)
-	if view.Self.State == platform.Leaving {
+	if view.Self.State == instancelist.Leaving {
 		o.core.SetLeaving(now)
 	}
 	o.publish()
@@ -141,7 +141,7 @@
 }
 
 // listed runs on the control goroutine.
-func (o *owning) listed(instances []platform.Instance) {
+func (o *owning) listed(instances []instancelist.Instance) {
 	var peers []ownership.Peer
 	for _, instance := range instances {
 		if instance.Zone == o.entry.self.Zone {
--- a/internal/entry/quota.go
+++ b/internal/entry/quota.go
@@ -9,9 +9,9 @@
 
 	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/link"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/quota"
 	"lovagescale/internal/store"
 	"lovagescale/internal/tomlfile"
@@ -115,7 +115,7 @@
 			Incarnation: m.Incarnation,
 			Instance:    m.Instance,
 			Zone:        m.Zone,
-			Leaving:     m.State == platform.Leaving,
+			Leaving:     m.State == instancelist.Leaving,
 		})
 	}
 	return peers
@@ -131,7 +131,7 @@
 }
 
 // setListed takes the platform's list.
-func (q *quotas) setListed(instances []platform.Instance) {
+func (q *quotas) setListed(instances []instancelist.Instance) {
 	names := make([]string, 0, len(instances))
 	for _, instance := range instances {
 		names = append(names, instance.ID)
--- a/internal/entry/spread_bench_test.go
+++ b/internal/entry/spread_bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/standin"
 	"lovagescale/internal/store"
 	"lovagescale/internal/unit"
@@ -48,10 +48,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b.Cleanup(cancel)
 	address := func(i, port int) string { return fmt.Sprintf("127.%d.1.%d:%d", net, i+1, port) }
-	var instances []platform.Instance
+	var instances []instancelist.Instance
 	for i := range n {
-		instances = append(instances, platform.Instance{ID: fmt.Sprint("i", i), Zone: fmt.Sprint("z", i%fleetZones),
-			Address: address(i, 7001), Link: address(i, 7002), State: platform.Live})
+		instances = append(instances, instancelist.Instance{ID: fmt.Sprint("i", i), Zone: fmt.Sprint("z", i%fleetZones),
+			Address: address(i, 7001), Link: address(i, 7002), State: instancelist.Live})
 	}
 	platformAddress := fmt.Sprintf("127.%d.0.1:7100", net)
 	surroundings := standin.NewServer(standin.Settings{Platform: platformAddress,
--- a/internal/handover/stage_test.go
+++ b/internal/handover/stage_test.go
@@ -10,8 +10,8 @@
 
 	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/shift"
 )
@@ -45,10 +45,10 @@
 
 func (e *estate) stage(limits shift.Limits) *Stage {
 	member := func(id, zone string) membership.Member {
-		return membership.Member{Instance: id, Incarnation: id, Zone: zone, Link: id, State: platform.Live}
+		return membership.Member{Instance: id, Incarnation: id, Zone: zone, Link: id, State: instancelist.Live}
 	}
 	leaving := member("sibling-leaving", "n1")
-	leaving.State = platform.Leaving
+	leaving.State = instancelist.Leaving
 	suspected := member("sibling-suspected", "n1")
 	suspected.Suspected = true
 	siblings := []membership.Member{member("sibling", "n1"), leaving, suspected}
--- a/internal/platform/platform.go
+++ b/internal/instancelist/instancelist.go
@@ -1,7 +1,7 @@
-// Package platform reads the platform's list of instances. The list lags: it
+// Package instancelist reads the platform's list of instances. The list lags: it
 // gives identities and announces departures, and is never taken alone as proof
 // that an instance lives or has died.
-package platform
+package instancelist
 
 import (
 	"context"
--- a/internal/lookup/bench_test.go
+++ b/internal/lookup/bench_test.go
@@ -19,7 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagescale/internal/configuration"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/wire"
 )
 
@@ -56,9 +56,9 @@
 	for zone, prefixes := range zones {
 		receive(tb, core, 1, zone, prefixes)
 	}
-	state := State{Revision: 1, Self: member("entry-0", "zone-0", platform.Live)}
+	state := State{Revision: 1, Self: member("entry-0", "zone-0", instancelist.Live)}
 	for node := range benchNodes {
-		state.Members = append(state.Members, member(fmt.Sprintf("entry-%d", node), zoneName(node%benchZones), platform.Live))
+		state.Members = append(state.Members, member(fmt.Sprintf("entry-%d", node), zoneName(node%benchZones), instancelist.Live))
 	}
 	core.ReceiveState(time.Unix(1, 0), "l", state)
 	return core, zones
@@ -271,9 +271,9 @@
 // members, as in the first state of a stream, and none changed, as each second
 // after it.
 func BenchmarkLookupState(b *testing.B) {
-	whole := State{Revision: 1, Whole: true, Self: member("entry-0", "zone-0", platform.Live)}
+	whole := State{Revision: 1, Whole: true, Self: member("entry-0", "zone-0", instancelist.Live)}
 	for node := range benchNodes {
-		whole.Members = append(whole.Members, member(fmt.Sprintf("entry-%d", node), zoneName(node%benchZones), platform.Live))
+		whole.Members = append(whole.Members, member(fmt.Sprintf("entry-%d", node), zoneName(node%benchZones), instancelist.Live))
 	}
 	for name, state := range map[string]State{"whole": whole, "unchanged": {Revision: 1, Self: whole.Self}} {
 		b.Run(name, func(b *testing.B) {
--- a/internal/lookup/lookup_test.go
+++ b/internal/lookup/lookup_test.go
@@ -11,8 +11,8 @@
 
 	"lovagescale/internal/configuration"
 	_ "lovagescale/internal/fuzzseed"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 )
 
 func TestLookup(t *testing.T) {
@@ -20,7 +20,7 @@
 	RunSpecs(t, "look-up")
 }
 
-func member(instance, zone string, state platform.State) membership.Member {
+func member(instance, zone string, state instancelist.State) membership.Member {
 	return membership.Member{Instance: instance, Incarnation: instance + "-1", Zone: zone, Address: instance, State: state}
 }
 
@@ -49,10 +49,10 @@
 		core = NewCore("n1")
 		core.ReceiveCatalogue(Catalogue{Revision: 1, Services: []string{"files"}, Regions: regions})
 		Expect(core.ReceiveBlocks(ZoneBlocks{Revision: 1, Zone: "n2", Digest: "a", Content: encode("10.2.0.0/16")})).To(Succeed())
-		core.ReceiveState(time.Unix(1, 0), "l1", State{Revision: 1, Self: member("a", "n1", platform.Live), Members: []membership.Member{
-			member("a", "n1", platform.Live), member("c", "n2", platform.Live), member("d", "s1", platform.Live),
+		core.ReceiveState(time.Unix(1, 0), "l1", State{Revision: 1, Self: member("a", "n1", instancelist.Live), Members: []membership.Member{
+			member("a", "n1", instancelist.Live), member("c", "n2", instancelist.Live), member("d", "s1", instancelist.Live),
 		}})
-		core.ReceiveState(time.Unix(2, 0), "l2", State{Revision: 1, Self: member("b", "n1", platform.Live)})
+		core.ReceiveState(time.Unix(2, 0), "l2", State{Revision: 1, Self: member("b", "n1", instancelist.Live)})
 	})
 
 	It("puts the client's zone first, then its region", func() {
@@ -61,18 +61,18 @@
 	})
 
 	It("leaves out leaving entries and entries that are silent while another is heard", func() {
-		core.ReceiveState(time.Unix(3, 0), "l2", State{Revision: 1, Self: member("b", "n1", platform.Leaving)})
+		core.ReceiveState(time.Unix(3, 0), "l2", State{Revision: 1, Self: member("b", "n1", instancelist.Leaving)})
 		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"c", "a", "d"}))
 		core.Silent("l1")
 		Expect(addresses(core.Table().Entries(client, 0))).NotTo(ContainElement("a"))
 	})
 
 	It("takes what changed of the members and says whether anything did", func() {
-		self := member("a", "n1", platform.Live)
+		self := member("a", "n1", instancelist.Live)
 		Expect(core.ReceiveState(time.Unix(3, 0), "l1", State{Revision: 1, Self: self})).To(BeFalse())
 		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"c", "a", "b", "d"}))
 		Expect(core.ReceiveState(time.Unix(4, 0), "l1", State{Revision: 1, Self: self, Gone: []string{"c"},
-			Members: []membership.Member{member("e", "n2", platform.Live)}})).To(BeTrue())
+			Members: []membership.Member{member("e", "n2", instancelist.Live)}})).To(BeTrue())
 		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"e", "a", "b", "d"}))
 		Expect(core.ReceiveState(time.Unix(5, 0), "l1", State{Revision: 1, Self: self, Whole: true})).To(BeTrue())
 		Expect(addresses(core.Table().Entries(client, 0))).To(Equal([]string{"a", "b"}))
--- a/internal/membership/core.go
+++ b/internal/membership/core.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // Core is the membership state of one incarnation. It reads no clock and opens
@@ -35,7 +35,7 @@
 	// mismatches counts replies of the first delegate whose other zones differ.
 	mismatches int
 
-	list map[string]platform.Instance
+	list map[string]instancelist.Instance
 	left map[string]bool
 
 	table tableState
@@ -80,7 +80,7 @@
 		siblings:  make(map[string]*sibling),
 		zones:     make(map[string]*zone),
 		push:      make(map[string]content),
-		list:      make(map[string]platform.Instance),
+		list:      make(map[string]instancelist.Instance),
 		left:      make(map[string]bool),
 	}
 	c.refresh()
@@ -97,8 +97,8 @@
 // the siblings at once. They carry the records, so that no second exchange is
 // needed.
 func (c *Core) Leave(now time.Time) []Outgoing {
-	if c.self.State != platform.Leaving {
-		c.self.State = platform.Leaving
+	if c.self.State != instancelist.Leaving {
+		c.self.State = instancelist.Leaving
 		c.self.Counter++
 		c.touch()
 	}
@@ -167,7 +167,7 @@
 }
 
 func (c *Core) deadAfter(instance string) time.Duration {
-	if c.list[instance].State == platform.Live {
+	if c.list[instance].State == instancelist.Live {
 		return c.options.ListedDeadAfter
 	}
 	return c.options.DeadAfter
@@ -285,8 +285,8 @@
 }
 
 func (c *Core) mergeSelf(r Record) {
-	if r.Member.State == platform.Leaving && c.self.State != platform.Leaving {
-		c.self.State = platform.Leaving
+	if r.Member.State == instancelist.Leaving && c.self.State != instancelist.Leaving {
+		c.self.State = instancelist.Leaving
 		c.touch()
 	}
 	if r.Member.Counter > c.self.Counter {
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // fleet drives cores in one process with a network of its own.
@@ -26,7 +26,7 @@
 
 // node is one instance and the core of its present incarnation.
 type node struct {
-	instance platform.Instance
+	instance instancelist.Instance
 	core     *Core
 	down     bool
 	frozen   bool
@@ -42,8 +42,8 @@
 	for z := range zones {
 		for i := range perZone {
 			id := fmt.Sprintf("zone-%d-%d", z, i)
-			f.nodes = append(f.nodes, &node{instance: platform.Instance{
-				ID: id, Zone: fmt.Sprintf("zone-%d", z), Link: id, State: platform.Live,
+			f.nodes = append(f.nodes, &node{instance: instancelist.Instance{
+				ID: id, Zone: fmt.Sprintf("zone-%d", z), Link: id, State: instancelist.Live,
 			}})
 		}
 	}
@@ -60,19 +60,19 @@
 func (f *fleet) start(n *node) {
 	f.runs++
 	n.down, n.frozen = false, false
-	n.instance.State = platform.Live
+	n.instance.State = instancelist.Live
 	n.core = NewCore(f.now, Member{
 		Instance:    n.instance.ID,
 		Incarnation: fmt.Sprintf("%s-%d", n.instance.ID, f.runs),
 		Zone:        n.instance.Zone,
 		Link:        n.instance.Link,
-		State:       platform.Live,
+		State:       instancelist.Live,
 	}, rand.New(rand.NewPCG(uint64(f.runs), 2)), f.options)
 }
 
 // list shows the platform's list to every node.
 func (f *fleet) list() {
-	var listed []platform.Instance
+	var listed []instancelist.Instance
 	for _, n := range f.nodes {
 		if !n.down {
 			listed = append(listed, n.instance)
--- a/internal/membership/fuzz_test.go
+++ b/internal/membership/fuzz_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	_ "lovagescale/internal/fuzzseed"
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // history is what one core has shown of one incarnation.
@@ -59,7 +59,7 @@
 		if m.Counter < h.counter {
 			t.Fatalf("%s shows %s with counter %d after %d", c.self.Incarnation, m.Incarnation, m.Counter, h.counter)
 		}
-		if h.left && m.State == platform.Live {
+		if h.left && m.State == instancelist.Live {
 			t.Fatalf("%s shows %s live after it was leaving", c.self.Incarnation, m.Incarnation)
 		}
 		h.buried = false
@@ -75,8 +75,8 @@
 // member's own word, or because the list turned from live to leaving. A list
 // that was first read as leaving may mean an earlier incarnation.
 func (o *oracle) leaves(c *Core, m Member) bool {
-	listed := c.list[m.Instance].State == platform.Leaving
-	return m.State == platform.Leaving && (!listed || c.left[m.Incarnation])
+	listed := c.list[m.Instance].State == instancelist.Leaving
+	return m.State == instancelist.Leaving && (!listed || c.left[m.Incarnation])
 }
 
 // canBeKnown reports whether an incarnation died so long ago that its absence
@@ -88,7 +88,7 @@
 
 // checkSettled requires that every running core sees just the running ones.
 func (o *oracle) checkSettled(t *rapid.T) {
-	expected := make(map[string]platform.State)
+	expected := make(map[string]instancelist.State)
 	for _, n := range o.fleet.nodes {
 		if !n.down {
 			expected[n.core.self.Incarnation] = n.core.self.State
@@ -143,7 +143,7 @@
 			"leave": func(t *rapid.T) {
 				n := draw.Draw(t, "node")
 				if n.runs() {
-					n.instance.State = platform.Leaving
+					n.instance.State = instancelist.Leaving
 					f.deliver(n, n.core.Leave(f.now))
 				}
 			},
--- a/internal/membership/leave_test.go
+++ b/internal/membership/leave_test.go
@@ -5,7 +5,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // One request tells a sibling that an entry leaves, without a reply.
@@ -24,5 +24,5 @@
 	g.Expect(told).To(Equal(1))
 	found, known := sibling.core.View().ByIncarnation(leaver.core.self.Incarnation)
 	g.Expect(known).To(BeTrue())
-	g.Expect(found.State).To(Equal(platform.Leaving))
+	g.Expect(found.State).To(Equal(instancelist.Leaving))
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -4,7 +4,7 @@
 	"slices"
 	"time"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // Member is one incarnation of an entry instance.
@@ -17,7 +17,7 @@
 	Address     string `msgpack:"a" json:"address"`
 	Link        string `msgpack:"l" json:"link"`
 	// State is Live or Leaving. An incarnation never returns from Leaving.
-	State platform.State `msgpack:"s" json:"state"`
+	State instancelist.State `msgpack:"s" json:"state"`
 	// Counter orders what is said of one incarnation. Only the incarnation
 	// itself raises it.
 	Counter uint64 `msgpack:"c,omitempty" json:"counter"`
@@ -27,7 +27,7 @@
 }
 
 // Usable reports whether the member may get new work from others.
-func (m *Member) Usable() bool { return m.State == platform.Live && !m.Suspected }
+func (m *Member) Usable() bool { return m.State == instancelist.Live && !m.Suspected }
 
 // View is an immutable set of members, ordered by instance.
 type View struct {
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // merge returns the later of two records of one incarnation. Leaving is kept
@@ -18,8 +18,8 @@
 		(b.Member.Counter == a.Member.Counter && b.Status > a.Status) {
 		later = b
 	}
-	if a.Member.State == platform.Leaving || b.Member.State == platform.Leaving {
-		later.Member.State = platform.Leaving
+	if a.Member.State == instancelist.Leaving || b.Member.State == instancelist.Leaving {
+		later.Member.State = instancelist.Leaving
 	}
 	return later
 }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 func (c *Core) buildView() *View {
@@ -44,8 +44,8 @@
 
 // overlay adds what the platform's list announces of a member.
 func (c *Core) overlay(member Member) Member {
-	if c.left[member.Incarnation] || c.list[member.Instance].State == platform.Leaving {
-		member.State = platform.Leaving
+	if c.left[member.Incarnation] || c.list[member.Instance].State == instancelist.Leaving {
+		member.State = instancelist.Leaving
 	}
 	return member
 }
--- a/internal/membership/world.go
+++ b/internal/membership/world.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // maxZones bounds the zones that a core remembers.
@@ -162,14 +162,14 @@
 
 // Listed takes the platform's list. An instance that turns from live to leaving
 // makes its known incarnation leave for good.
-func (c *Core) Listed(instances []platform.Instance) {
-	listed := make(map[string]platform.Instance, len(instances))
+func (c *Core) Listed(instances []instancelist.Instance) {
+	listed := make(map[string]instancelist.Instance, len(instances))
 	for _, instance := range instances {
 		listed[instance.ID] = instance
 	}
 	for _, member := range c.view.Members {
 		before, now := c.list[member.Instance].State, listed[member.Instance].State
-		if before == platform.Live && now == platform.Leaving {
+		if before == instancelist.Live && now == instancelist.Leaving {
 			c.left[member.Incarnation] = true
 		}
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -186,9 +186,8 @@
 	})
 
 	It("does not fill the slots that others free for a moment", func() {
-		e := fill(1).Table().Endpoint("e0")
 		t := fill(1).Table()
-		e = t.Endpoint("e0")
+		e := t.Endpoint("e0")
 		for range 40 {
 			e.SetOthers(6)
 		}
--- a/internal/routing/owners_test.go
+++ b/internal/routing/owners_test.go
@@ -7,11 +7,11 @@
 	"github.com/onsi/gomega"
 
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 )
 
-func member(instance, zone string, state platform.State) membership.Member {
+func member(instance, zone string, state instancelist.State) membership.Member {
 	return membership.Member{Instance: instance, Incarnation: instance + "-1", Zone: zone, State: state}
 }
 
@@ -24,9 +24,9 @@
 		}},
 	}})
 	g.Expect(router.Owners("files")).To(gomega.BeEmpty())
-	sibling := member("b", "z1", platform.Live)
+	sibling := member("b", "z1", instancelist.Live)
 	router.ApplyView(&membership.View{Members: []membership.Member{
-		member("a", "z1", platform.Live), sibling, member("c", "z1", platform.Leaving), member("d", "z2", platform.Live),
+		member("a", "z1", instancelist.Live), sibling, member("c", "z1", instancelist.Leaving), member("d", "z2", instancelist.Live),
 	}})
 	g.Expect(router.Owners("files")).To(gomega.Equal([]membership.Member{sibling}))
 	g.Expect(router.Owners("nothing")).To(gomega.BeEmpty())
--- a/internal/spread/bench_test.go
+++ b/internal/spread/bench_test.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/wire"
 )
 
@@ -73,7 +73,7 @@
 	f := &fleet{index: make(map[string]int), now: time.Unix(0, 0), bytes: make([]int, instances)}
 	var members []membership.Member
 	for i := range instances {
-		member := membership.Member{Instance: fmt.Sprint("i", i), Zone: fmt.Sprint("z", i%e.zones), State: platform.Live}
+		member := membership.Member{Instance: fmt.Sprint("i", i), Zone: fmt.Sprint("z", i%e.zones), State: instancelist.Live}
 		members = append(members, member)
 		f.index[member.Instance] = i
 	}
--- a/internal/spread/fuzz_test.go
+++ b/internal/spread/fuzz_test.go
@@ -15,8 +15,8 @@
 
 	"lovagescale/internal/configuration"
 	_ "lovagescale/internal/fuzzseed"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/store"
 	"lovagescale/internal/store/storetest"
 	"lovagescale/internal/workspacekey"
@@ -91,7 +91,7 @@
 	for i := range 7 {
 		zone := string("abc"[i%3])
 		name := fmt.Sprintf("%s-%d", zone, i)
-		w.nodes = append(w.nodes, &node{member: membership.Member{Instance: name, Zone: zone, State: platform.Live}})
+		w.nodes = append(w.nodes, &node{member: membership.Member{Instance: name, Zone: zone, State: instancelist.Live}})
 	}
 	for i := range w.nodes {
 		w.start(i)
--- a/internal/spread/state.go
+++ b/internal/spread/state.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/membership"
-	"lovagescale/internal/platform"
 )
 
 // Options configure a Core. The zero value uses the defaults.
@@ -80,7 +80,7 @@
 func (c *Core) Members(members []membership.Member) {
 	c.members = c.members[:0]
 	for _, member := range members {
-		if member.Instance != c.self.Instance && member.State != platform.Gone {
+		if member.Instance != c.self.Instance && member.State != instancelist.Gone {
 			c.members = append(c.members, member)
 		}
 	}
--- a/internal/standin/list.go
+++ b/internal/standin/list.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"lovagescale/internal/platform"
+	"lovagescale/internal/instancelist"
 )
 
 // ListFaults switches the faults of the instance list.
@@ -29,12 +29,12 @@
 
 type listVersion struct {
 	since     time.Time
-	instances map[string]platform.Instance
+	instances map[string]instancelist.Instance
 }
 
 // NewList returns a list that holds the given instances.
-func NewList(now func() time.Time, instances []platform.Instance) *List {
-	first := listVersion{instances: make(map[string]platform.Instance)}
+func NewList(now func() time.Time, instances []instancelist.Instance) *List {
+	first := listVersion{instances: make(map[string]instancelist.Instance)}
 	for _, instance := range instances {
 		first.instances[instance.ID] = instance
 	}
@@ -49,12 +49,12 @@
 }
 
 // Put replaces an instance by its identifier; one in state "gone" is removed.
-func (l *List) Put(instance platform.Instance) {
+func (l *List) Put(instance instancelist.Instance) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	latest := l.versions[len(l.versions)-1]
 	next := listVersion{since: l.now(), instances: maps.Clone(latest.instances)}
-	if instance.State == platform.Gone {
+	if instance.State == instancelist.Gone {
 		delete(next.instances, instance.ID)
 	} else {
 		next.instances[instance.ID] = instance
@@ -78,7 +78,7 @@
 		http.Error(w, "instance list is down", http.StatusServiceUnavailable)
 		return
 	}
-	instances := make([]platform.Instance, 0, len(shown.instances))
+	instances := make([]instancelist.Instance, 0, len(shown.instances))
 	for _, id := range slices.Sorted(maps.Keys(shown.instances)) {
 		instances = append(instances, shown.instances[id])
 	}
@@ -86,7 +86,7 @@
 }
 
 func (l *List) putHandler(w http.ResponseWriter, r *http.Request) {
-	var instance platform.Instance
+	var instance instancelist.Instance
 	if err := json.NewDecoder(r.Body).Decode(&instance); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"lovagescale/internal/instancelist"
 	"lovagescale/internal/operator"
-	"lovagescale/internal/platform"
 	"lovagescale/internal/settings"
 	"lovagescale/internal/tomlfile"
 	"lovagescale/internal/unit"
@@ -24,9 +24,9 @@
 	// Platform serves the store and the instance list.
 	Platform string `toml:"platform"`
 	// Control switches faults.
-	Control  string              `toml:"control"`
-	Instance []platform.Instance `toml:"instance"`
-	Upstream []UpstreamSettings  `toml:"upstream"`
+	Control  string                  `toml:"control"`
+	Instance []instancelist.Instance `toml:"instance"`
+	Upstream []UpstreamSettings      `toml:"upstream"`
 }
 
 // UpstreamSettings describes the endpoints of one service in one zone.
@@ -86,7 +86,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	platformMux := http.NewServeMux()
 	platformMux.Handle("/", s.Store)
-	platformMux.Handle(platform.PathInstances, s.List)
+	platformMux.Handle(instancelist.PathInstances, s.List)
 	if err := s.serve(ctx, group, s.settings.Platform, platformMux, nil); err != nil {
 		return err
 	}
