--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -26,6 +26,7 @@
 	Explain command.Explain `cmd:"" help:"Show where a workspace's request would go."`
 	Dump    command.Dump    `cmd:"" help:"Fetch a process's state."`
 	Collect command.Collect `cmd:"" help:"Remove unused chunks from the store."`
+	Trace   command.Trace   `cmd:"" help:"Gather all log lines of one request and say its cause."`
 	Recover command.Recover `cmd:"" help:"Write the revision in force back to a restored store."`
 }
 
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"lovagescale/internal/refusal"
@@ -30,8 +29,7 @@
 		_, _ = w.Write(answer.Body) // the caller may have gone
 	}
 	took := time.Since(q.started)
-	e.counters.answered.Inc(1)
-	e.counters.latency.Update(took)
+	e.counters.answer(q, answer.Status, took)
 	if answer.Status < http.StatusInternalServerError && len(tries) == 1 && e.counters.answered.Count()%servedLogShare != 0 {
 		return
 	}
@@ -44,7 +42,7 @@
 
 // refuse answers in place of an endpoint.
 func (e *Edge) refuse(w http.ResponseWriter, q *request, tries []try, refused *refusal.Refusal) {
-	metrics.GetOrRegisterCounter("edge.refused."+string(refused.Kind), e.registry).Inc(1)
+	e.counters.refuse(q, refused)
 	e.event(e.log.Warn(), q, tries).Int("status", refused.Status).Str("reason", string(refused.Kind)).
 		Str("outcome", string(refused.Outcome)).Dur("retry_after", refused.RetryAfter).
 		Dur("took", time.Since(q.started)).Msg("request was refused")
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/placement"
 )
@@ -44,24 +42,3 @@
 	d.Shares = e.steering.Shares()
 	return d, err
 }
-
-// counters count what the instance does.
-type counters struct {
-	requests, answered, lookUps             metrics.Counter
-	storeCalls, storeFailures, talkFailures metrics.Counter
-	loans                                   metrics.Counter
-	latency                                 metrics.Timer
-}
-
-func newCounters(registry metrics.Registry) counters {
-	return counters{
-		requests:      metrics.GetOrRegisterCounter("edge.requests", registry),
-		answered:      metrics.GetOrRegisterCounter("edge.answered", registry),
-		lookUps:       metrics.GetOrRegisterCounter("edge.lookups", registry),
-		storeCalls:    metrics.GetOrRegisterCounter("edge.store.calls", registry),
-		storeFailures: metrics.GetOrRegisterCounter("edge.store.failures", registry),
-		talkFailures:  metrics.GetOrRegisterCounter("edge.peer.failures", registry),
-		loans:         metrics.GetOrRegisterCounter("edge.quota.loans", registry),
-		latency:       metrics.GetOrRegisterTimer("edge.latency", registry),
-	}
-}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	operators, err := operator.Handler(e.dump, e.registry, nil)
+	operators, err := operator.Handler(e.dump, e.registry, e.serveMetrics)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -92,6 +92,7 @@
 	answer, err := endpoint.Pool.Exchange(ctx, &outgoing)
 	now := time.Now()
 	result := e.classify(ctx, answer, err)
+	e.counters.try(result)
 	pace := 0.0
 	if result == placement.Answered {
 		pace = e.usual.pace(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
