--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -82,6 +82,11 @@
 	Tried []*Endpoint
 }
 
+// CrowdedFill is the mean load of a region, as a multiple of its slots, from which
+// no request goes to another endpoint than the object's own: what long runs of
+// unknown objects take would be missing to all others, who would then spill too.
+const CrowdedFill = 0.6
+
 // SpillFill is the load, as a multiple of the slots, below which another endpoint
 // than the object's own takes a request. The other one does not know the object
 // and needs several times as long, which only pays where there is room.
@@ -111,6 +116,7 @@
 	endpoints := t.upstreams[ask.Upstream][ask.Region]
 	c := chooser{now: now, ask: ask, least: lowest{fill: math.Inf(1)}}
 	c.poorAllowed = mostArePoor(now, endpoints)
+	c.crowded = meanFill(now, endpoints) >= CrowdedFill
 	for _, e := range endpoints {
 		c.consider(e)
 	}
@@ -128,6 +134,16 @@
 	e.end(now, result, pace)
 }
 
+// meanFill returns the load of the endpoints as a multiple of their slots.
+func meanFill(now time.Time, endpoints []*Endpoint) float64 {
+	load, slots := 0, 0
+	for _, e := range endpoints {
+		load += e.load(now)
+		slots += e.Slots
+	}
+	return float64(load) / math.Max(float64(slots), 1)
+}
+
 // mostArePoor reports whether more endpoints are poor than sound. Then the cause
 // is common to them, and going by turns would only cost their knowledge of
 // objects.
@@ -167,6 +183,8 @@
 	ask Ask
 	// poorAllowed treats poor endpoints like sound ones.
 	poorAllowed bool
+	// crowded keeps requests at their object's endpoint.
+	crowded bool
 	// own is the object's endpoint, spill its first one below SpillFill.
 	own   ranked
 	spill ranked
@@ -196,7 +214,7 @@
 	}
 	rank := mix(c.ask.Object, e.seed)
 	c.own.take(e, rank, fill, cold)
-	if fill < SpillFill {
+	if fill < SpillFill && !c.crowded {
 		c.spill.take(e, rank, fill, cold)
 	}
 }
