--- /dev/null
+++ b/cmd/lovage-soak/main.go
@@ -0,0 +1,64 @@
+// Command lovage-soak runs instances as separate processes, harms them from
+// outside and checks the promises that callers and endpoints can see.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"lovagescale/platform/soak"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Program   string        `required:"" placeholder:"FILE" help:"Path of lovage-edge."`
+	Folder    string        `default:"soak" help:"Folder for settings files and logs."`
+	Seed      uint64        `default:"1" help:"First seed."`
+	Seeds     int           `default:"1" help:"Number of seeds."`
+	Instances int           `default:"4" help:"Instances."`
+	Endpoints int           `default:"6" help:"Endpoints."`
+	Callers   int           `default:"8" help:"Callers."`
+	Duration  time.Duration `default:"8s" help:"How long faults come."`
+	Recovery  time.Duration `default:"10s" help:"How long the fleet may take to serve again."`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Name("lovage-soak"), kong.Description("Soaks instances in faults."))
+	os.Exit(run(args))
+}
+
+func run(args arguments) int {
+	failed := 0
+	for n := range args.Seeds {
+		seed := args.Seed + uint64(n)
+		folder := filepath.Join(args.Folder, fmt.Sprint("seed-", seed))
+		if err := os.MkdirAll(folder, 0o750); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		report, err := soak.Run(context.Background(), soak.Options{
+			Program: args.Program, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
+			Callers: args.Callers, Duration: args.Duration, Recovery: args.Recovery,
+		})
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+			return 1
+		}
+		if len(report.Violations) > 0 {
+			failed++
+		}
+		_ = json.NewEncoder(os.Stdout).Encode(report) // the reader may have gone
+	}
+	fmt.Printf("%d seeds, %d with a broken promise\n", args.Seeds, failed)
+	if failed > 0 {
+		return 1
+	}
+	return 0
+}
