Rank by workspace and route, ask one delegate for digests in large regions

Cause: a workspace's priority ordered nothing; digests twice over were most of the bytes between zones on the grown sites. Change: patience by a request's place among all ranks; brief reports to the second delegate of a large region; changes of the store batched for 150 ms.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -97,6 +97,11 @@
 
 	hosts map[string][]*Route
 	keys  map[string]*Workspace
+	// highest is the highest priority number of a route; lowestWorkspace and
+	// highestWorkspace are the bounds of the workspaces'.
+	highest          int
+	lowestWorkspace  int
+	highestWorkspace int
 }
 
 // New returns a catalog that owns its arguments.
@@ -112,13 +117,20 @@
 	for _, upstream := range upstreams {
 		c.Upstreams[upstream.Name] = upstream
 	}
-	for _, workspace := range workspaces {
+	for i, workspace := range workspaces {
+		if i == 0 || workspace.Priority < c.lowestWorkspace {
+			c.lowestWorkspace = workspace.Priority
+		}
+		if i == 0 || workspace.Priority > c.highestWorkspace {
+			c.highestWorkspace = workspace.Priority
+		}
 		c.Workspaces[workspace.Name] = workspace
 		for _, key := range workspace.Keys {
 			c.keys[key] = workspace
 		}
 	}
 	for _, route := range routes {
+		c.highest = max(c.highest, route.Priority)
 		host := strings.ToLower(route.Host)
 		c.hosts[host] = append(c.hosts[host], route)
 	}
@@ -149,6 +161,25 @@
 // KeysRequired reports whether requests need a workspace key.
 func (c *Catalog) KeysRequired() bool { return len(c.Workspaces) > 0 }
 
+// Rank returns the urgency of a request, 0 for the most urgent ones. A workspace's
+// priority goes before the route's; workspace may be nil.
+func (c *Catalog) Rank(route *Route, workspace *Workspace) int {
+	if workspace == nil {
+		return route.Priority
+	}
+	return (workspace.Priority-c.lowestWorkspace)*(c.highest+1) + route.Priority
+}
+
+// Urgency returns a request's place among all ranks: 1 for the most urgent ones, 0
+// for the least.
+func (c *Catalog) Urgency(route *Route, workspace *Workspace) float64 {
+	last := (c.highestWorkspace-c.lowestWorkspace)*(c.highest+1) + c.highest
+	if last <= 0 {
+		return 1
+	}
+	return 1 - float64(c.Rank(route, workspace))/float64(last)
+}
+
 // Routes returns the number of routes.
 func (c *Catalog) Routes() int {
 	n := 0
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -55,6 +55,20 @@
 		Expect(found).To(BeFalse())
 	})
 
+	It("ranks by the workspace's priority before the route's", func() {
+		late := route("late", "a.example", "/l/")
+		late.Priority = 2
+		urgent := route("urgent", "a.example", "/u/")
+		first, second := &catalog.Workspace{Name: "a", Priority: 3}, &catalog.Workspace{Name: "b", Priority: 4}
+		c := catalog.New(1, []*catalog.Route{late, urgent}, nil, []*catalog.Workspace{first, second}, catalog.Limits{})
+		Expect(c.Rank(urgent, first)).To(BeZero())
+		Expect(c.Rank(late, first)).To(BeNumerically("<", c.Rank(urgent, second)))
+		Expect(c.Rank(urgent, second)).To(BeNumerically("<", c.Rank(late, second)))
+		Expect(c.Rank(late, nil)).To(Equal(2))
+		Expect(c.Urgency(urgent, first)).To(BeEquivalentTo(1))
+		Expect(c.Urgency(late, second)).To(BeZero())
+	})
+
 	DescribeTable("joins the homes of route and workspace",
 		func(ofRoute, ofWorkspace, expected []string, restricted bool) {
 			homes, bound := catalog.HomesOf(&catalog.Route{Homes: ofRoute}, &catalog.Workspace{Homes: ofWorkspace})
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -25,7 +25,7 @@
 	// pullTimeout bounds one pull from a peer.
 	pullTimeout = time.Second
 	// batchPause lets further changes come with the same answer of the store.
-	batchPause = 60 * time.Millisecond
+	batchPause = 150 * time.Millisecond
 	// restPause is the pause of an instance that leaves following to its delegates.
 	restPause = 250 * time.Millisecond
 	// delegateFresh is how old the news of a delegate and of its store may be.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -34,8 +34,10 @@
 		if err := e.loop.Call(ctx, func() { t = e.state.turn(now) }); err != nil {
 			return
 		}
-		for _, delegate := range t.reportTo {
-			go e.report(ctx, delegate, t.report)
+		for i, delegate := range t.reportTo {
+			report := t.report
+			report.Brief = t.large && (i > 0 || t.delegate)
+			go e.report(ctx, delegate, report)
 		}
 		if now.Sub(exchanged) >= exchangeInterval {
 			exchanged = now
@@ -54,13 +56,19 @@
 	exchange     fleet.Exchange
 	exchangeWith []fleet.Member
 	interval     time.Duration
+	// delegate says that this instance has the reports of its region itself.
+	delegate bool
+	// large says that the region has so many instances that one delegate's digests
+	// must do; in a small one two are fresher.
+	large bool
 }
 
 // turn returns what to tell now.
 func (s *state) turn(now time.Time) turn {
 	own := s.activity(now)
 	self := s.fleet.Self()
-	t := turn{interval: s.reportInterval()}
+	interval := s.reportInterval()
+	t := turn{interval: interval, large: interval > reportInterval}
 	t.report = fleet.Report{Status: fleet.Status{Member: self, State: s.fleet.State()}, Activity: own, Known: s.fleet.Known()}
 	place := -1
 	for i, delegate := range s.fleet.Delegates(now, self.Region) {
@@ -73,6 +81,7 @@
 	if place < 0 {
 		return t
 	}
+	t.delegate = true
 	t.exchange = fleet.Exchange{Digest: s.fleet.OwnDigest(now, own), Known: s.fleet.Known()}
 	for _, region := range s.edge.regions {
 		if region == self.Region {
@@ -185,7 +194,7 @@
 	if err := request.Decode(&report); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, report.Known, func(now time.Time) {
+	return e.reply(ctx, report.Known, report.Brief, func(now time.Time) {
 		if e.state.fleet.Heard(now, report) {
 			e.poison.told(now, report.Activity.Strikes)
 		}
@@ -198,20 +207,22 @@
 	if err := request.Decode(&exchange); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, exchange.Known, func(now time.Time) {
+	return e.reply(ctx, exchange.Known, false, func(now time.Time) {
 		e.state.digested(now, exchange.Digest, fleet.Activity{})
 	})
 }
 
 // reply takes a message and returns what this instance knows.
-func (e *Edge) reply(ctx context.Context, known map[string]uint64, take func(time.Time)) (any, error) {
+func (e *Edge) reply(ctx context.Context, known map[string]uint64, brief bool, take func(time.Time)) (any, error) {
 	var reply fleet.Reply
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
 		take(now)
 		reply.Revision = e.state.mirror.Revision()
 		reply.StoreAgeMillis = e.storeAge(now).Milliseconds()
-		reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), known)
+		if !brief {
+			reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), known)
+		}
 	})
 	return reply, err
 }
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -52,14 +52,6 @@
 	reserved int64
 }
 
-// rank is the urgency of a request; 0 is the most urgent.
-func (q *request) rank() int {
-	if q.workspace != nil {
-		return rankOf(q.workspace.Priority, q.route.Priority)
-	}
-	return q.route.Priority
-}
-
 // workspaceName returns the name of the workspace, or "" on open routes.
 func (q *request) workspaceName() string {
 	if q.workspace == nil {
--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -221,8 +221,8 @@
 	// minWait and maxWait bound the wait that is accepted, in service times.
 	minWait = 0.05
 	maxWait = 1.2
-	// patience is the part of the accepted wait that each lower rank gives up.
-	patience = 0.25
+	// patience is the part of the accepted wait that the least urgent requests keep.
+	patience = 0.5
 )
 
 // maxFill returns the load, as a multiple of its slots, up to which an endpoint
@@ -232,9 +232,6 @@
 	took := e.usual.estimate(q.upstream, q.route.Name, q.region).Seconds()
 	service := e.usual.serviceTime(q.upstream).Seconds()
 	wait := (objectivePart*q.route.Objective.Seconds() - took) / service
-	wait *= max(1-patience*float64(q.rank()), 0)
+	wait *= patience + (1-patience)*q.catalog.Urgency(q.route, q.workspace)
 	return 1 + min(max(wait, minWait), maxWait)
 }
-
-// rankOf joins the priorities of a workspace and of a route.
-func rankOf(_, route int) int { return route }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -105,6 +105,8 @@
 	Activity Activity `msgpack:"a"`
 	// Known are the hashes of the members that the sender knows, by region.
 	Known map[string]uint64 `msgpack:"h,omitempty"`
+	// Brief asks for no digests: another delegate gives them.
+	Brief bool `msgpack:"b,omitempty"`
 }
 
 // Digest is a region's members and what they do together.
@@ -118,7 +120,7 @@
 	Activity Activity `msgpack:"t"`
 }
 
-// Reply answers a report with the digests of all regions.
+// Reply answers a report with the digests of all regions, unless it was brief.
 type Reply struct {
 	// Revision is that of the delegate's mirror.
 	Revision uint64 `msgpack:"v"`
