--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -53,7 +53,7 @@
 			}
 			for _, n := range nodes {
 				others := total - n.quotas.Demand()["azul"]
-				n.quotas.Divide(now, c, demands(n.quotas.Demand()["azul"], others), len(nodes))
+				n.quotas.Divide(now, c, allowance.Division{Demand: demands(n.quotas.Demand()["azul"], others), Holders: len(nodes)})
 			}
 		}
 		count := 0
@@ -129,8 +129,8 @@
 	It("takes a lower limit at once", func() {
 		quotas := allowance.NewQuotas(window, allowance.Part{Rate: 1, Burst: 1})
 		wide, narrow := quotaOf(100, 100), quotaOf(10, 10)
-		quotas.Divide(start, wide, demands(0, 0), 1)
-		quotas.Divide(start.Add(time.Second), narrow, demands(0, 0), 1)
+		quotas.Divide(start, wide, allowance.Division{Demand: demands(0, 0), Holders: 1})
+		quotas.Divide(start.Add(time.Second), narrow, allowance.Division{Demand: demands(0, 0), Holders: 1})
 		now := start.Add(time.Second)
 		count := 0
 		for range 100 {
@@ -144,7 +144,7 @@
 	It("says when to come back", func() {
 		quotas := allowance.NewQuotas(window, allowance.Part{Rate: 1, Burst: 1})
 		c := quotaOf(2, 1)
-		quotas.Divide(start, c, demands(0, 0), 1)
+		quotas.Divide(start, c, allowance.Division{Demand: demands(0, 0), Holders: 1})
 		wait, ok := quotas.Admit(start, c.Workspaces["azul"])
 		Expect(ok).To(BeFalse())
 		Expect(wait).To(BeNumerically("~", 500*time.Millisecond, 300*time.Millisecond))
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -147,9 +147,19 @@
 // Demands is the demand on one holder and on all others, in requests per second.
 type Demands struct{ Own, Others float64 }
 
-// Divide sets this holder's parts, by the demand of each workspace, among a number
-// of holders, this one included.
-func (q *Quotas) Divide(now time.Time, c *catalog.Catalog, demand func(workspace string) Demands, holders int) {
+// Division is what a quota is divided by.
+type Division struct {
+	// Demand returns the demand of a workspace.
+	Demand func(workspace string) Demands
+	// Holders is the number of holders, this one included.
+	Holders int
+	// Reserve is the part of the quotas that is kept back: shares that move count
+	// twice until all holders have heard of it.
+	Reserve float64
+}
+
+// Divide sets this holder's parts.
+func (q *Quotas) Divide(now time.Time, c *catalog.Catalog, by Division) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for name := range q.workspaces {
@@ -159,8 +169,8 @@
 	}
 	for name, workspace := range c.Workspaces {
 		p := q.part(now, name)
-		d := demand(name)
-		share := ShareOf(d.Own, d.Others, holders)
+		d := by.Demand(name)
+		share := (1 - by.Reserve) * ShareOf(d.Own, d.Others, by.Holders)
 		rateShare, burstShare := q.whole.Rate*share, q.whole.Burst*share
 		limit := workspace.Rate
 		if p.above(now, workspace.Rate, d) >= q.window {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -232,17 +232,30 @@
 		return
 	}
 	own := s.edge.quotas.Demand()
-	s.edge.quotas.Divide(now, c, func(workspace string) allowance.Demands {
+	local := func(workspace string) allowance.Demands {
 		return allowance.Demands{Own: own[workspace], Others: s.others.Workspaces[workspace]}
-	}, s.fleet.Size())
-	s.edge.lending.pool.Divide(now, c, func(workspace string) allowance.Demands {
+	}
+	pooled := func(workspace string) allowance.Demands {
 		region := own[workspace] + s.others.Region[workspace]
 		return allowance.Demands{Own: region, Others: own[workspace] + s.others.Workspaces[workspace] - region}
-	}, len(s.edge.regions))
+	}
+	reserve := s.reserve()
+	s.edge.quotas.Divide(now, c, allowance.Division{Demand: local, Holders: s.fleet.Size(), Reserve: reserve})
+	s.edge.lending.pool.Divide(now, c, allowance.Division{Demand: pooled, Holders: len(s.edge.regions), Reserve: reserve})
 	delegates := s.fleet.Delegates(now, s.edge.settings.Region)
 	s.edge.lending.delegates.Store(&delegates)
 }
 
+// maxReserve is the part of the quotas that is kept back where reports are rarest.
+const maxReserve = 0.08
+
+// reserve returns the part of the quotas to keep back: none where reports are
+// frequent, more where shares are heard of late.
+func (s *state) reserve() float64 {
+	late := s.reportInterval() - reportInterval
+	return maxReserve * late.Seconds() / (maxReportInterval - reportInterval).Seconds()
+}
+
 // idleDemand is the demand of the region on an upstream, in slots, below which its
 // shares follow the plan at once: there are no requests that would move.
 const idleDemand = 0.5
