--- a/cmd/lovagectl/main.go
+++ b/cmd/lovagectl/main.go
@@ -27,6 +27,7 @@
 	Dump    command.Dump    `cmd:"" help:"Fetch a process's state."`
 	Collect command.Collect `cmd:"" help:"Remove unused chunks from the store."`
 	Trace   command.Trace   `cmd:"" help:"Gather all log lines of one request and say its cause."`
+	Model   command.Model   `cmd:"" help:"Play load patterns against policies of placement."`
 	Recover command.Recover `cmd:"" help:"Write the revision in force back to a restored store."`
 }
 
--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -213,25 +213,13 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// Constants of admission.
-const (
-	// objectivePart is the part of the objective by which an admitted request
-	// should be answered.
-	objectivePart = 0.85
-	// minWait and maxWait bound the wait that is accepted, in service times.
-	minWait = 0.05
-	maxWait = 1.2
-	// patience is the part of the accepted wait that the least urgent requests keep.
-	patience = 0.5
-)
-
-// maxFill returns the load, as a multiple of its slots, up to which an endpoint
-// may take the request: a request that waits should still be answered within its
-// objective, and less urgent ones leave room to the others.
+// maxFill returns the load up to which an endpoint of the request's region may take
+// it.
 func (e *Edge) maxFill(q *request) float64 {
-	took := e.usual.estimate(q.upstream, q.route.Name, q.region).Seconds()
-	service := e.usual.serviceTime(q.upstream).Seconds()
-	wait := (objectivePart*q.route.Objective.Seconds() - took) / service
-	wait *= patience + (1-patience)*q.catalog.Urgency(q.route, q.workspace)
-	return 1 + min(max(wait, minWait), maxWait)
+	return placement.MaxFill(placement.Expectation{
+		Objective: q.route.Objective,
+		Took:      e.usual.estimate(q.upstream, q.route.Name, q.region),
+		Service:   e.usual.serviceTime(q.upstream),
+		Urgency:   q.catalog.Urgency(q.route, q.workspace),
+	})
 }
