End a planned stop without an error; one copy of what both gateways do with headers

Cause: a test failed once of three runs at once: a connection in use on the readiness port made the stop of the port time out, and the process ended with an error although its callers were drained.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/header"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/upstream"
 )
@@ -16,13 +17,12 @@
 
 // answer writes an endpoint's whole answer.
 func (e *Edge) answer(w http.ResponseWriter, r *http.Request, q *request, tries []try, answer *upstream.Answer) {
-	removeHopHeaders(answer.Header)
-	header := w.Header()
+	header.RemoveHop(answer.Header)
 	for name, values := range answer.Header {
-		header[name] = values
+		w.Header()[name] = values
 	}
 	if r.Method != http.MethodHead && bodyAllowed(answer.Status) {
-		header.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer.Body)))
 	}
 	w.WriteHeader(answer.Status)
 	if r.Method != http.MethodHead {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -173,14 +174,10 @@
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { e.loop.Every(background, tickInterval, e.state.tick); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
-	group.Go(func() error {
-		return operator.Serve(background, listeners.readiness, http.HandlerFunc(e.serveReadiness), stopMargin)
-	})
-	group.Go(func() error {
-		return operator.Serve(background, listeners.lookUps, http.HandlerFunc(e.serveLookUp), stopMargin)
-	})
+	group.Go(func() error { return e.serveBeside(background, listeners.readiness, http.HandlerFunc(e.serveReadiness)) })
+	group.Go(func() error { return e.serveBeside(background, listeners.lookUps, http.HandlerFunc(e.serveLookUp)) })
 	if listeners.operator != nil {
-		group.Go(func() error { return operator.Serve(background, listeners.operator, operators, stopMargin) })
+		group.Go(func() error { return e.serveBeside(background, listeners.operator, operators) })
 	}
 	group.Go(func() error { e.follow(background); return nil })
 	group.Go(func() error { e.join(background); return nil })
@@ -196,6 +193,17 @@
 	return err
 }
 
+// serveBeside serves a port beside the callers' one until ctx ends. Connections that
+// are still open then are cut, which harms nobody.
+func (e *Edge) serveBeside(ctx context.Context, listener net.Listener, handler http.Handler) error {
+	err := operator.Serve(ctx, listener, handler, stopMargin)
+	if ctx.Err() != nil && errors.Is(err, context.DeadlineExceeded) {
+		e.log.Info().Str("address", listener.Addr().String()).Msg("port was closed with open connections")
+		return nil
+	}
+	return err
+}
+
 type listeners struct{ callers, readiness, lookUps, link, operator net.Listener }
 
 func (e *Edge) listen() (listeners, error) {
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -13,6 +13,7 @@
 
 	"lovagescale/internal/call"
 	"lovagescale/internal/catalog"
+	"lovagescale/internal/header"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/refusal"
@@ -107,7 +108,7 @@
 		return q, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
 			"no configuration is in force yet").After(jitter(notConfiguredRetry))
 	}
-	if size := headerBytes(r); q.catalog.Limits.MaxHeaderBytes > 0 && size > q.catalog.Limits.MaxHeaderBytes {
+	if size := header.Bytes(r); q.catalog.Limits.MaxHeaderBytes > 0 && size > q.catalog.Limits.MaxHeaderBytes {
 		return q, refusal.New(http.StatusRequestHeaderFieldsTooLarge, refusal.HeaderTooLarge, refusal.NotRun,
 			fmt.Sprintf("headers have %d bytes, above the limit of %d", size, q.catalog.Limits.MaxHeaderBytes))
 	}
@@ -123,10 +124,9 @@
 	if refused != nil {
 		return q, refused
 	}
-	header := r.Header
-	removeHopHeaders(header)
-	e.ports.Callers.Forward(header, q.workspaceName())
-	q.outgoing = upstream.Request{ID: q.asked.ID, Method: r.Method, Host: r.Host, Target: targetOf(r), Header: header, Body: body}
+	header.RemoveHop(r.Header)
+	e.ports.Callers.Forward(r.Header, q.workspaceName())
+	q.outgoing = upstream.Request{ID: q.asked.ID, Method: r.Method, Host: r.Host, Target: targetOf(r), Header: r.Header, Body: body}
 	q.fingerprint = quarantine.Of(&call.Call{Workspace: q.workspaceName(), Service: q.route.Name, Request: q.outgoing})
 	if left := e.poison.quarantined(q.started, q.fingerprint); left > 0 {
 		return q, refusal.New(http.StatusServiceUnavailable, refusal.Quarantined, refusal.NotRun,
@@ -223,18 +223,6 @@
 		fmt.Sprintf("body is above the limit of %d bytes", limit))
 }
 
-// headerBytes returns the size of the request line and the headers.
-func headerBytes(r *http.Request) int {
-	const separators = 4 // ": " and the line's end
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + separators
-		}
-	}
-	return size
-}
-
 // pathOf returns the path as the caller wrote it.
 func pathOf(r *http.Request) string {
 	path, _, _ := strings.Cut(targetOf(r), "?")
@@ -248,21 +236,3 @@
 	}
 	return r.URL.RequestURI()
 }
-
-// hopHeaders concern one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
-}
-
-// removeHopHeaders takes off what concerns the connection only.
-func removeHopHeaders(header http.Header) {
-	for _, named := range header["Connection"] {
-		for _, name := range strings.Split(named, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		delete(header, name)
-	}
-}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -27,14 +27,6 @@
 type Bounds struct {
 	// StopGrace is the time from the request to stop to the end of the process.
 	StopGrace time.Duration
-	// Contact is how long an instance must be undisturbed for time bounds to hold.
-	Contact time.Duration
-	// Drain is the time in which an endpoint that leaves gets no more work.
-	Drain time.Duration
-	// CatchUp is the time in which an instance is up to date again.
-	CatchUp time.Duration
-	// LossSlack is the time in which a request that was read is passed on.
-	LossSlack time.Duration
 	// RetryRatio and RetryBurst bound the tries beyond the first ones, over all
 	// instances: a share of the first ones, and a number beside it.
 	RetryRatio float64
@@ -47,8 +39,6 @@
 	// MaxShift is the share of a region's requests that may change the region
 	// where they run within ShiftWindow.
 	MaxShift float64
-	// ColdFactor is how far the rate of a cold endpoint may be exceeded.
-	ColdFactor float64
 }
 
 // ShiftWindow is the window of Bounds.MaxShift.
@@ -58,15 +48,10 @@
 func DefaultBounds() Bounds {
 	return Bounds{
 		StopGrace:   6 * time.Second,
-		Contact:     4 * time.Second,
-		Drain:       2 * time.Second,
-		CatchUp:     4 * time.Second,
-		LossSlack:   200 * time.Millisecond,
 		RetryRatio:  0.1,
 		RetryBurst:  20,
 		QuotaWindow: 5 * time.Second,
 		LookUpTTL:   5 * time.Second,
 		MaxShift:    0.15,
-		ColdFactor:  1,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,12 +41,6 @@
 // bearer starts the Authorization header.
 const bearer = "Bearer "
 
-// hopHeaders concern one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // Options configure a Gateway. The zero value uses the defaults.
 type Options struct {
 	// MaxBodyBytes bounds a request's body; default 1 MiB.
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -14,6 +14,7 @@
 
 	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/header"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/upstream"
 	"lovagescale/internal/workspacekey"
@@ -26,7 +27,7 @@
 		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
 			"no configuration is in force yet").After(time.Second)
 	}
-	if size := headerBytes(r); size > g.maxHeader {
+	if size := header.Bytes(r); size > g.maxHeader {
 		return nil, refusal.New(http.StatusRequestHeaderFieldsTooLarge, refusal.HeaderTooLarge, refusal.NotRun,
 			fmt.Sprintf("headers have %d bytes, above the limit of %d", size, g.maxHeader))
 	}
@@ -71,17 +72,6 @@
 	}, nil
 }
 
-// headerBytes returns the size of the request line and the headers.
-func headerBytes(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value)
-		}
-	}
-	return size
-}
-
 // match finds the service and route of a request and the path below the
 // service.
 func match(c *configuration.Configuration, r *http.Request) (configuration.Service, configuration.Route, string, *refusal.Refusal) {
@@ -186,20 +176,13 @@
 // upstreamHeader returns what an upstream may see: everything but the key and
 // the headers of the caller's connection.
 func upstreamHeader(from http.Header, workspace string) http.Header {
-	header := from.Clone()
-	for _, named := range header.Values("Connection") {
-		for _, name := range strings.Split(named, ",") {
-			header.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range hopHeaders {
-		header.Del(name)
-	}
-	header.Del(HeaderAuthorization)
-	header.Del("Cookie")
-	header.Del(upstream.HeaderWorkspace)
+	passed := from.Clone()
+	header.RemoveHop(passed)
+	passed.Del(HeaderAuthorization)
+	passed.Del("Cookie")
+	passed.Del(upstream.HeaderWorkspace)
 	if workspace != "" {
-		header.Set(upstream.HeaderWorkspace, url.PathEscape(workspace))
+		passed.Set(upstream.HeaderWorkspace, url.PathEscape(workspace))
 	}
-	return header
+	return passed
 }
