--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -174,7 +174,9 @@
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { e.loop.Every(background, tickInterval, e.state.tick); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
-	group.Go(func() error { return e.serveBeside(background, listeners.readiness, http.HandlerFunc(e.serveReadiness)) })
+	group.Go(func() error {
+		return e.serveBeside(background, listeners.readiness, http.HandlerFunc(e.serveReadiness))
+	})
 	group.Go(func() error { return e.serveBeside(background, listeners.lookUps, http.HandlerFunc(e.serveLookUp)) })
 	if listeners.operator != nil {
 		group.Go(func() error { return e.serveBeside(background, listeners.operator, operators) })
