--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -218,3 +218,52 @@
 		}
 	})
 }
+
+// TestFuzzHotWorkspaceAmongManyInstances raises a workspace's demand on all
+// instances at once while each hears of the others late: no window holds more than
+// the bound that the users check.
+func TestFuzzHotWorkspaceAmongManyInstances(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const step = 50 * time.Millisecond
+		rate := float64(rapid.IntRange(200, 600).Draw(rt, "rate"))
+		n := rapid.IntRange(8, 80).Draw(rt, "instances")
+		late := time.Duration(rapid.IntRange(0, 1800).Draw(rt, "late ms")) * time.Millisecond
+		factor := rapid.Float64Range(2, 8).Draw(rt, "factor")
+		c := quotaOf(rate, rate)
+		nodes := newNodes(n)
+		histories := make([]allowance.History, n)
+		var admitted []int
+		for i := range 500 {
+			now := start.Add(time.Duration(i) * step)
+			if i%5 == 0 {
+				total := 0.0
+				for k, node := range nodes {
+					node.quotas.Tick(5 * step)
+					histories[k].Add(now, node.quotas.Demand())
+					total += histories[k].Before(now, late)["azul"]
+				}
+				for k, node := range nodes {
+					own := histories[k].Before(now, late)["azul"]
+					node.quotas.Divide(now, c, allowance.Division{Demand: demands(own, total-own), Holders: n})
+				}
+			}
+			count := 0
+			for _, node := range nodes {
+				node.demand = 0.6 * rate / float64(n)
+				if i > 200 {
+					node.demand *= factor
+				}
+				for node.owed += node.demand * step.Seconds(); node.owed >= 1; node.owed-- {
+					if _, ok := node.quotas.Admit(now, c.Workspaces["azul"]); ok {
+						count++
+					}
+				}
+			}
+			admitted = append(admitted, count)
+		}
+		bound := (rate*window.Seconds()+rate)*1.1 + 20
+		if most := mostIn(admitted, 100); float64(most) > bound {
+			rt.Fatalf("%d requests in a window, the bound is %.0f", most, bound)
+		}
+	})
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -34,6 +34,8 @@
 	items map[string]Item
 	// others is what the other instances do, as of the last tick.
 	others fleet.Others
+	// history is the demand of workspaces on this instance.
+	history allowance.History
 	// missing are the endpoints that an outage of the store left unregistered,
 	// with the time at which they count as gone.
 	missing map[string]time.Time
@@ -190,6 +192,7 @@
 	s.updateState()
 	s.countOthers()
 	s.edge.quotas.Tick(elapsed)
+	s.history.Add(now, s.edge.quotas.Demand())
 	s.edge.lending.pool.Tick(elapsed)
 	s.divide(now)
 	s.steer(now, elapsed)
@@ -231,7 +234,7 @@
 	if c == nil {
 		return
 	}
-	own := s.edge.quotas.Demand()
+	own := s.history.Before(now, s.reportInterval()+exchangeInterval)
 	local := func(workspace string) allowance.Demands {
 		return allowance.Demands{Own: own[workspace], Others: s.others.Workspaces[workspace]}
 	}
