--- /dev/null
+++ b/internal/settings/writer_test.go
@@ -0,0 +1,51 @@
+package settings_test
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/settings"
+)
+
+// blockedWriter takes nothing until it is released.
+type blockedWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	text    strings.Builder
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.Write(p)
+}
+
+func (w *blockedWriter) String() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.text.String()
+}
+
+var _ = Describe("BoundedWriter", func() {
+	It("blocks nobody while its output is blocked, and says how many lines were dropped", func() {
+		blocked := &blockedWriter{release: make(chan struct{})}
+		out, flush := settings.BoundedWriter(blocked)
+		log := settings.NewLogger(out, "info", "test")
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			for n := range 10000 {
+				log.Info().Int("line", n).Msg("decision")
+			}
+		}()
+		Eventually(written, 10*time.Second).Should(BeClosed())
+		close(blocked.release)
+		Eventually(blocked.String, 10*time.Second).Should(ContainSubstring("log lines were dropped"))
+		flush()
+	})
+})
