Count a crash once for each endpoint when a request is suspected

Cause: an endpoint that goes down and up by turns strikes the same requests again and again, since objects stay with it; three of its crashes would have kept their callers out for ten minutes.

--- a/internal/edge/poison.go
+++ b/internal/edge/poison.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 )
@@ -60,6 +61,14 @@
 	return p.table.Strikes(now, maxStrikesTold)
 }
 
+// strikeOf returns the strike of a request that crashed an endpoint. It counts once
+// for each endpoint: a request that is poison crashes others too, while an endpoint
+// that comes and goes crashes with whatever it runs.
+func strikeOf(fingerprint quarantine.Fingerprint, endpoint string) quarantine.Strike {
+	id := xxhash.Sum64(append(fingerprint[:], endpoint...))
+	return quarantine.Strike{ID: id | 1, Fingerprint: fingerprint, Endpoint: endpoint}
+}
+
 // lost finds out whether the endpoint that dropped a request's connection has
 // crashed, and counts a strike if so. An answer that was lost is no crash.
 func (e *Edge) lost(q *request, endpoint *placement.Endpoint) {
@@ -74,7 +83,7 @@
 			_ = conn.Close()
 			return
 		}
-		e.poison.strike(time.Now(), quarantine.Strike{ID: rand.Uint64(), Fingerprint: fingerprint, Endpoint: endpoint.ID})
+		e.poison.strike(time.Now(), strikeOf(fingerprint, endpoint.ID))
 		e.log.Warn().Err(err).Str("request", id).Str("endpoint", endpoint.ID).Msg("endpoint crashed with the request")
 	})
 }
