--- a/internal/edge/tries.go
+++ b/internal/edge/tries.go
@@ -35,7 +35,8 @@
 }
 
 // run sends the request to an endpoint, and to further ones where that is safe
-// and within the bounds. It returns a whole answer or a refusal.
+// and within the bounds. It returns a whole answer or a refusal; an answer that
+// reports a failure is kept for the case that no further try gives a better one.
 func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []try, *refusal.Refusal) {
 	homes, restricted := catalog.HomesOf(q.route, q.workspace)
 	q.region = e.steering.Next(q.upstream, q.object, homes, restricted)
@@ -46,9 +47,13 @@
 	}
 	e.retries.First(q.upstream)
 	var tries []try
+	var failure *upstream.Answer
 	arrived := 0
 	for {
 		endpoint, err := e.choose(q, tries)
+		if err != nil && failure != nil {
+			return failure, tries, nil
+		}
 		if err != nil {
 			return nil, tries, e.noRoom(q, tries, err)
 		}
@@ -57,18 +62,19 @@
 		if result != placement.Unreachable {
 			arrived++
 		}
-		if result == placement.Answered || (result == placement.Failed && !e.mayTryAgain(q, tries, arrived)) {
+		if result == placement.Answered {
 			return answer, tries, nil
 		}
-		if !e.mayTryAgain(q, tries, arrived) {
-			return nil, tries, e.failed(ctx, q, tries)
+		if result == placement.Failed {
+			failure = answer
+		}
+		if e.mayTryAgain(q, tries, arrived) && (result == placement.Unreachable || e.retries.Further(q.upstream)) {
+			continue
 		}
-		if result != placement.Unreachable && !e.retries.Further(q.upstream) {
-			if result == placement.Failed {
-				return answer, tries, nil
-			}
-			return nil, tries, e.failed(ctx, q, tries)
+		if failure != nil {
+			return failure, tries, nil
 		}
+		return nil, tries, e.failed(ctx, q, tries)
 	}
 }
 
