--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -54,8 +54,8 @@
 	// callerIdleTime is longer than any operator's limit, so that a caller is
 	// the one to close.
 	callerIdleTime = 2 * time.Minute
-	// hardHeaderFactor times the operator's limit of headers is where the HTTP
-	// library cuts a caller off; up to there the refusal says why.
+	// hardHeaderBytes is where the HTTP library cuts a caller off; up to there the
+	// refusal of headers above the operator's limit says why.
 	hardHeaderBytes = 256 << 10
 )
 
