Hold quotas in pools of zones

Each of 87 instances held a share of a request in ten seconds, and the pools of regions half of the rest.

Change: one pool a zone and workspace, held by one of its instances; the region's other zones are asked before a request is refused; demand is told by zone and remembered while an instance of its region is known; a holder that has not heard all regions takes an even part.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -1,18 +1,16 @@
 // Package allowance bounds what all instances together do with what each of
 // them knows: requests of a workspace, and tries beyond a request's first.
 //
-// Quotas divides a part of a workspace's rate and burst among its holders: some
-// evenly, so that each always has a little, and the rest by the demand that they
-// tell each other. The parts add up to the whole when all know the same. Instances
-// hold LocalPart of each quota; the rest lies in pools, one a region, from which
-// an instance borrows before it refuses: among many instances the shares are too
-// small for requests that come unevenly. RetryBudget lets an upstream's further tries grow with the first
-// ones that this instance sends.
+// Quotas divides a workspace's rate and burst among its holders: some evenly, so
+// that each always has a little, and the rest by the demand that they tell each
+// other. The parts add up to the whole when all know the same. The holders are
+// pools, one a zone: shares of single instances would be too small for requests
+// that come unevenly. RetryBudget lets an upstream's further tries grow with the
+// first ones that this instance sends.
 //
-// How it fails: an instance that hears nobody keeps its last part until the
-// demand of the others is forgotten; the others count its demand as long. A part
-// that shrinks here and grows there is exceeded by at most one exchange of
-// heartbeats.
+// How it fails: a holder that does not hear all others takes no more than an even
+// part of what their last demand left. A part that shrinks here and grows there is
+// exceeded by at most one exchange of heartbeats.
 package allowance
 
 import (
@@ -26,11 +24,21 @@
 )
 
 // evenPart is the part of a quota that is divided evenly.
-const evenPart = 0.2
+const evenPart = 0.05
 
-// demandFloor is the demand, in requests per second, that every instance counts
-// with, so that a first request finds a share.
-const demandFloor = 1.0
+// chanceFactor weighs the demand that holders may see beside the measured one. The
+// chance of single requests grows with the root of their number, so that it
+// matters for small demands spread over many holders.
+const chanceFactor = 0.6
+
+// demandFloor is the demand, in requests per second, that the holders count with
+// together, so that a first request finds a share.
+const demandFloor = 0.2
+
+// minDepth is the depth of a holder's bucket, in requests, where its part of the
+// burst is less: small parts would refuse requests that come unevenly. What a
+// window may hold is counted apart.
+const minDepth = 5
 
 // maxWait bounds what a refused caller is told to wait.
 const maxWait = 2 * time.Second
@@ -38,9 +46,7 @@
 // Quotas holds this instance's parts of the workspaces' quotas. It is safe for
 // concurrent use.
 type Quotas struct {
-	window time.Duration
-	// whole is the part of the quotas that all holders have together.
-	whole      Part
+	window     time.Duration
 	mu         sync.Mutex
 	workspaces map[string]*part
 }
@@ -48,7 +54,6 @@
 // part is this instance's part of one workspace's quota.
 type part struct {
 	limiter *rate.Limiter
-	demand  Meter
 	// recent are the requests admitted in the last periods, of which window is the
 	// sum; most is what a window may hold.
 	recent []int
@@ -59,35 +64,21 @@
 	aboveSince time.Time
 }
 
-// Part is a part of each quota, of its rate and of its burst.
-type Part struct{ Rate, Burst float64 }
-
-// Local is the part of a quota that instances hold; Pooled lies in the pools. The
-// many small buckets of instances need more of the burst than the few pools.
-var (
-	Local  = Part{Rate: 0.5, Burst: 0.75}
-	Pooled = Part{Rate: 0.5, Burst: 0.25}
-)
-
-// NewQuotas returns quotas without workspaces, of which all holders have the part
-// whole. A workspace may send its burst beside its rate in each window.
-func NewQuotas(window time.Duration, whole Part) *Quotas {
-	return &Quotas{window: window, whole: whole, workspaces: make(map[string]*part)}
+// NewQuotas returns quotas without workspaces. A workspace may send its burst
+// beside its rate in each window.
+func NewQuotas(window time.Duration) *Quotas {
+	return &Quotas{window: window, workspaces: make(map[string]*part)}
 }
 
 // Admit takes a token of the workspace. Without one it returns false and when to
 // come back.
 func (q *Quotas) Admit(now time.Time, workspace *catalog.Workspace) (time.Duration, bool) {
-	if workspace == nil {
+	if workspace == nil || workspace.Rate <= 0 {
 		return 0, true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	p := q.part(now, workspace.Name)
-	p.demand.Count()
-	if workspace.Rate <= 0 {
-		return 0, true
-	}
 	if float64(p.window+1) <= p.most && p.limiter.AllowN(now, 1) {
 		p.window++
 		p.recent[len(p.recent)-1]++
@@ -109,25 +100,12 @@
 	return p
 }
 
-// Demand returns the workspaces' demand on this instance, in requests per
-// second.
-func (q *Quotas) Demand() map[string]float64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	demand := make(map[string]float64, len(q.workspaces))
-	for name, p := range q.workspaces {
-		demand[name] = p.demand.Rate()
-	}
-	return demand
-}
-
-// Tick ends a period of measuring.
+// Tick ends a period of the windows.
 func (q *Quotas) Tick(elapsed time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	periods := int(math.Ceil(q.window.Seconds()/max(elapsed.Seconds(), minPeriod.Seconds()))) + 1
 	for _, p := range q.workspaces {
-		p.demand.Tick(elapsed)
 		p.roll(periods)
 	}
 }
@@ -153,6 +131,14 @@
 	Demand func(workspace string) Demands
 	// Holders is the number of holders, this one included.
 	Holders int
+	// Blind says that the demand on some holders has not been heard.
+	Blind bool
+	// Fraction is the part of this holder's share that is meant; 0 is all of it.
+	Fraction float64
+	// Holds reports whether this is the workspace's holder now; nil is always. One
+	// that is not lends what it has left and gets nothing new, so that a pool that
+	// goes to and fro does not grow.
+	Holds func(workspace string) bool
 	// Reserve is the part of the quotas that is kept back: shares that move count
 	// twice until all holders have heard of it.
 	Reserve float64
@@ -170,18 +156,32 @@
 	for name, workspace := range c.Workspaces {
 		p := q.part(now, name)
 		d := by.Demand(name)
-		share := (1 - by.Reserve) * ShareOf(d.Own, d.Others, by.Holders)
-		rateShare, burstShare := q.whole.Rate*share, q.whole.Burst*share
+		share := by.share(d)
 		limit := workspace.Rate
 		if p.above(now, workspace.Rate, d) >= q.window {
 			limit = Sustained(limit, workspace.Burst, q.window)
 		}
-		p.most = max(workspace.Rate*q.window.Seconds()*rateShare+workspace.Burst*burstShare, 1)
-		p.limiter.SetLimitAt(now, rate.Limit(limit*rateShare))
-		p.limiter.SetBurstAt(now, max(int(workspace.Burst*burstShare), 1))
+		p.most = (workspace.Rate*q.window.Seconds() + workspace.Burst) * share
+		if by.Holds != nil && !by.Holds(name) {
+			limit = 0
+		}
+		p.limiter.SetLimitAt(now, rate.Limit(limit*share))
+		p.limiter.SetBurstAt(now, max(int(workspace.Burst*share), min(minDepth, int(p.most))))
 	}
 }
 
+// share returns the holder's part of a workspace's quota.
+func (by Division) share(d Demands) float64 {
+	share := ShareOf(d.Own, d.Others, by.Holders)
+	if by.Blind {
+		share = min(share, 1/float64(max(by.Holders, 1)))
+	}
+	if by.Fraction > 0 {
+		share *= by.Fraction
+	}
+	return (1 - by.Reserve) * share
+}
+
 // above returns how long the demand on all holders has been above the rate.
 func (p *part) above(now time.Time, rate float64, d Demands) time.Duration {
 	if d.Own+d.Others <= rate {
@@ -207,32 +207,7 @@
 // others and the number of holders. The shares of all add up to 1.
 func ShareOf(own, others float64, holders int) float64 {
 	n := float64(max(holders, 1))
-	return evenPart/n + (1-evenPart)*(own+demandFloor)/(own+others+n*demandFloor)
+	total := own + others
+	chance := chanceFactor*math.Sqrt(n*total) + demandFloor
+	return evenPart/n + (1-evenPart)*(own+chance/n)/(total+chance)
 }
-
-// Meter measures a rate over periods.
-type Meter struct {
-	count float64
-	rate  float64
-}
-
-// meterSmoothing is the weight of the last period in a rate.
-const meterSmoothing = 0.4
-
-// Count counts one event.
-func (m *Meter) Count() { m.Add(1) }
-
-// Add counts an amount.
-func (m *Meter) Add(amount float64) { m.count += amount }
-
-// Tick ends a period.
-func (m *Meter) Tick(elapsed time.Duration) {
-	if elapsed <= 0 {
-		return
-	}
-	m.rate += meterSmoothing * (m.count/elapsed.Seconds() - m.rate)
-	m.count = 0
-}
-
-// Rate returns events, or their amounts, per second.
-func (m *Meter) Rate() float64 { return m.rate }
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -44,7 +44,7 @@
 func (e *Edge) refuse(w http.ResponseWriter, q *request, tries []try, refused *refusal.Refusal) {
 	e.counters.refuse(q, refused)
 	e.event(e.log.Warn(), q, tries).Int("status", refused.Status).Str("reason", string(refused.Kind)).
-		Str("outcome", string(refused.Outcome)).Dur("retry_after", refused.RetryAfter).
+		Str("detail", refused.Detail).Str("outcome", string(refused.Outcome)).Dur("retry_after", refused.RetryAfter).
 		Dur("took", time.Since(q.started)).Msg("request was refused")
 	e.ports.Callers.Refuse(w, q.asked.ID, refused)
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,7 +8,8 @@
 //
 // How it fails: without the store the instance goes on with its mirror and takes
 // what is newer from its peers; without a configuration it refuses every request
-// as not run and is not ready; without peers it keeps its parts of the quotas.
+// as not run and is not ready; without peers it keeps
+// an even part of its zone's quotas.
 package edge
 
 import (
@@ -91,7 +92,7 @@
 
 	peers *link.Peers
 
-	quotas   *allowance.Quotas
+	arrivals *allowance.Arrivals
 	lending  *lending
 	retries  *allowance.RetryBudget
 	splitter *catalog.Splitter
@@ -112,8 +113,8 @@
 		regions:  regionsOf(s.Zones),
 		loop:     control.NewLoop("edge"),
 		peers:    link.NewPeers(),
-		quotas:   allowance.NewQuotas(s.Bounds.QuotaWindow, allowance.Local),
-		lending:  newLending(s.Bounds.QuotaWindow),
+		arrivals: allowance.NewArrivals(),
+		lending:  newLending(s.Zone, s.Bounds.QuotaWindow),
 		retries:  allowance.NewRetryBudget(allowance.RetryOptions{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst}),
 		splitter: catalog.NewSplitter(),
 		steering: placement.NewSteering(s.Region),
--- /dev/null
+++ b/internal/edge/lending_test.go
@@ -0,0 +1,78 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/fleet"
+)
+
+func TestEdge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "edge")
+}
+
+var _ = Describe("lending", func() {
+	members := func(zone string, n int) []fleet.Member {
+		var all []fleet.Member
+		for i := range n {
+			all = append(all, fleet.Member{Instance: fmt.Sprint(zone, "-", i), Zone: zone})
+		}
+		return all
+	}
+	workspaces := func(n int) []string {
+		var all []string
+		for i := range n {
+			all = append(all, fmt.Sprint("workspace-", i))
+		}
+		return all
+	}
+
+	It("divides the workspaces among the instances of the zone", func() {
+		l := newLending("north-1", time.Second)
+		l.setHolders(map[string][]fleet.Member{"north-1": members("north-1", 8)})
+		held := make(map[string]int)
+		for _, workspace := range workspaces(800) {
+			order := l.order("north-1", workspace)
+			Expect(order).To(HaveLen(maxHolders))
+			Expect(order[0]).NotTo(Equal(order[1]))
+			held[order[0].Instance]++
+		}
+		Expect(held).To(HaveLen(8))
+		for _, n := range held {
+			Expect(n).To(BeNumerically("~", 100, 40))
+		}
+	})
+
+	It("moves only the pools of an instance that is lost, to those asked next", func() {
+		l := newLending("north-1", time.Second)
+		all := members("north-1", 8)
+		l.setHolders(map[string][]fleet.Member{"north-1": all})
+		before := make(map[string][]fleet.Member)
+		for _, workspace := range workspaces(200) {
+			before[workspace] = l.order("north-1", workspace)
+		}
+		lost := all[3]
+		l.setHolders(map[string][]fleet.Member{"north-1": append(append([]fleet.Member{}, all[:3]...), all[4:]...)})
+		for workspace, order := range before {
+			expected := order[0]
+			if order[0] == lost {
+				expected = order[1]
+			}
+			Expect(l.order("north-1", workspace)[0]).To(Equal(expected))
+		}
+	})
+
+	It("names the region's other zones, and nobody while no holder is known", func() {
+		l := newLending("north-1", time.Second)
+		Expect(l.order("north-1", "azul")).To(BeEmpty())
+		Expect(l.siblings()).To(BeEmpty())
+		l.setHolders(map[string][]fleet.Member{"north-1": members("north-1", 1), "north-2": members("north-2", 2)})
+		Expect(l.siblings()).To(ConsistOf("north-2"))
+		Expect(l.order("north-2", "azul")).To(HaveLen(2))
+	})
+})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -82,7 +82,7 @@
 		return t
 	}
 	t.delegate = true
-	t.exchange = fleet.Exchange{Digest: s.fleet.OwnDigest(now, own), Known: s.fleet.Known()}
+	t.exchange = fleet.Exchange{Digest: s.fleet.OwnDigest(now, own).Abroad(), Known: s.fleet.Known()}
 	for _, region := range s.edge.regions {
 		if region == self.Region {
 			continue
@@ -103,7 +103,7 @@
 func (s *state) activity(now time.Time) fleet.Activity {
 	activity := fleet.Activity{
 		Upstreams:  s.edge.usual.demand(),
-		Workspaces: demands(s.edge.quotas.Demand()),
+		Workspaces: demands(s.edge.settings.Zone, s.edge.arrivals.Rates()),
 		Services:   s.edge.usual.served(),
 		Strikes:    s.edge.poison.recent(now),
 	}
@@ -194,7 +194,7 @@
 	if err := request.Decode(&report); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, report.Known, report.Brief, func(now time.Time) {
+	return e.reply(ctx, replyTo{known: report.Known, brief: report.Brief}, func(now time.Time) {
 		if e.state.fleet.Heard(now, report) {
 			e.poison.told(now, report.Activity.Strikes)
 		}
@@ -207,21 +207,35 @@
 	if err := request.Decode(&exchange); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, exchange.Known, false, func(now time.Time) {
+	return e.reply(ctx, replyTo{known: exchange.Known, abroad: true}, func(now time.Time) {
 		e.state.digested(now, exchange.Digest, fleet.Activity{})
 	})
 }
 
+// replyTo is what the receiver of a reply needs.
+type replyTo struct {
+	// known are the hashes of the members that it knows, by region.
+	known map[string]uint64
+	// brief says that it needs no digests, abroad that it is in another region.
+	brief, abroad bool
+}
+
 // reply takes a message and returns what this instance knows.
-func (e *Edge) reply(ctx context.Context, known map[string]uint64, brief bool, take func(time.Time)) (any, error) {
+func (e *Edge) reply(ctx context.Context, to replyTo, take func(time.Time)) (any, error) {
 	var reply fleet.Reply
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
 		take(now)
 		reply.Revision = e.state.mirror.Revision()
 		reply.StoreAgeMillis = e.storeAge(now).Milliseconds()
-		if !brief {
-			reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), known)
+		if to.brief {
+			return
+		}
+		reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), to.known)
+		for i := range reply.Digests {
+			if to.abroad {
+				reply.Digests[i] = reply.Digests[i].Abroad()
+			}
 		}
 	})
 	return reply, err
--- a/internal/edge/serve.go
+++ b/internal/edge/serve.go
@@ -117,7 +117,7 @@
 	}
 	if wait, admitted := e.admit(r.Context(), q); !admitted {
 		return q, refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, refusal.NotRun,
-			"workspace is above its rate").After(max(wait, minRetryAfter))
+			fmt.Sprintf("workspace is above its rate of %g a second and its burst of %g", q.workspace.Rate, q.workspace.Burst)).After(max(wait, minRetryAfter))
 	}
 	q.deadline = q.started.Add(timeoutOf(q))
 	body, refused := e.readBody(w, r, q)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -191,9 +191,9 @@
 	s.edge.retries.SetInstances(s.fleet.Size())
 	s.updateState()
 	s.countOthers()
-	s.edge.quotas.Tick(elapsed)
-	s.history.Add(now, s.edge.quotas.Demand())
-	s.edge.lending.pool.Tick(elapsed)
+	s.edge.arrivals.Tick(elapsed)
+	s.history.Add(now, s.edge.arrivals.Rates())
+	s.edge.lending.tick(elapsed)
 	s.divide(now)
 	s.steer(now, elapsed)
 	s.publishEntries(now)
@@ -228,25 +228,24 @@
 	}
 }
 
-// divide sets this instance's parts of the quotas, and those of its region's pool.
+// divide sets the parts of the quotas that this instance holds for its zone.
 func (s *state) divide(now time.Time) {
 	c := s.edge.catalog.Load()
 	if c == nil {
 		return
 	}
 	own := s.history.Before(now, s.reportInterval()+exchangeInterval)
-	local := func(workspace string) allowance.Demands {
-		return allowance.Demands{Own: own[workspace], Others: s.others.Workspaces[workspace]}
+	division := allowance.Division{
+		Demand: func(workspace string) allowance.Demands {
+			zone := own[workspace] + s.others.Zone[workspace]
+			return allowance.Demands{Own: zone, Others: own[workspace] + s.others.Workspaces[workspace] - zone}
+		},
+		Holders: len(s.edge.settings.Zones),
+		Blind:   s.others.Blind,
+		Reserve: s.reserve(),
 	}
-	pooled := func(workspace string) allowance.Demands {
-		region := own[workspace] + s.others.Region[workspace]
-		return allowance.Demands{Own: region, Others: own[workspace] + s.others.Workspaces[workspace] - region}
-	}
-	reserve := s.reserve()
-	s.edge.quotas.Divide(now, c, allowance.Division{Demand: local, Holders: s.fleet.Size(), Reserve: reserve})
-	s.edge.lending.pool.Divide(now, c, allowance.Division{Demand: pooled, Holders: len(s.edge.regions), Reserve: reserve})
-	delegates := s.fleet.Delegates(now, s.edge.settings.Region)
-	s.edge.lending.delegates.Store(&delegates)
+	s.edge.lending.setHolders(s.fleet.Holders(now))
+	s.edge.lending.divide(now, c, division, s.edge.settings.Instance, s.fleet.KnownInZone())
 }
 
 // maxReserve is the part of the quotas that is kept back where reports are rarest.
@@ -340,14 +339,14 @@
 
 // demandResolution is the demand, in requests per second, below which nothing is
 // told.
-const demandResolution = 0.1
+const demandResolution = 0.02
 
-func demands(rates map[string]float64) []fleet.Demand {
+func demands(zone string, rates map[string]float64) []fleet.ZoneDemand {
 	var told []fleet.Demand
 	for name, rate := range rates {
 		if rate >= demandResolution {
 			told = append(told, fleet.Demand{Workspace: name, Rate: float32(rate)})
 		}
 	}
-	return told
+	return []fleet.ZoneDemand{{Zone: zone, Workspaces: told}}
 }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -37,7 +37,7 @@
 		if p.reports(now, SilentAfter) {
 			members = append(members, p.status)
 			sum.add(p.activity)
-		} else if p.reports(now, RememberDemand) {
+		} else {
 			sum.addWorkspaces(p.activity)
 		}
 	}
@@ -45,12 +45,22 @@
 	return Digest{Region: c.self.Member.Region, Hash: hashOf(members), Members: members, Activity: sum.activity()}
 }
 
+// Abroad returns the digest for other regions, which need no zones.
+func (d Digest) Abroad() Digest {
+	sum := newSum()
+	for _, zone := range d.Activity.Workspaces {
+		sum.addDemands("", zone.Workspaces)
+	}
+	d.Activity.Workspaces = sum.demands()
+	return d
+}
+
 // Digests returns the digests of all regions, the own one made now, without the
 // members that the receiver knows.
 func (c *Core) Digests(now time.Time, own Activity, known map[string]uint64) []Digest {
 	digests := []Digest{c.OwnDigest(now, own)}
 	for region, r := range c.digests {
-		if region == c.self.Member.Region || now.Sub(r.at) > RememberDemand {
+		if region == c.self.Member.Region || !c.knows(region) {
 			continue
 		}
 		digest := r.digest
@@ -100,10 +110,13 @@
 	Uses map[string]int
 	// Upstreams is the demand on upstreams by the region where it arrives.
 	Upstreams map[string][]UpstreamDemand
-	// Workspaces is the demand of workspaces, which is remembered for longer.
+	// Workspaces is the demand of workspaces, which is remembered while an instance
+	// of its region is known.
 	Workspaces map[string]float64
-	// Region is the part of Workspaces in this instance's region.
-	Region map[string]float64
+	// Zone is the part of Workspaces in this instance's zone.
+	Zone map[string]float64
+	// Blind says that a region with instances has told nothing yet.
+	Blind bool
 	// Services are the answers of upstreams.
 	Services map[string]Service
 }
@@ -125,15 +138,21 @@
 	}
 }
 
-func (o *Others) addWorkspaces(activity Activity, sign float64, home bool) {
-	for _, d := range activity.Workspaces {
-		o.Workspaces[d.Workspace] += sign * float64(d.Rate)
-		if home {
-			o.Region[d.Workspace] += sign * float64(d.Rate)
+// addWorkspaces adds demand; zone is this instance's.
+func (o *Others) addWorkspaces(zone string, demand []ZoneDemand, sign float64) {
+	for _, of := range demand {
+		for _, d := range of.Workspaces {
+			o.Workspaces[d.Workspace] += sign * float64(d.Rate)
+			if of.Zone == zone {
+				o.Zone[d.Workspace] += sign * float64(d.Rate)
+			}
 		}
 	}
 }
 
+// knows reports whether an instance of the region is known.
+func (c *Core) knows(region string) bool { return c.KnownInRegion(region) > 0 }
+
 // Others returns what the other instances do, as of their last digests and
 // reports.
 func (c *Core) Others(now time.Time) Others {
@@ -141,10 +160,10 @@
 		Uses:       make(map[string]int),
 		Upstreams:  make(map[string][]UpstreamDemand),
 		Workspaces: make(map[string]float64),
-		Region:     make(map[string]float64),
+		Zone:       make(map[string]float64),
 		Services:   make(map[string]Service),
 	}
-	home := c.self.Member.Region
+	home, zone := c.self.Member.Region, c.self.Member.Zone
 	delegate := c.IsDelegate(now)
 	for region, r := range c.digests {
 		if region == home && delegate {
@@ -154,24 +173,38 @@
 			others.add(region, r.digest.Activity, 1)
 			others.add(region, r.own, -1)
 		}
-		if now.Sub(r.at) <= RememberDemand {
-			others.addWorkspaces(r.digest.Activity, 1, region == home)
-			others.addWorkspaces(r.own, -1, region == home)
+		if c.knows(region) {
+			others.addWorkspaces(zone, r.digest.Activity.Workspaces, 1)
+			others.addWorkspaces(zone, r.own.Workspaces, -1)
 		}
 	}
 	if delegate {
 		digest := c.OwnDigest(now, Activity{})
 		others.add(home, digest.Activity, 1)
-		others.addWorkspaces(digest.Activity, 1, true)
+		others.addWorkspaces(zone, digest.Activity.Workspaces, 1)
 	}
+	others.Blind = c.blind(delegate)
 	return others
 }
 
+// blind reports whether a region has instances and no digest of it came. A
+// delegate makes that of its own region itself.
+func (c *Core) blind(delegate bool) bool {
+	for _, p := range c.peers {
+		region := p.status.Member.Region
+		_, told := c.digests[region]
+		if !told && !(delegate && region == c.self.Member.Region) {
+			return true
+		}
+	}
+	return false
+}
+
 // sum adds activities.
 type sum struct {
 	uses       map[string]int
 	upstreams  map[[2]string]float32
-	workspaces map[string]float32
+	workspaces map[[2]string]float32 // by zone and workspace
 	services   map[string]Service
 	strikes    map[uint64]quarantine.Strike
 }
@@ -180,7 +213,7 @@
 	return &sum{
 		uses:       make(map[string]int),
 		upstreams:  make(map[[2]string]float32),
-		workspaces: make(map[string]float32),
+		workspaces: make(map[[2]string]float32),
 		services:   make(map[string]Service),
 		strikes:    make(map[uint64]quarantine.Strike),
 	}
@@ -207,11 +240,30 @@
 }
 
 func (s *sum) addWorkspaces(a Activity) {
-	for _, d := range a.Workspaces {
-		s.workspaces[d.Workspace] += d.Rate
+	for _, zone := range a.Workspaces {
+		s.addDemands(zone.Zone, zone.Workspaces)
 	}
 }
 
+func (s *sum) addDemands(zone string, demands []Demand) {
+	for _, d := range demands {
+		s.workspaces[[2]string{zone, d.Workspace}] += d.Rate
+	}
+}
+
+// demands returns the demand of workspaces, a row a zone.
+func (s *sum) demands() []ZoneDemand {
+	rows := make(map[string][]Demand)
+	for key, rate := range s.workspaces {
+		rows[key[0]] = append(rows[key[0]], Demand{Workspace: key[1], Rate: rate})
+	}
+	var zones []ZoneDemand
+	for zone, row := range rows {
+		zones = append(zones, ZoneDemand{Zone: zone, Workspaces: row})
+	}
+	return zones
+}
+
 func (s *sum) activity() Activity {
 	var a Activity
 	for _, endpoint := range slices.Sorted(maps.Keys(s.uses)) {
@@ -220,9 +272,7 @@
 	for key, rate := range s.upstreams {
 		a.Upstreams = append(a.Upstreams, UpstreamDemand{Upstream: key[0], Region: key[1], Rate: rate})
 	}
-	for workspace, rate := range s.workspaces {
-		a.Workspaces = append(a.Workspaces, Demand{Workspace: workspace, Rate: rate})
-	}
+	a.Workspaces = s.demands()
 	for _, service := range s.services {
 		a.Services = append(a.Services, service)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -10,9 +10,9 @@
 // How it fails: a delegate that does not answer is passed over for SuspectFor,
 // and the next one by name takes its place. An instance that reaches no other one
 // of its region is its own delegate. A member that is silent for SilentAfter gets
-// no callers; its demand counts for RememberDemand, so that a short partition
-// gives no share of a quota away twice. One that is neither registered nor heard
-// for ForgottenAfter is forgotten.
+// no callers; its demand counts until it is forgotten, so that a partition gives
+// no share of a quota away twice. One that is neither registered nor heard for
+// ForgottenAfter is forgotten.
 package fleet
 
 import (
@@ -27,8 +27,6 @@
 	SilentAfter = 2500 * time.Millisecond
 	// ForgottenAfter is the silence after which an unregistered one is dropped.
 	ForgottenAfter = 10 * time.Second
-	// RememberDemand is how long the demand of a silent instance is counted.
-	RememberDemand = 15 * time.Second
 	// SuspectFor is how long a delegate that did not answer is passed over.
 	SuspectFor = 2 * time.Second
 )
@@ -149,17 +147,48 @@
 
 // Delegates returns the delegates of a region, this instance perhaps among them.
 func (c *Core) Delegates(now time.Time, region string) []Member {
-	var candidates []Member
-	if c.self.Member.Region == region && c.self.State != Leaving {
-		candidates = append(candidates, c.self.Member)
+	answering := c.answering(now, func(m Member) bool { return m.Region == region })
+	return answering[:min(len(answering), delegates)]
+}
+
+// Holders returns the instances of this instance's region, by zone, that hold the
+// pools of their zone, this one perhaps among them; none while this instance hears
+// nobody, though others are known.
+func (c *Core) Holders(now time.Time) map[string][]Member {
+	if c.isolated(now) {
+		return nil
+	}
+	zones := make(map[string][]Member)
+	for _, m := range c.answering(now, func(m Member) bool { return m.Region == c.self.Member.Region }) {
+		zones[m.Zone] = append(zones[m.Zone], m)
+	}
+	return zones
+}
+
+// answering returns the members that are asked for, do not leave and answer,
+// ordered by name.
+func (c *Core) answering(now time.Time, asked func(Member) bool) []Member {
+	var members []Member
+	if asked(c.self.Member) && c.self.State != Leaving {
+		members = append(members, c.self.Member)
+	}
+	for _, p := range c.peers {
+		if asked(p.status.Member) && p.status.State != Leaving && !now.Before(p.suspectUntil) {
+			members = append(members, p.status.Member)
+		}
 	}
+	sortMembers(members)
+	return members
+}
+
+// isolated reports whether other instances are known and none is heard.
+func (c *Core) isolated(now time.Time) bool {
 	for _, p := range c.peers {
-		if p.status.Member.Region == region && p.status.State != Leaving && !now.Before(p.suspectUntil) {
-			candidates = append(candidates, p.status.Member)
+		if p.live(now) {
+			return false
 		}
 	}
-	sortMembers(candidates)
-	return candidates[:min(len(candidates), delegates)]
+	return len(c.peers) > 0
 }
 
 // IsDelegate reports whether this instance is a delegate of its region.
@@ -204,12 +233,22 @@
 // KnownInRegion returns the number of instances of the region that may be
 // running, this one included.
 func (c *Core) KnownInRegion(region string) int {
+	return c.known(func(m Member) bool { return m.Region == region })
+}
+
+// KnownInZone returns the number of instances of this instance's zone that may be
+// running, this one included.
+func (c *Core) KnownInZone() int {
+	return c.known(func(m Member) bool { return m.Zone == c.self.Member.Zone })
+}
+
+func (c *Core) known(counts func(Member) bool) int {
 	n := 0
-	if c.self.Member.Region == region {
+	if counts(c.self.Member) {
 		n++
 	}
 	for _, p := range c.peers {
-		if p.status.Member.Region == region {
+		if counts(p.status.Member) {
 			n++
 		}
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -69,6 +69,15 @@
 	Rate      float32
 }
 
+// ZoneDemand is the demand of the workspaces on the instances of a zone, or of a
+// whole region where no zone is named.
+type ZoneDemand struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack   struct{} `msgpack:",as_array"`
+	Zone       string
+	Workspaces []Demand
+}
+
 // UpstreamDemand is the arrival of requests to an upstream, per second.
 type UpstreamDemand struct {
 	//lint:ignore U1000 read by the msgpack library
@@ -94,7 +103,7 @@
 type Activity struct {
 	Uses       []Use               `msgpack:"u,omitempty"`
 	Upstreams  []UpstreamDemand    `msgpack:"d,omitempty"`
-	Workspaces []Demand            `msgpack:"w,omitempty"`
+	Workspaces []ZoneDemand        `msgpack:"w,omitempty"`
 	Services   []Service           `msgpack:"b,omitempty"`
 	Strikes    []quarantine.Strike `msgpack:"k,omitempty"`
 }
@@ -136,10 +145,11 @@
 	Known  map[string]uint64 `msgpack:"h,omitempty"`
 }
 
-// Borrow asks the delegate that holds the region's pool of a workspace for one
-// request.
+// Borrow asks the holder of the zone's pool of a workspace for one request.
 type Borrow struct {
 	Workspace string `msgpack:"w"`
+	// Silent are the instances that were asked before and did not answer.
+	Silent []string `msgpack:"s,omitempty"`
 }
 
 // Loan answers a Borrow.
