Keep region shares while the regions bear them, and make digests smaller

Change: shares move fast only when a region does not bear them, else requests return over two minutes. Members are told of endpoints in regions that get their requests; delegates relay a digest only to one that lacks it.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -69,7 +69,12 @@
 	self := s.fleet.Self()
 	interval := s.reportInterval()
 	t := turn{interval: interval, large: interval > reportInterval}
-	t.report = fleet.Report{Status: fleet.Status{Member: self, State: s.fleet.State()}, Activity: own, Known: s.fleet.Known()}
+	t.report = fleet.Report{
+		Status:   fleet.Status{Member: self, State: s.fleet.State()},
+		Activity: own,
+		Known:    s.fleet.Known(),
+		Regions:  s.regionsInUse(),
+	}
 	place := -1
 	for i, delegate := range s.fleet.Delegates(now, self.Region) {
 		if delegate == self {
@@ -82,7 +87,11 @@
 		return t
 	}
 	t.delegate = true
-	t.exchange = fleet.Exchange{Digest: s.fleet.OwnDigest(now, own).Abroad(), Known: s.fleet.Known()}
+	t.exchange = fleet.Exchange{
+		Digest:    s.fleet.OwnDigest(now, own).Abroad(),
+		Known:     s.fleet.Known(),
+		AgeMillis: s.fleet.Ages(now),
+	}
 	for _, region := range s.edge.regions {
 		if region == self.Region {
 			continue
@@ -94,6 +103,26 @@
 	return t
 }
 
+// regionsInUse returns the other regions that get requests of this instance.
+func (s *state) regionsInUse() []string {
+	inUse := make(map[string]bool)
+	for _, shares := range s.edge.steering.Shares() {
+		for region, share := range shares {
+			inUse[region] = inUse[region] || share > 0
+		}
+	}
+	for _, endpoint := range s.edge.table.Load().Endpoints() {
+		inUse[endpoint.Region] = inUse[endpoint.Region] || endpoint.Own() > 0
+	}
+	var regions []string
+	for region, used := range inUse {
+		if used && region != s.edge.settings.Region {
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
+
 func (s *state) reportInterval() time.Duration {
 	n := s.fleet.KnownInRegion(s.edge.settings.Region)
 	return min(max(reportInterval*time.Duration(n)/instancesPerInterval, reportInterval), maxReportInterval)
@@ -194,7 +223,13 @@
 	if err := request.Decode(&report); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, replyTo{known: report.Known, brief: report.Brief}, func(now time.Time) {
+	digests := func(now time.Time) []fleet.Digest {
+		if report.Brief {
+			return nil
+		}
+		return e.state.fleet.Digests(now, e.state.activity(now), report)
+	}
+	return e.reply(ctx, digests, func(now time.Time) {
 		if e.state.fleet.Heard(now, report) {
 			e.poison.told(now, report.Activity.Strikes)
 		}
@@ -207,36 +242,23 @@
 	if err := request.Decode(&exchange); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, replyTo{known: exchange.Known, abroad: true}, func(now time.Time) {
+	digests := func(now time.Time) []fleet.Digest {
+		return e.state.fleet.Relays(now, e.state.activity(now), exchange)
+	}
+	return e.reply(ctx, digests, func(now time.Time) {
 		e.state.digested(now, exchange.Digest, fleet.Activity{})
 	})
 }
 
-// replyTo is what the receiver of a reply needs.
-type replyTo struct {
-	// known are the hashes of the members that it knows, by region.
-	known map[string]uint64
-	// brief says that it needs no digests, abroad that it is in another region.
-	brief, abroad bool
-}
-
 // reply takes a message and returns what this instance knows.
-func (e *Edge) reply(ctx context.Context, to replyTo, take func(time.Time)) (any, error) {
+func (e *Edge) reply(ctx context.Context, digests func(time.Time) []fleet.Digest, take func(time.Time)) (any, error) {
 	var reply fleet.Reply
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
 		take(now)
 		reply.Revision = e.state.mirror.Revision()
 		reply.StoreAgeMillis = e.storeAge(now).Milliseconds()
-		if to.brief {
-			return
-		}
-		reply.Digests = e.state.fleet.Digests(now, e.state.activity(now), to.known)
-		for i := range reply.Digests {
-			if to.abroad {
-				reply.Digests[i] = reply.Digests[i].Abroad()
-			}
-		}
+		reply.Digests = digests(now)
 	})
 	return reply, err
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -24,6 +24,11 @@
 // shiftPart is the part of the bound on changes of region that the shares use.
 const shiftPart = 0.6
 
+// returnTime is the time in which all requests of a region would come back to it
+// from others that bear them. Each object that moves is run for the first time
+// where it goes, which waves of demand do not repay.
+const returnTime = 2 * time.Minute
+
 // state is the control state of an instance. It belongs to the control loop.
 type state struct {
 	edge     *Edge
@@ -268,7 +273,10 @@
 	table := s.edge.table.Load()
 	free, bound := s.arrivals()
 	own := s.edge.settings.Region
-	step := s.edge.settings.Bounds.MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds()
+	steps := placement.Steps{
+		Relief: s.edge.settings.Bounds.MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds(),
+		Return: elapsed.Seconds() / returnTime.Seconds(),
+	}
 	for _, name := range table.Upstreams() {
 		service := s.edge.usual.serviceTime(name).Seconds()
 		capacity := table.Capacity(now, name)
@@ -284,7 +292,8 @@
 			s.edge.steering.Move(name, placement.Plan(own, expected, room), capacity, 1)
 			continue
 		}
-		s.edge.steering.Move(name, placement.Plan(own, demand, room), capacity, step)
+		load := placement.Load{Region: own, Demand: demand, Room: room, Fill: table.Fill(now, name)}
+		s.edge.steering.Follow(name, placement.Plan(own, demand, room), capacity, steps, load)
 	}
 }
 
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -55,18 +55,56 @@
 	return d
 }
 
-// Digests returns the digests of all regions, the own one made now, without the
-// members that the receiver knows.
-func (c *Core) Digests(now time.Time, own Activity, known map[string]uint64) []Digest {
+// Digests returns the digests of all regions for a member of this one, the own one
+// made now: without the members that it knows, and with uses of endpoints in its
+// own region and in those that it names.
+func (c *Core) Digests(now time.Time, own Activity, report Report) []Digest {
 	digests := []Digest{c.OwnDigest(now, own)}
-	for region, r := range c.digests {
-		if region == c.self.Member.Region || !c.knows(region) {
+	for region := range c.digests {
+		digest, told := c.relayed(now, region)
+		if !told {
+			continue
+		}
+		if !slices.Contains(report.Regions, region) {
+			digest.Activity.Uses = nil
+		}
+		digests = append(digests, digest)
+	}
+	return withoutKnown(digests, report.Known)
+}
+
+// relayMargin is how much older a delegate's digest must be than this one's for
+// this one to be passed on: delegates that reach each other need no relay.
+const relayMargin = time.Second
+
+// Relays returns the digests for a delegate of another region: the own one made
+// now, and those that the other one lacks or has from long before.
+func (c *Core) Relays(now time.Time, own Activity, exchange Exchange) []Digest {
+	digests := []Digest{c.OwnDigest(now, own).Abroad()}
+	for region := range c.digests {
+		digest, told := c.relayed(now, region)
+		age, has := exchange.AgeMillis[region]
+		if !told || region == exchange.Digest.Region || (has && age < digest.AgeMillis+relayMargin.Milliseconds()) {
 			continue
 		}
-		digest := r.digest
-		digest.AgeMillis = now.Sub(r.at).Milliseconds()
 		digests = append(digests, digest)
 	}
+	return withoutKnown(digests, exchange.Known)
+}
+
+// relayed returns the digest of another region with its age, if instances of it are
+// known.
+func (c *Core) relayed(now time.Time, region string) (Digest, bool) {
+	if region == c.self.Member.Region || !c.knows(region) {
+		return Digest{}, false
+	}
+	r := c.digests[region]
+	digest := r.digest
+	digest.AgeMillis = now.Sub(r.at).Milliseconds()
+	return digest, true
+}
+
+func withoutKnown(digests []Digest, known map[string]uint64) []Digest {
 	for i := range digests {
 		if digests[i].Hash == known[digests[i].Region] {
 			digests[i].Members = nil
@@ -75,6 +113,17 @@
 	return digests
 }
 
+// Ages returns how old the digests of the other regions are, in milliseconds.
+func (c *Core) Ages(now time.Time) map[string]int64 {
+	ages := make(map[string]int64, len(c.digests))
+	for region, r := range c.digests {
+		if region != c.self.Member.Region {
+			ages[region] = now.Sub(r.at).Milliseconds()
+		}
+	}
+	return ages
+}
+
 // Known returns the hashes of the members that this instance knows, by region.
 func (c *Core) Known() map[string]uint64 {
 	known := make(map[string]uint64, len(c.digests))
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -175,7 +175,7 @@
 	It("leaves out members that the receiver knows, who keeps them", func() {
 		south := fleet.Digest{Region: "south", Hash: 11, Members: []fleet.Status{{Member: member("s1", "south"), State: fleet.Ready}}}
 		core.Digested(start, south, fleet.Activity{})
-		for _, digest := range core.Digests(start, fleet.Activity{}, map[string]uint64{"south": 11}) {
+		for _, digest := range core.Digests(start, fleet.Activity{}, fleet.Report{Known: map[string]uint64{"south": 11}}) {
 			if digest.Region == "south" {
 				Expect(digest.Members).To(BeEmpty())
 			}
@@ -184,6 +184,37 @@
 		Expect(core.Entries(start.Add(4*time.Second), "south", 64)).To(Equal([]string{"s1:1"}))
 	})
 
+	It("tells a member of endpoints in its own region and in those that it names", func() {
+		core.Registered(start, member("s1", "south"))
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 11, Activity: uses("e", 2)}, fleet.Activity{})
+		told := func(regions ...string) map[string]int {
+			known := make(map[string]int)
+			for _, digest := range core.Digests(start, uses("own", 1), fleet.Report{Regions: regions}) {
+				for _, use := range digest.Activity.Uses {
+					known[use.Endpoint] = use.InFlight
+				}
+			}
+			return known
+		}
+		Expect(told()).To(Equal(map[string]int{"own": 1}))
+		Expect(told("south")).To(Equal(map[string]int{"own": 1, "e": 2}))
+	})
+
+	It("relays a digest to a delegate that lacks it or has it from long before", func() {
+		core.Registered(start, member("s1", "south"))
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 11, Activity: uses("e", 2)}, fleet.Activity{})
+		relayed := func(ages map[string]int64) []string {
+			var regions []string
+			for _, digest := range core.Relays(start, fleet.Activity{}, fleet.Exchange{Digest: fleet.Digest{Region: "east"}, AgeMillis: ages}) {
+				regions = append(regions, digest.Region)
+			}
+			return regions
+		}
+		Expect(relayed(nil)).To(Equal([]string{"north", "south"}))
+		Expect(relayed(map[string]int64{"south": 500})).To(Equal([]string{"north"}))
+		Expect(relayed(map[string]int64{"south": 5000})).To(Equal([]string{"north", "south"}))
+	})
+
 	It("passes over a digest that is older than one it has", func() {
 		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, Activity: uses("e", 1)}, fleet.Activity{})
 		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, AgeMillis: 400, Activity: uses("e", 9)}, fleet.Activity{})
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -114,6 +114,8 @@
 	Activity Activity `msgpack:"a"`
 	// Known are the hashes of the members that the sender knows, by region.
 	Known map[string]uint64 `msgpack:"h,omitempty"`
+	// Regions are those in which the sender uses endpoints, beside its own.
+	Regions []string `msgpack:"u,omitempty"`
 	// Brief asks for no digests: another delegate gives them.
 	Brief bool `msgpack:"b,omitempty"`
 }
@@ -139,10 +141,13 @@
 }
 
 // Exchange carries a delegate's digest of its region to one of another region,
-// which answers with a Reply that holds its own.
+// which answers with a Reply that holds its own and those of other regions that the
+// sender lacks.
 type Exchange struct {
 	Digest Digest            `msgpack:"d"`
 	Known  map[string]uint64 `msgpack:"h,omitempty"`
+	// AgeMillis is how old the sender's digests of the other regions are.
+	AgeMillis map[string]int64 `msgpack:"a,omitempty"`
 }
 
 // Borrow asks the holder of the zone's pool of a workspace for one request.
--- a/internal/placement/shares.go
+++ b/internal/placement/shares.go
@@ -113,9 +113,76 @@
 	return spare, total
 }
 
+// Bounds within which shares stay as they are. An object that moves to another
+// region is run there for the first time, which takes several times as long.
+const (
+	// tolerableFill is the fill of a region's slots up to which requests stay there.
+	tolerableFill = 0.8
+	// reached is the distance from the plan at which a move ends.
+	reached = 0.03
+)
+
+// Load is what shares are judged by; all figures are of one upstream, by region.
+type Load struct {
+	// Region is the one whose requests are shared.
+	Region string
+	// Demand and Room are in slots.
+	Demand, Room map[string]float64
+	// Fill is the measured load as a multiple of the slots.
+	Fill map[string]float64
+}
+
+// bears reports whether the regions bear the shares.
+func (l Load) bears(shares map[string]float64) bool {
+	for region, share := range shares {
+		if share > 0 && l.Fill[region] > tolerableFill {
+			return false
+		}
+	}
+	own := l.Region
+	return shares[own]*l.Demand[own] <= tolerableFill*l.Room[own]
+}
+
+// Steps bound how far shares move at once, as the sum of what they gain.
+type Steps struct {
+	// Relief is for shares that the regions do not bear, Return for requests that
+	// could come back to their own region.
+	Relief, Return float64
+}
+
 // Shares are the shares of a region's requests by the region where they run.
 // They move towards a plan at a bounded speed.
-type Shares struct{ current map[string]float64 }
+type Shares struct {
+	current map[string]float64
+	// relieving says that a move has begun since the regions did not bear the
+	// shares, and has not reached the plan.
+	relieving bool
+}
+
+// Follow moves towards the plan: fast from the time at which the regions do not bear
+// the shares until the plan is reached, else slowly, and only for requests that come
+// back to their region.
+func (s *Shares) Follow(plan, capacity map[string]float64, steps Steps, load Load) {
+	s.relieving = s.current == nil || s.relieving || !load.bears(s.current)
+	switch {
+	case s.relieving:
+		s.Move(plan, capacity, steps.Relief)
+		s.relieving = s.distance(plan) > reached
+	case plan[load.Region] > s.current[load.Region]:
+		s.Move(plan, capacity, steps.Return)
+	default:
+		s.evict(capacity)
+	}
+}
+
+// distance is the sum of what the shares would gain on the way to the plan.
+func (s *Shares) distance(plan map[string]float64) float64 {
+	gain := 0.0
+	for region, target := range plan {
+		gain += math.Max(target-s.current[region], 0)
+	}
+	return gain
+}
 
 // Move goes towards the plan by at most step, the sum of what the shares gain.
 // A region that can take nothing loses its share at once, to the others in
@@ -126,10 +193,7 @@
 		return
 	}
 	s.evict(capacity)
-	gain := 0.0
-	for region, target := range plan {
-		gain += math.Max(target-s.current[region], 0)
-	}
+	gain := s.distance(plan)
 	if gain <= 0 {
 		return
 	}
@@ -197,6 +261,15 @@
 // Move brings the upstream's shares nearer to the plan by at most step; regions
 // without capacity lose theirs at once.
 func (s *Steering) Move(upstream string, plan, capacity map[string]float64, step float64) {
+	s.change(upstream, func(shares *Shares) { shares.Move(plan, capacity, step) })
+}
+
+// Follow brings them nearer to the plan as far as the load asks for it.
+func (s *Steering) Follow(upstream string, plan, capacity map[string]float64, steps Steps, load Load) {
+	s.change(upstream, func(shares *Shares) { shares.Follow(plan, capacity, steps, load) })
+}
+
+func (s *Steering) change(upstream string, change func(*Shares)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u, found := s.upstreams[upstream]
@@ -204,7 +277,7 @@
 		u = &steered{wheel: weighted.NewWheel()}
 		s.upstreams[upstream] = u
 	}
-	u.shares.Move(plan, capacity, step)
+	change(&u.shares)
 	u.weights = u.shares.Weights()
 }
 
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -56,6 +56,16 @@
 	return slots
 }
 
+// Fill returns the load of the upstream's endpoints as a multiple of their slots, by
+// region.
+func (t *Table) Fill(now time.Time, upstream string) map[string]float64 {
+	fill := make(map[string]float64)
+	for region, endpoints := range t.upstreams[upstream] {
+		fill[region] = meanFill(now, endpoints)
+	}
+	return fill
+}
+
 // Upstreams returns the names of the upstreams that have endpoints.
 func (t *Table) Upstreams() []string {
 	names := make([]string, 0, len(t.upstreams))
