--- a/cmd/lovage-edge/main.go
+++ b/cmd/lovage-edge/main.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
 
 	"lovagescale/internal/daemon"
 	"lovagescale/internal/edge"
@@ -62,17 +63,27 @@
 	log := settings.NewLogger(out, args.LogLevel, "lovage-edge")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	instance := edge.New(boot.Edge, platform.NewPorts(boot), log)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	go func() {
 		for range reloads {
-			_, err := platform.LoadBoot(args.Settings)
-			log.Info().Err(err).Msg("settings file was read again; addresses stay until the next start")
+			reload(instance, args.Settings, log)
 		}
 	}()
-	if err := edge.New(boot.Edge, platform.NewPorts(boot), log).Run(ctx); err != nil {
+	if err := instance.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("instance failed")
 		return exitFailed
 	}
 	return 0
 }
+
+// reload reads the settings file again; one that cannot be read changes nothing.
+func reload(instance *edge.Edge, file string, log zerolog.Logger) {
+	boot, err := platform.LoadBoot(file)
+	if err != nil {
+		log.Warn().Err(err).Msg("settings file cannot be read, the settings stay")
+		return
+	}
+	instance.Reload(boot.Edge)
+}
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -70,6 +70,13 @@
 	return &Quotas{window: window, workspaces: make(map[string]*part)}
 }
 
+// SetWindow changes the window.
+func (q *Quotas) SetWindow(window time.Duration) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.window = window
+}
+
 // Admit takes a token of the workspace. Without one it returns false and when to
 // come back.
 func (q *Quotas) Admit(now time.Time, workspace *catalog.Workspace) (time.Duration, bool) {
--- a/internal/allowance/retry.go
+++ b/internal/allowance/retry.go
@@ -34,6 +34,13 @@
 	return &RetryBudget{options: options, instances: 1, tokens: make(map[string]float64)}
 }
 
+// SetOptions changes the bounds.
+func (b *RetryBudget) SetOptions(options RetryOptions) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.options = options
+}
+
 // SetInstances sets how many instances share the burst.
 func (b *RetryBudget) SetInstances(n int) {
 	b.mu.Lock()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,10 @@
 	// regions are those of all zones, in order.
 	regions []string
 
+	// bounds and seeds may change while the instance runs.
+	bounds atomic.Pointer[Bounds]
+	seeds  atomic.Pointer[[]string]
+
 	loop  *control.Loop
 	state *state // owned by loop
 
@@ -115,12 +119,14 @@
 		peers:    link.NewPeers(),
 		arrivals: allowance.NewArrivals(),
 		lending:  newLending(s.Zone, s.Bounds.QuotaWindow),
-		retries:  allowance.NewRetryBudget(allowance.RetryOptions{Ratio: s.Bounds.RetryRatio, Burst: s.Bounds.RetryBurst}),
+		retries:  allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter: catalog.NewSplitter(),
 		steering: placement.NewSteering(s.Region),
 		usual:    newUsual(),
 		poison:   newPoison(quarantine.Options{Strikes: strikesToQuarantine}),
 	}
+	e.bounds.Store(&s.Bounds)
+	e.seeds.Store(&s.Seeds)
 	e.bodies.limit = s.MemoryBytes / bodyMemoryPart
 	e.counters = newCounters(e.registry)
 	self := fleet.Member{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Zone: s.Zone, Region: s.Region,
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -24,8 +24,9 @@
 	maxFollowPause = time.Second
 	// pullTimeout bounds one pull from a peer.
 	pullTimeout = time.Second
-	// batchPause lets further changes come with the same answer of the store.
-	batchPause = 150 * time.Millisecond
+	// batchPart is the part of the time in which a change must be in force that a
+	// watch pauses for, so that further changes come with the same answer.
+	batchPart = 0.08
 	// restPause is the pause of an instance that leaves following to its delegates.
 	restPause = 250 * time.Millisecond
 	// delegateFresh is how old the news of a delegate and of its store may be.
@@ -96,7 +97,7 @@
 		e.state.changed(now, e.state.mirror.Apply(changes, revision))
 	})
 	if len(changes) > 0 {
-		sleep(ctx, batchPause)
+		sleep(ctx, time.Duration(batchPart*float64(e.bounds.Load().InForce)))
 	}
 	return err
 }
@@ -142,7 +143,7 @@
 // join asks the seeds for their mirror until this instance has one.
 func (e *Edge) join(ctx context.Context) {
 	for ctx.Err() == nil && e.revision.Load() == 0 {
-		for _, seed := range e.settings.Seeds {
+		for _, seed := range *e.seeds.Load() {
 			if seed != e.settings.Link && e.revision.Load() == 0 {
 				e.joinSeed(ctx, seed)
 			}
--- a/internal/edge/lending.go
+++ b/internal/edge/lending.go
@@ -55,6 +55,11 @@
 	}
 }
 
+func (l *lending) setWindow(window time.Duration) {
+	l.pool.SetWindow(window)
+	l.spare.SetWindow(window)
+}
+
 func (l *lending) tick(elapsed time.Duration) {
 	l.pool.Tick(elapsed)
 	l.spare.Tick(elapsed)
--- a/internal/edge/lookups.go
+++ b/internal/edge/lookups.go
@@ -28,7 +28,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	ttl := time.Duration(lookUpTTLPart * float64(e.settings.Bounds.LookUpTTL))
+	ttl := time.Duration(lookUpTTLPart * float64(e.bounds.Load().LookUpTTL))
 	body, err := e.ports.LookUps.Answer(addresses, ttl)
 	if err != nil {
 		e.log.Error().Err(err).Msg("look-up cannot be encoded")
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -36,6 +36,9 @@
 	QuotaWindow time.Duration
 	// LookUpTTL is the longest time that callers keep an answer to a look-up.
 	LookUpTTL time.Duration
+	// InForce is the time in which a change of the store must be in force on all
+	// instances.
+	InForce time.Duration
 	// MaxShift is the share of a region's requests that may change the region
 	// where they run within ShiftWindow.
 	MaxShift float64
@@ -52,6 +55,7 @@
 		RetryBurst:  20,
 		QuotaWindow: 5 * time.Second,
 		LookUpTTL:   5 * time.Second,
+		InForce:     2500 * time.Millisecond,
 		MaxShift:    0.15,
 	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -274,7 +274,7 @@
 	free, bound := s.arrivals()
 	own := s.edge.settings.Region
 	steps := placement.Steps{
-		Relief: s.edge.settings.Bounds.MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds(),
+		Relief: s.edge.bounds.Load().MaxShift * shiftPart * elapsed.Seconds() / ShiftWindow.Seconds(),
 		Return: elapsed.Seconds() / returnTime.Seconds(),
 	}
 	for _, name := range table.Upstreams() {
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -34,12 +34,13 @@
 	case <-ctx.Done():
 	}
 	asked := time.Now()
+	grace := e.bounds.Load().StopGrace
 	e.leaving.Store(true)
 	e.loop.TryPost(e.state.tick)
-	e.log.Info().Dur("grace", e.settings.Bounds.StopGrace).Msg("instance is asked to stop")
+	e.log.Info().Dur("grace", grace).Msg("instance is asked to stop")
 	background := context.WithoutCancel(ctx)
-	sleep(background, time.Duration(acceptPart*float64(e.settings.Bounds.StopGrace)))
-	drain, cancel := context.WithDeadline(background, asked.Add(e.settings.Bounds.StopGrace-stopMargin))
+	sleep(background, time.Duration(acceptPart*float64(grace)))
+	drain, cancel := context.WithDeadline(background, asked.Add(grace-stopMargin))
 	defer cancel()
 	err := server.Shutdown(drain)
 	e.log.Info().Err(err).Dur("took", time.Since(asked)).Msg("callers are drained")
