Keep quota pools whole while parts of the fleet fall silent

Change: a holder is replaced after 250 ms without an answer, by an instance that gets none itself, which holds the part of the zone that it reaches; left tokens last a second; no share grows above what it was before a silence; what an instance has alone fills only once it is alone.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -8,8 +8,9 @@
 // that come unevenly. RetryBudget lets an upstream's further tries grow with the
 // first ones that this instance sends.
 //
-// How it fails: a holder that does not hear all others takes no more than an even
-// part of what their last demand left. A part that shrinks here and grows there is
+// How it fails: a holder that has never heard some others takes no more than an even
+// part, one that hears them no longer no more than it
+// had before. A part that shrinks here and grows there is
 // exceeded by at most one exchange of heartbeats.
 package allowance
 
@@ -35,10 +36,14 @@
 // together, so that a first request finds a share.
 const demandFloor = 0.2
 
-// minDepth is the depth of a holder's bucket, in requests, where its part of the
-// burst is less: small parts would refuse requests that come unevenly. What a
-// window may hold is counted apart.
-const minDepth = 5
+// Depth of the buckets of holders with a small part of the burst, in requests: they
+// would refuse requests that come unevenly. What a window may hold is counted
+// apart.
+const (
+	minDepth = 5
+	// extraDepth bounds what the buckets of all holders are deeper together.
+	extraDepth = 16
+)
 
 // maxWait bounds what a refused caller is told to wait.
 const maxWait = 2 * time.Second
@@ -59,8 +64,12 @@
 	recent []int
 	window int
 	most   float64
-	// aboveSince is when the demand on all instances last rose above the rate;
-	// zero while it is not.
+	// informed are the shares of the last time in which all holders were heard.
+	informed informedShares
+	// lostAt is when another holder took this one's place; zero while it holds.
+	lostAt time.Time
+	// aboveSince is when the demand on all holders last rose above the rate, or this
+	// one took its place; zero while it is not.
 	aboveSince time.Time
 }
 
@@ -96,7 +105,7 @@
 	return min(wait, maxWait), false
 }
 
-// part returns the part of a workspace, which starts empty.
+// part returns the part of a workspace, which starts empty and uninformed.
 func (q *Quotas) part(now time.Time, workspace string) *part {
 	p, found := q.workspaces[workspace]
 	if !found {
@@ -138,8 +147,9 @@
 	Demand func(workspace string) Demands
 	// Holders is the number of holders, this one included.
 	Holders int
-	// Blind says that the demand on some holders has not been heard.
-	Blind bool
+	// Blind says that the demand on some holders has never been heard, Stale that it
+	// has not been heard lately: it may be more by now.
+	Blind, Stale bool
 	// Fraction is the part of this holder's share that is meant; 0 is all of it.
 	Fraction float64
 	// Holds reports whether this is the workspace's holder now; nil is always. One
@@ -163,35 +173,96 @@
 	for name, workspace := range c.Workspaces {
 		p := q.part(now, name)
 		d := by.Demand(name)
-		share := by.share(d)
+		share := p.share(now, d, by)
 		limit := workspace.Rate
-		if p.above(now, workspace.Rate, d) >= q.window {
+		holds := by.Holds == nil || by.Holds(name)
+		if p.above(now, workspace.Rate, d, holds) >= q.window {
 			limit = Sustained(limit, workspace.Burst, q.window)
 		}
 		p.most = (workspace.Rate*q.window.Seconds() + workspace.Burst) * share
-		if by.Holds != nil && !by.Holds(name) {
+		depth := p.depth(workspace.Burst*share, by.Holders)
+		if !holds {
 			limit = 0
 		}
+		if p.lost(now, holds) >= handOverTime {
+			depth = 0
+		}
 		p.limiter.SetLimitAt(now, rate.Limit(limit*share))
-		p.limiter.SetBurstAt(now, max(int(workspace.Burst*share), min(minDepth, int(p.most))))
+		p.limiter.SetBurstAt(now, depth)
 	}
 }
 
-// share returns the holder's part of a workspace's quota.
-func (by Division) share(d Demands) float64 {
+// share returns the holder's part of the workspace's quota.
+func (p *part) share(now time.Time, d Demands, by Division) float64 {
 	share := ShareOf(d.Own, d.Others, by.Holders)
 	if by.Blind {
 		share = min(share, 1/float64(max(by.Holders, 1)))
 	}
+	if by.Stale {
+		share = min(share, p.informed.before())
+	} else {
+		p.informed.add(now, share)
+	}
 	if by.Fraction > 0 {
 		share *= by.Fraction
 	}
 	return (1 - by.Reserve) * share
 }
 
-// above returns how long the demand on all holders has been above the rate.
-func (p *part) above(now time.Time, rate float64, d Demands) time.Duration {
-	if d.Own+d.Others <= rate {
+// handOverTime is how long a holder that lost its place lends what it has left, while
+// others hear of it.
+const handOverTime = time.Second
+
+// lost returns how long ago this holder lost its place, 0 while it holds.
+func (p *part) lost(now time.Time, holds bool) time.Duration {
+	if holds {
+		p.lostAt = time.Time{}
+		return 0
+	}
+	if p.lostAt.IsZero() {
+		p.lostAt = now
+	}
+	return now.Sub(p.lostAt)
+}
+
+// depth returns the depth of the bucket for a part of the burst.
+func (p *part) depth(burst float64, holders int) int {
+	small := math.Ceil(burst + extraDepth/float64(max(holders, 1)))
+	return max(int(burst), min(minDepth, int(small), int(p.most)))
+}
+
+// informedAge is how long it takes until a holder that is heard no longer counts as
+// silent: its demand may have risen as long unheard.
+const informedAge = 4 * time.Second
+
+// informedShares are a holder's shares of the last informedAge, the oldest first.
+type informedShares []informedShare
+
+type informedShare struct {
+	at    time.Time
+	share float64
+}
+
+// add notes the share of now.
+func (s *informedShares) add(now time.Time, share float64) {
+	*s = append(*s, informedShare{now, share})
+	for len(*s) > 1 && now.Sub((*s)[1].at) >= informedAge {
+		*s = (*s)[1:]
+	}
+}
+
+// before returns the share from before the silence, the whole quota without one.
+func (s informedShares) before() float64 {
+	if len(s) == 0 {
+		return 1
+	}
+	return s[0].share
+}
+
+// above returns how long the demand on all holders has been above the rate while
+// this one held the quota.
+func (p *part) above(now time.Time, rate float64, d Demands, holds bool) time.Duration {
+	if !holds || d.Own+d.Others <= rate {
 		p.aboveSince = time.Time{}
 		return 0
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -118,7 +118,7 @@
 		loop:     control.NewLoop("edge"),
 		peers:    link.NewPeers(),
 		arrivals: allowance.NewArrivals(),
-		lending:  newLending(s.Zone, s.Bounds.QuotaWindow),
+		lending:  newLending(s.Instance, s.Zone, s.Bounds.QuotaWindow),
 		retries:  allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter: catalog.NewSplitter(),
 		steering: placement.NewSteering(s.Region),
@@ -179,7 +179,7 @@
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
-	group.Go(func() error { e.loop.Every(background, tickInterval, e.state.tick); return nil })
+	group.Go(func() error { e.loop.Every(background, tickInterval, e.state.tickNow); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
 	group.Go(func() error {
 		return e.serveBeside(background, listeners.readiness, http.HandlerFunc(e.serveReadiness))
--- a/internal/edge/lending.go
+++ b/internal/edge/lending.go
@@ -20,6 +20,9 @@
 const (
 	// borrowTimeout bounds what a request waits for a loan.
 	borrowTimeout = 120 * time.Millisecond
+	// holderSilentAfter is how long a holder may answer no borrow before another one
+	// takes its place. Single answers that come late must not divide a pool.
+	holderSilentAfter = 250 * time.Millisecond
 	// maxBorrowPause bounds the time in which a workspace that got no loan is not
 	// asked for again.
 	maxBorrowPause = 250 * time.Millisecond
@@ -30,28 +33,33 @@
 
 // lending is an instance's access to the pools of its zone. Each workspace's pool
 // lies with one of the zone's instances, by rendezvous hashing; when that one does
-// not answer, the next one is asked and takes its place. When the pool is empty,
-// those of the region's other zones are asked. An instance that reaches no holder
+// not answer, the next one is asked; it takes its place when it gets no answer
+// either. When the pool is empty, those of the region's other zones are asked. An instance that reaches no holder
 // of its zone has its even part of the pools. It is safe for concurrent use.
 type lending struct {
-	// pool holds what this instance lends as a holder, spare what it has when no
-	// holder answers.
+	// pool holds what this instance lends as a holder, spare what it has while it
+	// hears nobody: by then the others count it as silent.
 	pool  *allowance.Quotas
 	spare *allowance.Quotas
-	zone  string
+	// self and zone name this instance.
+	self, zone string
 	// holders are the instances of the region, by zone.
 	holders atomic.Pointer[map[string][]fleet.Member]
 	mu      sync.Mutex
 	// pauses are the times until which a workspace's pool is not asked.
 	pauses map[string]time.Time
+	// failing is when a holder first did not answer since its last answer.
+	failing map[string]time.Time
 }
 
-func newLending(zone string, window time.Duration) *lending {
+func newLending(self, zone string, window time.Duration) *lending {
 	return &lending{
-		zone:   zone,
-		pool:   allowance.NewQuotas(window),
-		spare:  allowance.NewQuotas(window),
-		pauses: make(map[string]time.Time),
+		self:    self,
+		zone:    zone,
+		pool:    allowance.NewQuotas(window),
+		spare:   allowance.NewQuotas(window),
+		pauses:  make(map[string]time.Time),
+		failing: make(map[string]time.Time),
 	}
 }
 
@@ -65,20 +73,49 @@
 	l.spare.Tick(elapsed)
 }
 
-// divide sets the parts of the zone, and of this one among its instances.
-func (l *lending) divide(now time.Time, c *catalog.Catalog, division allowance.Division, self string, instances int) {
-	spare := division
-	spare.Fraction = 1 / float64(instances)
-	l.spare.Divide(now, c, spare)
-	division.Holds = func(workspace string) bool {
-		order := l.order(l.zone, workspace)
-		return len(order) > 0 && order[0].Instance == self
-	}
+// parts are the parts of the zone's quotas that an instance has as a holder, and when
+// no holder answers.
+type parts struct{ pool, spare float64 }
+
+// divide sets this instance's parts of the quotas.
+func (l *lending) divide(now time.Time, c *catalog.Catalog, division allowance.Division, of parts) {
+	division.Fraction = of.spare
+	division.Holds = func(string) bool { return l.alone() }
+	l.spare.Divide(now, c, division)
+	division.Fraction = of.pool
+	division.Holds = l.holds
 	l.pool.Divide(now, c, division)
 }
 
+// holds reports whether this instance has the workspace's pool of its zone.
+func (l *lending) holds(workspace string) bool {
+	order := l.order(l.zone, workspace)
+	return len(order) > 0 && order[0].Instance == l.self
+}
+
+// members returns the instances of the zone among those named.
+func (l *lending) members(instances []string) []fleet.Member {
+	holders := l.holders.Load()
+	if holders == nil {
+		return nil
+	}
+	var named []fleet.Member
+	for _, member := range (*holders)[l.zone] {
+		if slices.Contains(instances, member.Instance) {
+			named = append(named, member)
+		}
+	}
+	return named
+}
+
 func (l *lending) setHolders(holders map[string][]fleet.Member) { l.holders.Store(&holders) }
 
+// alone reports whether this instance hears no other one, though some are known.
+func (l *lending) alone() bool {
+	holders := l.holders.Load()
+	return holders != nil && len(*holders) == 0
+}
+
 // siblings returns the other zones of the region with their members.
 func (l *lending) siblings() []string {
 	holders := l.holders.Load()
@@ -143,7 +180,9 @@
 	if left := e.lending.paused(now, q.workspace.Name); left > 0 {
 		return left, false
 	}
-	loan := e.borrow(ctx, q.workspace)
+	loan := e.lending.borrow(now, q.workspace, func(holder fleet.Member, ask fleet.Borrow) (fleet.Loan, bool) {
+		return e.ask(ctx, holder, ask)
+	})
 	wait := time.Duration(loan.WaitMillis) * time.Millisecond
 	if !loan.Granted {
 		e.lending.pause(now, q.workspace.Name, wait)
@@ -153,20 +192,22 @@
 	return 0, true
 }
 
+// asking sends a borrow to a holder and reports whether it answered.
+type asking func(holder fleet.Member, ask fleet.Borrow) (fleet.Loan, bool)
+
 // borrow asks for a loan of one request: the zone's holder, then those of the
 // region's other zones.
-func (e *Edge) borrow(ctx context.Context, workspace *catalog.Workspace) fleet.Loan {
-	loan := e.borrowAtHome(ctx, workspace)
+func (l *lending) borrow(now time.Time, workspace *catalog.Workspace, ask asking) fleet.Loan {
+	loan := l.borrowAtHome(now, workspace, ask)
 	if loan.Granted {
 		return loan
 	}
-	ask := fleet.Borrow{Workspace: workspace.Name}
-	for _, zone := range e.lending.siblings() {
-		order := e.lending.order(zone, workspace.Name)
+	for _, zone := range l.siblings() {
+		order := l.order(zone, workspace.Name)
 		if len(order) == 0 {
 			continue
 		}
-		if other, answered := e.ask(ctx, order[0], ask); answered && other.Granted {
+		if other, answered := ask(order[0], fleet.Borrow{Workspace: workspace.Name}); answered && other.Granted {
 			return other
 		}
 	}
@@ -174,64 +215,100 @@
 }
 
 // borrowAtHome asks the zone's holders.
-func (e *Edge) borrowAtHome(ctx context.Context, workspace *catalog.Workspace) fleet.Loan {
-	ask := fleet.Borrow{Workspace: workspace.Name}
-	for _, holder := range e.lending.order(e.lending.zone, workspace.Name) {
-		if holder.Instance == e.settings.Instance {
-			return grant(e.lending.pool, workspace)
+func (l *lending) borrowAtHome(now time.Time, workspace *catalog.Workspace, ask asking) fleet.Loan {
+	borrow := fleet.Borrow{Workspace: workspace.Name}
+	for _, holder := range l.order(l.zone, workspace.Name) {
+		if holder.Instance == l.self {
+			return grant(now, l.pool, workspace)
 		}
-		if loan, answered := e.ask(ctx, holder, ask); answered {
+		if loan, answered := ask(holder, borrow); answered {
 			return loan
 		}
-		ask.Silent = append(ask.Silent, holder.Instance)
+		borrow.Silent = append(borrow.Silent, holder.Instance)
 	}
-	return grant(e.lending.spare, workspace)
+	return grant(now, l.spare, workspace)
 }
 
-// ask asks a holder, which is passed over for a while if it does not answer.
+// ask asks a holder, which is passed over for a while if it goes on not answering.
 func (e *Edge) ask(ctx context.Context, holder fleet.Member, ask fleet.Borrow) (fleet.Loan, bool) {
 	calling, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	var loan fleet.Loan
 	err := e.peers.Client(holder.Link).Call(calling, fleet.TypeBorrow, ask, &loan)
 	if err == nil {
+		e.lending.answered(holder.Instance)
 		return loan, true
 	}
-	if ctx.Err() == nil {
-		e.counters.talkFailures.Inc(1)
-		e.log.Info().Err(err).Str("peer", holder.Instance).Str("workspace", ask.Workspace).Msg("pool did not answer")
+	if ctx.Err() != nil {
+		return fleet.Loan{}, false
+	}
+	e.counters.talkFailures.Inc(1)
+	silent := e.lending.failed(time.Now(), holder.Instance)
+	e.log.Info().Err(err).Str("peer", holder.Instance).Str("workspace", ask.Workspace).Bool("silent", silent).Msg("pool did not answer")
+	if silent {
 		e.loop.TryPost(func() { e.state.silent(time.Now(), holder.Instance) })
 	}
 	return fleet.Loan{}, false
 }
 
-// silent passes over instances that did not answer, and takes the place of those
-// that held pools.
-func (s *state) silent(now time.Time, instances ...string) {
-	for _, instance := range instances {
-		s.fleet.Failed(now, instance)
+// answered notes that a holder lives.
+func (l *lending) answered(holder string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.failing, holder)
+}
+
+// failed notes that a holder did not answer, and reports whether that lasts.
+func (l *lending) failed(now time.Time, holder string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	since, found := l.failing[holder]
+	if !found {
+		l.failing[holder] = now
+		return false
+	}
+	if now.Sub(since) < holderSilentAfter {
+		return false
 	}
+	delete(l.failing, holder)
+	return true
+}
+
+// silent passes over an instance that did not answer, and takes its place where it
+// held a pool and this one is next.
+func (s *state) silent(now time.Time, instance string) {
+	s.fleet.Failed(now, instance)
 	s.divide(now)
 }
 
+// lend answers a borrow of another instance.
+func (l *lending) lend(now time.Time, workspace *catalog.Workspace, borrow fleet.Borrow) fleet.Loan {
+	if len(borrow.Silent) > 0 && !l.holds(workspace.Name) {
+		return grant(now, l.spare, workspace)
+	}
+	return grant(now, l.pool, workspace)
+}
+
 // grant takes a request from a part of the quotas.
-func grant(quotas *allowance.Quotas, workspace *catalog.Workspace) fleet.Loan {
-	wait, granted := quotas.Admit(time.Now(), workspace)
+func grant(now time.Time, quotas *allowance.Quotas, workspace *catalog.Workspace) fleet.Loan {
+	wait, granted := quotas.Admit(now, workspace)
 	return fleet.Loan{Granted: granted, WaitMillis: wait.Milliseconds()}
 }
 
 // lend answers an instance of the zone.
-func (e *Edge) lend(_ context.Context, request wire.Envelope) (any, error) {
+func (e *Edge) lend(ctx context.Context, request wire.Envelope) (any, error) {
 	var borrow fleet.Borrow
 	if err := request.Decode(&borrow); err != nil {
 		return nil, err
 	}
-	if len(borrow.Silent) > 0 {
-		e.loop.TryPost(func() { e.state.silent(time.Now(), borrow.Silent...) })
+	for _, holder := range e.lending.members(borrow.Silent) {
+		// It takes the place of a holder that does not answer itself either; until then
+		// it lends from its even part.
+		go e.ask(context.WithoutCancel(ctx), holder, fleet.Borrow{})
 	}
 	c := e.catalog.Load()
 	if c == nil || c.Workspaces[borrow.Workspace] == nil {
 		return fleet.Loan{WaitMillis: maxBorrowPause.Milliseconds()}, nil
 	}
-	return grant(e.lending.pool, c.Workspaces[borrow.Workspace]), nil
+	return e.lending.lend(time.Now(), c.Workspaces[borrow.Workspace], borrow), nil
 }
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -148,26 +148,34 @@
 func (e *Edge) report(ctx context.Context, delegate fleet.Member, report fleet.Report) {
 	e.tell(ctx, delegate, fleet.TypeReport, report, func(now time.Time, reply fleet.Reply) {
 		e.delegateHeard(now, reply)
-		for _, digest := range reply.Digests {
-			own := fleet.Activity{}
-			if digest.Region == e.settings.Region {
-				own = report.Activity
-			}
-			e.state.digested(now, digest, own)
-		}
+		e.state.takeReply(now, report, reply)
 	})
 }
 
+// takeReply takes the answer of a delegate of the region to a report.
+func (s *state) takeReply(now time.Time, report fleet.Report, reply fleet.Reply) {
+	for _, digest := range reply.Digests {
+		own := fleet.Activity{}
+		if digest.Region == s.edge.settings.Region {
+			own = report.Activity
+		}
+		s.digested(now, digest, own)
+	}
+}
+
 // exchangeDigest sends this region's digest to a delegate of another region and
 // takes that region's.
 func (e *Edge) exchangeDigest(ctx context.Context, delegate fleet.Member, exchange fleet.Exchange) {
-	e.tell(ctx, delegate, fleet.TypeExchange, exchange, func(now time.Time, reply fleet.Reply) {
-		for _, digest := range reply.Digests {
-			if digest.Region != e.settings.Region {
-				e.state.digested(now, digest, fleet.Activity{})
-			}
+	e.tell(ctx, delegate, fleet.TypeExchange, exchange, e.state.takeRelays)
+}
+
+// takeRelays takes the answer of a delegate of another region to an exchange.
+func (s *state) takeRelays(now time.Time, reply fleet.Reply) {
+	for _, digest := range reply.Digests {
+		if digest.Region != s.edge.settings.Region {
+			s.digested(now, digest, fleet.Activity{})
 		}
-	})
+	}
 }
 
 // tell sends a message and takes the reply on the control loop. When the peer's
@@ -223,17 +231,18 @@
 	if err := request.Decode(&report); err != nil {
 		return nil, err
 	}
-	digests := func(now time.Time) []fleet.Digest {
-		if report.Brief {
-			return nil
-		}
-		return e.state.fleet.Digests(now, e.state.activity(now), report)
+	return e.reply(ctx, func(now time.Time) []fleet.Digest { return e.state.answerReport(now, report) })
+}
+
+// answerReport takes a report of the region and returns the digests for its sender.
+func (s *state) answerReport(now time.Time, report fleet.Report) []fleet.Digest {
+	if s.fleet.Heard(now, report) {
+		s.edge.poison.told(now, report.Activity.Strikes)
 	}
-	return e.reply(ctx, digests, func(now time.Time) {
-		if e.state.fleet.Heard(now, report) {
-			e.poison.told(now, report.Activity.Strikes)
-		}
-	})
+	if report.Brief {
+		return nil
+	}
+	return s.fleet.Digests(now, s.activity(now), report)
 }
 
 // exchanged answers an exchange of another region.
@@ -242,23 +251,25 @@
 	if err := request.Decode(&exchange); err != nil {
 		return nil, err
 	}
-	digests := func(now time.Time) []fleet.Digest {
-		return e.state.fleet.Relays(now, e.state.activity(now), exchange)
-	}
-	return e.reply(ctx, digests, func(now time.Time) {
-		e.state.digested(now, exchange.Digest, fleet.Activity{})
-	})
+	return e.reply(ctx, func(now time.Time) []fleet.Digest { return e.state.answerExchange(now, exchange) })
+}
+
+// answerExchange takes an exchange of another region and returns what its sender
+// lacks.
+func (s *state) answerExchange(now time.Time, exchange fleet.Exchange) []fleet.Digest {
+	s.digested(now, exchange.Digest, fleet.Activity{})
+	return s.fleet.Relays(now, s.activity(now), exchange)
 }
 
-// reply takes a message and returns what this instance knows.
-func (e *Edge) reply(ctx context.Context, digests func(time.Time) []fleet.Digest, take func(time.Time)) (any, error) {
+// reply answers with what this instance knows; take takes the message on the control
+// loop and returns the digests.
+func (e *Edge) reply(ctx context.Context, take func(time.Time) []fleet.Digest) (any, error) {
 	var reply fleet.Reply
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
-		take(now)
+		reply.Digests = take(now)
 		reply.Revision = e.state.mirror.Revision()
 		reply.StoreAgeMillis = e.storeAge(now).Milliseconds()
-		reply.Digests = digests(now)
 	})
 	return reply, err
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -179,9 +179,11 @@
 	s.dirty = false
 }
 
+// tickNow is tick at the present time.
+func (s *state) tickNow() { s.tick(time.Now()) }
+
 // tick is one round of the control loop.
-func (s *state) tick() {
-	now := time.Now()
+func (s *state) tick(now time.Time) {
 	elapsed := now.Sub(s.tickedAt)
 	if s.tickedAt.IsZero() {
 		elapsed = tickInterval
@@ -247,10 +249,11 @@
 		},
 		Holders: len(s.edge.settings.Zones),
 		Blind:   s.others.Blind,
+		Stale:   s.others.Stale,
 		Reserve: s.reserve(),
 	}
 	s.edge.lending.setHolders(s.fleet.Holders(now))
-	s.edge.lending.divide(now, c, division, s.edge.settings.Instance, s.fleet.KnownInZone())
+	s.edge.lending.divide(now, c, division, parts{pool: s.fleet.HoldersPart(now), spare: 1 / float64(s.fleet.KnownInZone())})
 }
 
 // maxReserve is the part of the quotas that is kept back where reports are rarest.
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -36,7 +36,7 @@
 	asked := time.Now()
 	grace := e.bounds.Load().StopGrace
 	e.leaving.Store(true)
-	e.loop.TryPost(e.state.tick)
+	e.loop.TryPost(e.state.tickNow)
 	e.log.Info().Dur("grace", grace).Msg("instance is asked to stop")
 	background := context.WithoutCancel(ctx)
 	sleep(background, time.Duration(acceptPart*float64(grace)))
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -30,10 +30,12 @@
 	members := []Status{c.self}
 	sum := newSum()
 	sum.add(own)
+	stale := false
 	for _, p := range c.peers {
 		if p.status.Member.Region != c.self.Member.Region {
 			continue
 		}
+		stale = stale || p.stale(now)
 		if p.reports(now, SilentAfter) {
 			members = append(members, p.status)
 			sum.add(p.activity)
@@ -42,7 +44,7 @@
 		}
 	}
 	slices.SortFunc(members, func(a, b Status) int { return cmp.Compare(a.Member.Instance, b.Member.Instance) })
-	return Digest{Region: c.self.Member.Region, Hash: hashOf(members), Members: members, Activity: sum.activity()}
+	return Digest{Region: c.self.Member.Region, Hash: hashOf(members), Members: members, Activity: sum.activity(), Stale: stale}
 }
 
 // Abroad returns the digest for other regions, which need no zones.
@@ -164,8 +166,9 @@
 	Workspaces map[string]float64
 	// Zone is the part of Workspaces in this instance's zone.
 	Zone map[string]float64
-	// Blind says that a region with instances has told nothing yet.
-	Blind bool
+	// Blind says that a region with instances has told nothing yet, Stale that part of
+	// Workspaces is from before its instances fell silent.
+	Blind, Stale bool
 	// Services are the answers of upstreams.
 	Services map[string]Service
 }
@@ -225,12 +228,14 @@
 		if c.knows(region) {
 			others.addWorkspaces(zone, r.digest.Activity.Workspaces, 1)
 			others.addWorkspaces(zone, r.own.Workspaces, -1)
+			others.Stale = others.Stale || r.digest.Stale || now.Sub(r.at) > SilentAfter
 		}
 	}
 	if delegate {
 		digest := c.OwnDigest(now, Activity{})
 		others.add(home, digest.Activity, 1)
 		others.addWorkspaces(zone, digest.Activity.Workspaces, 1)
+		others.Stale = others.Stale || digest.Stale
 	}
 	others.Blind = c.blind(delegate)
 	return others
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,12 @@
 	return !p.reportedAt.IsZero() && now.Sub(p.reportedAt) <= within
 }
 
+// stale reports whether the instance should have reported by now. One that leaves
+// has no demand to come.
+func (p *peer) stale(now time.Time) bool {
+	return !p.reports(now, SilentAfter) && now.Sub(p.knownSince) > SilentAfter && p.status.State != Leaving
+}
+
 // Core is the set of instances as one of them sees it. It is not safe for
 // concurrent use.
 type Core struct {
@@ -165,6 +171,23 @@
 	return zones
 }
 
+// HoldersPart returns which part of its zone's instances this one reaches. The others
+// may hold the zone's pools too, if they are alive and do not reach this one; those
+// that leave do not.
+func (c *Core) HoldersPart(now time.Time) float64 {
+	reached, silent := 1, 0
+	for _, p := range c.peers {
+		switch {
+		case p.status.Member.Zone != c.self.Member.Zone || p.status.State == Leaving:
+		case now.Before(p.suspectUntil) || !p.live(now):
+			silent++
+		default:
+			reached++
+		}
+	}
+	return float64(reached) / float64(reached+silent)
+}
+
 // answering returns the members that are asked for, do not leave and answer,
 // ordered by name.
 func (c *Core) answering(now time.Time, asked func(Member) bool) []Member {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -161,6 +161,32 @@
 		Expect(core.Holders(start.Add(fleet.SilentAfter + time.Second))).To(BeEmpty())
 	})
 
+	It("counts the part of its zone that it reaches, without those that leave", func() {
+		for _, name := range []string{"n1", "n3", "n4"} {
+			core.Heard(start, report(member(name, "north"), fleet.Ready, fleet.Activity{}))
+		}
+		Expect(core.HoldersPart(start)).To(Equal(1.0))
+		core.Failed(start, "n1")
+		Expect(core.HoldersPart(start)).To(Equal(0.75))
+		core.Heard(start, report(member("n4", "north"), fleet.Leaving, fleet.Activity{}))
+		Expect(core.HoldersPart(start)).To(BeNumerically("~", 2.0/3, 1e-9))
+		Expect(core.HoldersPart(start.Add(fleet.SilentAfter + time.Second))).To(BeNumerically("~", 1.0/3, 1e-9))
+	})
+
+	It("says that demand is stale when a member or a region has fallen silent", func() {
+		core.Heard(start, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
+		core.Registered(start, member("s1", "south"))
+		core.Digested(start, fleet.Digest{Region: "south", Hash: 1}, fleet.Activity{})
+		Expect(core.Others(start).Stale).To(BeFalse())
+		later := start.Add(fleet.SilentAfter + time.Second)
+		core.Heard(later, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
+		Expect(core.Others(later).Stale).To(BeTrue(), "the other region is silent")
+		core.Digested(later, fleet.Digest{Region: "south", Hash: 1}, fleet.Activity{})
+		Expect(core.Others(later).Stale).To(BeFalse())
+		core.Digested(later, fleet.Digest{Region: "south", Hash: 1, Stale: true}, fleet.Activity{})
+		Expect(core.Others(later).Stale).To(BeTrue(), "a member of the other region is silent")
+	})
+
 	It("is its zone's holder where no other instance is known", func() {
 		Expect(instances(core.Holders(start)["north-1"])).To(Equal([]string{"n2"}))
 	})
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -129,6 +129,8 @@
 	Hash     uint64   `msgpack:"h"`
 	Members  []Status `msgpack:"m,omitempty"`
 	Activity Activity `msgpack:"t"`
+	// Stale says that the demand of a member is from before it fell silent.
+	Stale bool `msgpack:"o,omitempty"`
 }
 
 // Reply answers a report with the digests of all regions, unless it was brief.
@@ -150,7 +152,8 @@
 	AgeMillis map[string]int64 `msgpack:"a,omitempty"`
 }
 
-// Borrow asks the holder of the zone's pool of a workspace for one request.
+// Borrow asks the holder of the zone's pool of a workspace for one request; without
+// a workspace it asks for a sign of life.
 type Borrow struct {
 	Workspace string `msgpack:"w"`
 	// Silent are the instances that were asked before and did not answer.
