Close callers' connections at a planned stop only when they are quiet

The HTTP server's own shutdown closes connections as idle until the goroutine of a connection has parsed the header that was read; on a starved core that takes a while.

Change: the drain closes only connections without a request that have brought no bytes for 250 ms, and looks again until none is left. It no longer waits 5 s for connections that never brought a byte.

--- /dev/null
+++ b/internal/edge/callers.go
@@ -0,0 +1,82 @@
+package edge
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// quietTime is how long a caller's connection must have brought nothing before a
+// planned stop closes it as idle. Bytes that were read a moment ago may be a request
+// that no goroutine has come to yet.
+const quietTime = 250 * time.Millisecond
+
+// callerConn is a connection of a caller that knows when it last brought bytes.
+type callerConn struct {
+	net.Conn
+	// heardAt is when it was accepted or last brought bytes, in Unix nanoseconds.
+	heardAt atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.heardAt.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
+// callerConns are the open connections of callers. It is safe for concurrent use.
+type callerConns struct {
+	net.Listener
+	mu     sync.Mutex
+	states map[*callerConn]http.ConnState
+}
+
+func newCallerConns(listener net.Listener) *callerConns {
+	return &callerConns{Listener: listener, states: make(map[*callerConn]http.ConnState)}
+}
+
+// Accept implements net.Listener.
+func (c *callerConns) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	accepted := &callerConn{Conn: conn}
+	accepted.heardAt.Store(time.Now().UnixNano())
+	return accepted, nil
+}
+
+// track is the http.Server's ConnState.
+func (c *callerConns) track(conn net.Conn, state http.ConnState) {
+	accepted, ours := conn.(*callerConn)
+	if !ours {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(c.states, accepted)
+		return
+	}
+	c.states[accepted] = state
+}
+
+// closeQuiet closes the connections without a request that have brought nothing for a
+// while, and returns how many others are open.
+func (c *callerConns) closeQuiet(now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, state := range c.states {
+		if state == http.StateActive || now.UnixNano()-conn.heardAt.Load() < int64(quietTime) {
+			continue
+		}
+		delete(c.states, conn)
+		_ = conn.Close() // it is given up either way
+	}
+	return len(c.states)
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -20,14 +20,16 @@
 // ready, takes the requests of callers that do not know yet, ends their
 // connections, and at last waits for the requests that are under way.
 func (e *Edge) serveCallers(ctx context.Context, listener net.Listener) error {
+	conns := newCallerConns(listener)
 	server := &http.Server{
 		Handler:           e,
+		ConnState:         conns.track,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTime,
 		MaxHeaderBytes:    hardHeaderBytes,
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(listener) }()
+	go func() { ended <- server.Serve(conns) }()
 	select {
 	case err := <-ended:
 		return err
@@ -42,7 +44,26 @@
 	sleep(background, time.Duration(acceptPart*float64(grace)))
 	drain, cancel := context.WithDeadline(background, asked.Add(grace-stopMargin))
 	defer cancel()
-	err := server.Shutdown(drain)
-	e.log.Info().Err(err).Dur("took", time.Since(asked)).Msg("callers are drained")
-	return nil
+	open := e.drain(drain, listener, conns)
+	e.log.Info().Int("cut", open).Dur("took", time.Since(asked)).Msg("callers are drained")
+	return server.Close()
+}
+
+// drainPause is the time between two looks at the connections of a planned stop.
+const drainPause = 50 * time.Millisecond
+
+// drain takes no more connections and waits until ctx ends for the requests under
+// way; it returns the connections that are still open then. The server's own
+// Shutdown closes a connection as idle whose request it has just read.
+func (e *Edge) drain(ctx context.Context, listener net.Listener, conns *callerConns) int {
+	if err := listener.Close(); err != nil {
+		e.log.Warn().Err(err).Str("address", listener.Addr().String()).Msg("callers' port was not closed")
+	}
+	for {
+		open := conns.closeQuiet(time.Now())
+		if open == 0 || ctx.Err() != nil {
+			return open
+		}
+		sleep(ctx, drainPause)
+	}
 }
