Forget late answers of holders after two seconds

A holder's first late answer was remembered until its next answer, so that a single late one minutes later made another instance take its place. Test: passes over a holder only when it goes on not answering (failed before).

--- a/internal/edge/lending.go
+++ b/internal/edge/lending.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,8 @@
 	// holderSilentAfter is how long a holder may answer no borrow before another one
 	// takes its place. Single answers that come late must not divide a pool.
 	holderSilentAfter = 250 * time.Millisecond
+	// failureMemory is how long a borrow without an answer counts.
+	failureMemory = 2 * time.Second
 	// maxBorrowPause bounds the time in which a workspace that got no loan is not
 	// asked for again.
 	maxBorrowPause = 250 * time.Millisecond
@@ -33,9 +36,10 @@
 
 // lending is an instance's access to the pools of its zone. Each workspace's pool
 // lies with one of the zone's instances, by rendezvous hashing; when that one does
-// not answer, the next one is asked; it takes its place when it gets no answer
-// either. When the pool is empty, those of the region's other zones are asked. An instance that reaches no holder
-// of its zone has its even part of the pools. It is safe for concurrent use.
+// not answer, the next one is asked, which takes its place when it gets no answer
+// either. When the pool is empty, those of the region's other zones are asked. An
+// instance that hears nobody has its even part of the pools. It is safe for
+// concurrent use.
 type lending struct {
 	// pool holds what this instance lends as a holder, spare what it has while it
 	// hears nobody: by then the others count it as silent.
@@ -68,9 +72,14 @@
 	l.spare.SetWindow(window)
 }
 
-func (l *lending) tick(elapsed time.Duration) {
+// tick ends a period of the quotas' windows and forgets what is over.
+func (l *lending) tick(now time.Time, elapsed time.Duration) {
 	l.pool.Tick(elapsed)
 	l.spare.Tick(elapsed)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.pauses, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(l.failing, func(_ string, since time.Time) bool { return now.Sub(since) > failureMemory })
 }
 
 // parts are the parts of the zone's quotas that an instance has as a holder, and when
@@ -263,7 +272,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	since, found := l.failing[holder]
-	if !found {
+	if !found || now.Sub(since) > failureMemory {
 		l.failing[holder] = now
 		return false
 	}
--- a/internal/edge/lending_test.go
+++ b/internal/edge/lending_test.go
@@ -67,6 +67,16 @@
 		}
 	})
 
+	It("passes over a holder only when it goes on not answering", func() {
+		l := newLending("north-1-0", "north-1", time.Second)
+		now := time.UnixMilli(1_000_000)
+		Expect(l.failed(now, "north-1-1")).To(BeFalse())
+		l.answered("north-1-1")
+		Expect(l.failed(now.Add(holderSilentAfter), "north-1-1")).To(BeFalse(), "it answered in between")
+		Expect(l.failed(now.Add(holderSilentAfter+failureMemory+time.Millisecond), "north-1-1")).To(BeFalse(), "the failure before is long past")
+		Expect(l.failed(now.Add(2*holderSilentAfter+failureMemory+time.Millisecond), "north-1-1")).To(BeTrue())
+	})
+
 	It("names the region's other zones, and nobody while no holder is known", func() {
 		l := newLending("north-1-0", "north-1", time.Second)
 		Expect(l.order("north-1", "azul")).To(BeEmpty())
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -200,7 +200,7 @@
 	s.countOthers()
 	s.edge.arrivals.Tick(elapsed)
 	s.history.Add(now, s.edge.arrivals.Rates())
-	s.edge.lending.tick(elapsed)
+	s.edge.lending.tick(now, elapsed)
 	s.divide(now)
 	s.steer(now, elapsed)
 	s.publishEntries(now)
