End the reading of quiet connections at a planned stop in place of closing them

Between a read that has returned and the note that bytes came, the goroutine can be off its core; closing then hits a request that was just read.

Change: the drain sets a read deadline on quiet connections. The server closes one that it waits for; for one whose request begins the deadline is lifted before the request is served. Connections accepted while the port closes are waited for.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -18,6 +18,8 @@
 	net.Conn
 	// heardAt is when it was accepted or last brought bytes, in Unix nanoseconds.
 	heardAt atomic.Int64
+	// expired says that its reading was ended; callerConns guards it.
+	expired bool
 }
 
 // Read implements net.Conn.
@@ -64,10 +66,16 @@
 		return
 	}
 	c.states[accepted] = state
+	if state == http.StateActive && accepted.expired {
+		accepted.expired = false
+		_ = accepted.SetReadDeadline(time.Time{}) // a closed one shows itself to its reader
+	}
 }
 
-// closeQuiet closes the connections without a request that have brought nothing for a
-// while, and returns how many others are open.
+// closeQuiet ends the reading of connections without a request that have brought
+// nothing for a while, and returns how many are open. The server closes one that it
+// waits for; one whose bytes it has just read goes on, since the deadline is lifted
+// when its request begins. Closing here would race with that.
 func (c *callerConns) closeQuiet(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -75,8 +83,8 @@
 		if state == http.StateActive || now.UnixNano()-conn.heardAt.Load() < int64(quietTime) {
 			continue
 		}
-		delete(c.states, conn)
-		_ = conn.Close() // it is given up either way
+		conn.expired = true
+		_ = conn.SetReadDeadline(now) // a closed one shows itself to its reader
 	}
 	return len(c.states)
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -59,6 +59,7 @@
 	if err := listener.Close(); err != nil {
 		e.log.Warn().Err(err).Str("address", listener.Addr().String()).Msg("callers' port was not closed")
 	}
+	sleep(ctx, drainPause) // connections that were accepted meanwhile are counted then
 	for {
 		open := conns.closeQuiet(time.Now())
 		if open == 0 || ctx.Err() != nil {
