--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,8 +8,8 @@
 //
 // How it fails: without the store the instance goes on with its mirror and takes
 // what is newer from its peers; without a configuration it refuses every request
-// as not run and is not ready; without peers it keeps
-// an even part of its zone's quotas.
+// as not run and is not ready; without peers it keeps an even part of its zone's
+// quotas.
 package edge
 
 import (
