Close the callers' port in one place

A planned stop closed the listener and the server closed it again; where the server had not noticed the first closing yet, the second one's error ended the process as failed. Found by reading, not seen in a run. Test: closes the port once.

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -34,14 +34,23 @@
 // callerConns are the open connections of callers. It is safe for concurrent use.
 type callerConns struct {
 	net.Listener
-	mu     sync.Mutex
-	states map[*callerConn]http.ConnState
+	// closePort closes the port once: a planned stop does, and the server after it.
+	closePort func() error
+	mu        sync.Mutex
+	states    map[*callerConn]http.ConnState
 }
 
 func newCallerConns(listener net.Listener) *callerConns {
-	return &callerConns{Listener: listener, states: make(map[*callerConn]http.ConnState)}
+	return &callerConns{
+		Listener:  listener,
+		closePort: sync.OnceValue(listener.Close),
+		states:    make(map[*callerConn]http.ConnState),
+	}
 }
 
+// Close implements net.Listener; a second call gives the result of the first.
+func (c *callerConns) Close() error { return c.closePort() }
+
 // Accept implements net.Listener.
 func (c *callerConns) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -20,7 +20,10 @@
 	BeforeEach(func() {
 		ours, theirs := net.Pipe()
 		DeferCleanup(theirs.Close)
-		conns = newCallerConns(nil)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		conns = newCallerConns(listener)
+		DeferCleanup(conns.Close)
 		conn = &callerConn{Conn: ours}
 		now = time.UnixMilli(1_000_000)
 		conn.heardAt.Store(now.UnixNano())
@@ -70,6 +73,11 @@
 		Expect(conn.expired).To(BeFalse())
 	})
 
+	It("closes the port once, for the stop and for the server after it", func() {
+		Expect(conns.Close()).To(Succeed())
+		Expect(conns.Close()).To(Succeed())
+	})
+
 	It("notes when bytes come", func() {
 		ours, theirs := net.Pipe()
 		DeferCleanup(theirs.Close)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -44,7 +44,7 @@
 	sleep(background, time.Duration(acceptPart*float64(grace)))
 	drain, cancel := context.WithDeadline(background, asked.Add(grace-stopMargin))
 	defer cancel()
-	open := e.drain(drain, listener, conns)
+	open := e.drain(drain, conns)
 	e.log.Info().Int("cut", open).Dur("took", time.Since(asked)).Msg("callers are drained")
 	return server.Close()
 }
@@ -55,9 +55,9 @@
 // drain takes no more connections and waits until ctx ends for the requests under
 // way; it returns the connections that are still open then. The server's own
 // Shutdown closes a connection as idle whose request it has just read.
-func (e *Edge) drain(ctx context.Context, listener net.Listener, conns *callerConns) int {
-	if err := listener.Close(); err != nil {
-		e.log.Warn().Err(err).Str("address", listener.Addr().String()).Msg("callers' port was not closed")
+func (e *Edge) drain(ctx context.Context, conns *callerConns) int {
+	if err := conns.Close(); err != nil {
+		e.log.Warn().Err(err).Str("address", conns.Addr().String()).Msg("callers' port was not closed")
 	}
 	sleep(ctx, drainPause) // connections that were accepted meanwhile are counted then
 	for {
