--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -9,9 +9,8 @@
 // first ones that this instance sends.
 //
 // How it fails: a holder that has never heard some others takes no more than an even
-// part, one that hears them no longer no more than it
-// had before. A part that shrinks here and grows there is
-// exceeded by at most one exchange of heartbeats.
+// part, one that hears them no longer no more than it had before. A part that shrinks
+// here and grows there is exceeded by at most one exchange of heartbeats.
 package allowance
 
 import (
--- a/internal/edge/lending.go
+++ b/internal/edge/lending.go
@@ -57,7 +57,7 @@
 }
 
 func newLending(self, zone string, window time.Duration) *lending {
-	return &lending{
+	l := &lending{
 		self:    self,
 		zone:    zone,
 		pool:    allowance.NewQuotas(window),
@@ -65,6 +65,8 @@
 		pauses:  make(map[string]time.Time),
 		failing: make(map[string]time.Time),
 	}
+	l.setHolders(nil)
+	return l
 }
 
 func (l *lending) setWindow(window time.Duration) {
@@ -104,12 +106,8 @@
 
 // members returns the instances of the zone among those named.
 func (l *lending) members(instances []string) []fleet.Member {
-	holders := l.holders.Load()
-	if holders == nil {
-		return nil
-	}
 	var named []fleet.Member
-	for _, member := range (*holders)[l.zone] {
+	for _, member := range (*l.holders.Load())[l.zone] {
 		if slices.Contains(instances, member.Instance) {
 			named = append(named, member)
 		}
@@ -121,18 +119,13 @@
 
 // alone reports whether this instance hears no other one, though some are known.
 func (l *lending) alone() bool {
-	holders := l.holders.Load()
-	return holders != nil && len(*holders) == 0
+	return len(*l.holders.Load()) == 0
 }
 
 // siblings returns the other zones of the region with their members.
 func (l *lending) siblings() []string {
-	holders := l.holders.Load()
-	if holders == nil {
-		return nil
-	}
 	var zones []string
-	for zone := range *holders {
+	for zone := range *l.holders.Load() {
 		if zone != l.zone {
 			zones = append(zones, zone)
 		}
@@ -143,13 +136,9 @@
 // order returns the instances that are asked for a workspace's pool of a zone, its
 // holder first.
 func (l *lending) order(zone, workspace string) []fleet.Member {
-	holders := l.holders.Load()
-	if holders == nil {
-		return nil
-	}
 	var order []fleet.Member
 	var ranks []uint64
-	for _, member := range (*holders)[zone] {
+	for _, member := range (*l.holders.Load())[zone] {
 		rank := xxhash.Sum64String(member.Instance + "\x00" + workspace)
 		place, _ := slices.BinarySearchFunc(ranks, rank, func(a, b uint64) int { return cmp.Compare(b, a) })
 		if place == maxHolders {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -55,7 +55,7 @@
 		RetryBurst:  20,
 		QuotaWindow: 5 * time.Second,
 		LookUpTTL:   5 * time.Second,
-		InForce:     2500 * time.Millisecond,
+		InForce:     5 * time.Second,
 		MaxShift:    0.15,
 	}
 }
