Let the server end its answers on callers' connections

The wrapper of callers' connections hid CloseWrite, which the HTTP server calls before it drops an unread body: the answer went out without an end, and 500 ms later the connection was reset.

Test: lets the server end its answers before an unread body is dropped (fails without the method).

--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -31,6 +31,16 @@
 	return n, err
 }
 
+// CloseWrite ends the answers while the caller still sends, where the connection can:
+// the server does so before it drops an unread body, so that the answer is not lost
+// with a reset.
+func (c *callerConn) CloseWrite() error {
+	if half, can := c.Conn.(interface{ CloseWrite() error }); can {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // callerConns are the open connections of callers. It is safe for concurrent use.
 type callerConns struct {
 	net.Listener
--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -78,6 +79,20 @@
 		Expect(conns.Close()).To(Succeed())
 	})
 
+	It("lets the server end its answers before an unread body is dropped", func() {
+		caller, err := net.Dial("tcp", conns.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(caller.Close)
+		accepted, err := conns.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(accepted.Close)
+		half, can := accepted.(interface{ CloseWrite() error })
+		Expect(can).To(BeTrue())
+		Expect(half.CloseWrite()).To(Succeed())
+		_, err = caller.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
+	})
+
 	It("notes when bytes come", func() {
 		ours, theirs := net.Pipe()
 		DeferCleanup(theirs.Close)
