Let one instance of a region follow the store

Ruled out: longer watches (a silent connection is noticed by the end of a watch). Change: the first delegate follows; the second rests like every other instance while the first answers with fresh news, and takes over as soon as it does not answer or says that it lost the store. News are told with their true age, also at second hand.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,13 +86,11 @@
 	storeHeard atomic.Int64
 	// storeLost says that the last call to follow the store failed.
 	storeLost atomic.Bool
-	// delegateHeardAt is when a delegate that follows the store last answered, in
-	// Unix nanoseconds.
-	delegateHeardAt atomic.Int64
-	// delegate says that this instance is a delegate of its region.
-	delegate atomic.Bool
-	pulling  atomic.Bool
-	leaving  atomic.Bool
+	// restsUntil is until when this instance leaves the store to its delegates, in Unix
+	// nanoseconds.
+	restsUntil atomic.Int64
+	pulling    atomic.Bool
+	leaving    atomic.Bool
 
 	peers *link.Peers
 
@@ -140,7 +138,6 @@
 	}
 	e.table.Store(placement.NewTable())
 	e.entries.Store(&map[string][]string{})
-	e.delegate.Store(true)
 	e.instances.Store(1)
 	return e
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -29,21 +29,19 @@
 	batchPart = 0.08
 	// restPause is the pause of an instance that leaves following to its delegates.
 	restPause = 250 * time.Millisecond
-	// delegateFresh is how old the news of a delegate and of its store may be.
-	delegateFresh = 1500 * time.Millisecond
-	storeFresh    = watchWait + 700*time.Millisecond
+	// storeFresh is how old the store's last answer may be.
+	storeFresh = watchWait + 700*time.Millisecond
 	// joinPause is the pause between two rounds of asking the seeds.
 	joinPause = 500 * time.Millisecond
 )
 
-// follow keeps the mirror up to date with the store until ctx ends. Delegates
-// always do; the others leave it to them while they are heard and follow the
-// store themselves.
+// follow keeps the mirror up to date with the store until ctx ends, but rests while
+// a delegate does it for the region (see following).
 func (e *Edge) follow(ctx context.Context) {
 	whole := true
 	pause := followPause
 	for ctx.Err() == nil {
-		if !whole && e.delegateFollows(time.Now()) {
+		if !whole && e.rests(time.Now()) {
 			sleep(ctx, restPause)
 			continue
 		}
@@ -102,21 +100,6 @@
 	return err
 }
 
-// delegateFollows reports whether this instance may leave following the store to
-// its delegates.
-func (e *Edge) delegateFollows(now time.Time) bool {
-	return !e.delegate.Load() && now.UnixNano()-e.delegateHeardAt.Load() < int64(delegateFresh)
-}
-
-// delegateHeard notes that a delegate answered that follows the store.
-func (e *Edge) delegateHeard(now time.Time, reply fleet.Reply) {
-	if reply.StoreAgeMillis <= storeFresh.Milliseconds() {
-		e.delegateHeardAt.Store(now.UnixNano())
-	} else {
-		e.delegateHeardAt.Store(0)
-	}
-}
-
 // heardStore notes that the store answered this instance.
 func (e *Edge) heardStore(now time.Time) {
 	e.storeHeard.Store(now.UnixNano())
@@ -137,7 +120,7 @@
 // storeSilent reports whether this instance does not follow the store by itself
 // now.
 func (e *Edge) storeSilent(now time.Time) bool {
-	return !e.delegate.Load() || e.storeAge(now) > storeFresh
+	return e.rests(now) || e.storeAge(now) > storeFresh
 }
 
 // join asks the seeds for their mirror until this instance has one.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -147,7 +147,8 @@
 // report sends a report to a delegate and takes its digests.
 func (e *Edge) report(ctx context.Context, delegate fleet.Member, report fleet.Report) {
 	e.tell(ctx, delegate, fleet.TypeReport, report, func(now time.Time, reply fleet.Reply) {
-		e.delegateHeard(now, reply)
+		e.state.following.heard(now, delegate.Instance, time.Duration(reply.StoreAgeMillis)*time.Millisecond)
+		e.state.publishFollowing(now)
 		e.state.takeReply(now, report, reply)
 	})
 }
@@ -192,7 +193,7 @@
 	if err != nil {
 		e.counters.talkFailures.Inc(1)
 		e.log.Info().Err(err).Str("peer", to.Instance).Str("type", messageType).Msg("peer did not answer")
-		e.loop.TryPost(func() { e.state.fleet.Failed(time.Now(), to.Instance) })
+		e.loop.TryPost(func() { e.state.peerFailed(time.Now(), to.Instance) })
 		return
 	}
 	err = e.loop.Call(ctx, func() {
@@ -208,6 +209,13 @@
 	}
 }
 
+// peerFailed learns that an instance does not answer.
+func (s *state) peerFailed(now time.Time, instance string) {
+	s.fleet.Failed(now, instance)
+	s.following.failed(instance)
+	s.publishFollowing(now)
+}
+
 // pullOnce pulls unless a pull is under way.
 func (e *Edge) pullOnce(ctx context.Context, client *link.Client) {
 	if !e.pulling.CompareAndSwap(false, true) {
@@ -269,7 +277,7 @@
 		now := time.Now()
 		reply.Digests = take(now)
 		reply.Revision = e.state.mirror.Revision()
-		reply.StoreAgeMillis = e.storeAge(now).Milliseconds()
+		reply.StoreAgeMillis = e.state.toldAge(now).Milliseconds()
 	})
 	return reply, err
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -37,6 +37,7 @@
 	registry *placement.Registry
 	// items is what the mirror's entries mean.
 	items map[string]Item
+	following following
 	// others is what the other instances do, as of the last tick.
 	others fleet.Others
 	// history is the demand of workspaces on this instance.
@@ -191,7 +192,7 @@
 	s.tickedAt = now
 	s.forgetMissing(now)
 	s.fleet.Expire(now)
-	s.edge.delegate.Store(s.fleet.IsDelegate(now))
+	s.publishFollowing(now)
 	s.others = s.fleet.Others(now)
 	s.edge.usual.learn(s.others.Services)
 	s.edge.instances.Store(int64(s.fleet.Size()))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -219,6 +219,12 @@
 	return slices.Contains(c.Delegates(now, c.self.Member.Region), c.self.Member)
 }
 
+// Leads reports whether this instance is the first delegate of its region.
+func (c *Core) Leads(now time.Time) bool {
+	delegates := c.Delegates(now, c.self.Member.Region)
+	return len(delegates) > 0 && delegates[0] == c.self.Member
+}
+
 // Peers returns the other instances, ordered by name.
 func (c *Core) Peers() []Member {
 	var members []Member
