Count a quota's window whole over a pause, and forfeit what gathered in it

One cause: after a pause the window of 5 s was divided by the long period, so that it forgot what was admitted before; and the bucket had filled while another instance held the place. Change: periods have lengths; an instance that was paused starts with nothing.

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -261,6 +261,32 @@
 		Expect(admitted(q, lost.Add(900*time.Millisecond))).To(BeNumerically("~", 20, 1))
 	})
 
+	It("counts what it admitted before a pause of the whole process in the window that goes on", func() {
+		q := allowance.NewQuotas(window)
+		divide(q, start, true)
+		now, total := start.Add(2*time.Second), 0
+		q.Tick(2 * time.Second)
+		for range 8 {
+			total += admitted(q, now)
+			now = now.Add(250 * time.Millisecond)
+			q.Tick(250 * time.Millisecond)
+		}
+		Expect(total).To(BeNumerically("~", 110, 2), "the burst and most of two seconds of the rate")
+		now = now.Add(2 * time.Second)
+		q.Tick(2 * time.Second)
+		q.Divide(now, quotaOf(40, 40), allowance.Division{Demand: demands(1, 9), Holders: 2})
+		Expect(admitted(q, now)).To(BeZero(), "the share is less than what the window holds")
+	})
+
+	It("starts with nothing after a pause of the whole process: another one may have taken its place", func() {
+		q := allowance.NewQuotas(window)
+		divide(q, start, true)
+		awake := start.Add(3 * time.Second)
+		q.Forfeit(awake)
+		Expect(admitted(q, awake)).To(BeZero())
+		Expect(admitted(q, awake.Add(500*time.Millisecond))).To(BeNumerically("~", 20, 1))
+	})
+
 	It("lends nothing any more when others have had time to hear of it", func() {
 		q := allowance.NewQuotas(window)
 		divide(q, start, true)
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -60,7 +60,7 @@
 	limiter *rate.Limiter
 	// recent are the requests admitted in the last periods, of which window is the
 	// sum; most is what a window may hold.
-	recent []int
+	recent []period
 	window int
 	most   float64
 	// informed are the shares of the last time in which all holders were heard.
@@ -96,7 +96,7 @@
 	p := q.part(now, workspace.Name)
 	if float64(p.window+1) <= p.most && p.limiter.AllowN(now, 1) {
 		p.window++
-		p.recent[len(p.recent)-1]++
+		p.recent[len(p.recent)-1].admitted++
 		return 0, true
 	}
 	missing := 1 - p.limiter.TokensAt(now)
@@ -108,7 +108,7 @@
 func (q *Quotas) part(now time.Time, workspace string) *part {
 	p, found := q.workspaces[workspace]
 	if !found {
-		p = &part{limiter: rate.NewLimiter(0, 0), recent: make([]int, 1)}
+		p = &part{limiter: rate.NewLimiter(0, 0), recent: make([]period, 1)}
 		p.limiter.SetLimitAt(now, 0)
 		q.workspaces[workspace] = p
 	}
@@ -119,22 +119,49 @@
 func (q *Quotas) Tick(elapsed time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	periods := int(math.Ceil(q.window.Seconds()/max(elapsed.Seconds(), minPeriod.Seconds()))) + 1
 	for _, p := range q.workspaces {
-		p.roll(periods)
+		p.roll(elapsed, q.window)
 	}
 }
 
-// minPeriod bounds the periods that a window is divided into.
+// Forfeit takes away what has gathered in this holder's parts.
+func (q *Quotas) Forfeit(now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, p := range q.workspaces {
+		if gathered := int(p.limiter.TokensAt(now)); gathered > 0 {
+			p.limiter.AllowN(now, gathered)
+		}
+	}
+}
+
+// period is the requests admitted in a part of a window.
+type period struct {
+	admitted int
+	length   time.Duration
+}
+
+// minPeriod is the shortest period: it bounds those that a window is divided into.
 const minPeriod = 50 * time.Millisecond
 
-// roll starts a period and drops those that have left the window.
-func (p *part) roll(periods int) {
-	p.recent = append(p.recent, 0)
-	for len(p.recent) > periods {
-		p.window -= p.recent[0]
+// roll ends a period of a length, of which one may be long after a pause of the whole
+// process, and drops those that have left the window.
+func (p *part) roll(elapsed, window time.Duration) {
+	last := &p.recent[len(p.recent)-1]
+	last.length += elapsed
+	if last.length < minPeriod {
+		return
+	}
+	covered := time.Duration(0)
+	for _, period := range p.recent {
+		covered += period.length
+	}
+	for len(p.recent) > 1 && covered-p.recent[0].length >= window {
+		covered -= p.recent[0].length
+		p.window -= p.recent[0].admitted
 		p.recent = p.recent[1:]
 	}
+	p.recent = append(p.recent, period{})
 }
 
 // Demands is the demand on one holder and on all others, in requests per second.
--- a/internal/edge/lending.go
+++ b/internal/edge/lending.go
@@ -74,8 +74,16 @@
 	l.spare.SetWindow(window)
 }
 
+// pausedAfter is the time between two ticks after which this process was paused: its
+// places may have been taken.
+const pausedAfter = tickInterval + 2*holderSilentAfter
+
 // tick ends a period of the quotas' windows and forgets what is over.
 func (l *lending) tick(now time.Time, elapsed time.Duration) {
+	if elapsed > pausedAfter {
+		l.pool.Forfeit(now)
+		l.spare.Forfeit(now)
+	}
 	l.pool.Tick(elapsed)
 	l.spare.Tick(elapsed)
 	l.mu.Lock()
