Tell members sums of demand, and count silence from an instance's last report

Change: a delegate sums up (fleet/demand.go): zone, region, abroad. Delegates alone exchange rows. Endpoints in use are told by a hash of their identifier.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -88,7 +88,7 @@
 	}
 	t.delegate = true
 	t.exchange = fleet.Exchange{
-		Digest:    s.fleet.OwnDigest(now, own).Abroad(),
+		Digest:    s.fleet.DigestAbroad(now, own),
 		Known:     s.fleet.Known(),
 		AgeMillis: s.fleet.Ages(now),
 	}
@@ -131,14 +131,14 @@
 // activity returns what this instance does.
 func (s *state) activity(now time.Time) fleet.Activity {
 	activity := fleet.Activity{
-		Upstreams:  s.edge.usual.demand(),
-		Workspaces: demands(s.edge.settings.Zone, s.edge.arrivals.Rates()),
-		Services:   s.edge.usual.served(),
-		Strikes:    s.edge.poison.recent(now),
+		Upstreams: s.edge.usual.demand(),
+		Demand:    demands(s.edge.arrivals.Rates()),
+		Services:  s.edge.usual.served(),
+		Strikes:   s.edge.poison.recent(now),
 	}
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
 		if n := endpoint.Own(); n > 0 {
-			activity.Uses = append(activity.Uses, fleet.Use{Endpoint: id, InFlight: n})
+			activity.Uses = append(activity.Uses, fleet.Use{Endpoint: fleet.KeyOf(id), InFlight: n})
 		}
 	}
 	return activity
@@ -162,6 +162,9 @@
 		}
 		s.digested(now, digest, own)
 	}
+	if reply.Totals != nil {
+		s.fleet.Totaled(now, *reply.Totals, report.Activity.Demand)
+	}
 }
 
 // exchangeDigest sends this region's digest to a delegate of another region and
@@ -175,6 +178,7 @@
 	for _, digest := range reply.Digests {
 		if digest.Region != s.edge.settings.Region {
 			s.digested(now, digest, fleet.Activity{})
+			s.fleet.Demanded(now, digest)
 		}
 	}
 }
@@ -239,18 +243,20 @@
 	if err := request.Decode(&report); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, func(now time.Time) []fleet.Digest { return e.state.answerReport(now, report) })
+	return e.reply(ctx, func(now time.Time) fleet.Reply { return e.state.answerReport(now, report) })
 }
 
-// answerReport takes a report of the region and returns the digests for its sender.
-func (s *state) answerReport(now time.Time, report fleet.Report) []fleet.Digest {
+// answerReport takes a report of the region and returns what its sender is told.
+func (s *state) answerReport(now time.Time, report fleet.Report) fleet.Reply {
 	if s.fleet.Heard(now, report) {
 		s.edge.poison.told(now, report.Activity.Strikes)
 	}
 	if report.Brief {
-		return nil
+		return fleet.Reply{}
 	}
-	return s.fleet.Digests(now, s.activity(now), report)
+	own := s.activity(now)
+	totals := s.fleet.Totals(now, report.Status.Member.Zone, own.Demand)
+	return fleet.Reply{Digests: s.fleet.Digests(now, own, report), Totals: &totals}
 }
 
 // exchanged answers an exchange of another region.
@@ -259,23 +265,24 @@
 	if err := request.Decode(&exchange); err != nil {
 		return nil, err
 	}
-	return e.reply(ctx, func(now time.Time) []fleet.Digest { return e.state.answerExchange(now, exchange) })
+	return e.reply(ctx, func(now time.Time) fleet.Reply { return e.state.answerExchange(now, exchange) })
 }
 
 // answerExchange takes an exchange of another region and returns what its sender
 // lacks.
-func (s *state) answerExchange(now time.Time, exchange fleet.Exchange) []fleet.Digest {
+func (s *state) answerExchange(now time.Time, exchange fleet.Exchange) fleet.Reply {
 	s.digested(now, exchange.Digest, fleet.Activity{})
-	return s.fleet.Relays(now, s.activity(now), exchange)
+	s.fleet.Demanded(now, exchange.Digest)
+	return fleet.Reply{Digests: s.fleet.Relays(now, s.activity(now), exchange)}
 }
 
 // reply answers with what this instance knows; take takes the message on the control
-// loop and returns the digests.
-func (e *Edge) reply(ctx context.Context, take func(time.Time) []fleet.Digest) (any, error) {
+// loop and returns the digests and totals.
+func (e *Edge) reply(ctx context.Context, take func(time.Time) fleet.Reply) (any, error) {
 	var reply fleet.Reply
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
-		reply.Digests = take(now)
+		reply = take(now)
 		reply.Revision = e.state.mirror.Revision()
 		reply.StoreAgeMillis = e.state.toldAge(now).Milliseconds()
 	})
--- a/internal/edge/quota_sim_test.go
+++ b/internal/edge/quota_sim_test.go
@@ -109,7 +109,7 @@
 		report := turn.report
 		report.Brief = turn.large && (k > 0 || turn.delegate)
 		if to := w.index(delegate.Instance); w.reaches(i, to) {
-			s.takeReply(w.now, report, fleet.Reply{Digests: w.instances[to].state.answerReport(w.now, report)})
+			s.takeReply(w.now, report, w.instances[to].state.answerReport(w.now, report))
 		} else {
 			s.fleet.Failed(w.now, delegate.Instance)
 		}
@@ -120,7 +120,7 @@
 	w.exchangeAt[i] = w.now.Add(exchangeInterval)
 	for _, delegate := range turn.exchangeWith {
 		if to := w.index(delegate.Instance); w.reaches(i, to) {
-			s.takeRelays(w.now, fleet.Reply{Digests: w.instances[to].state.answerExchange(w.now, turn.exchange)})
+			s.takeRelays(w.now, w.instances[to].state.answerExchange(w.now, turn.exchange))
 		} else {
 			s.fleet.Failed(w.now, delegate.Instance)
 		}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -36,7 +36,7 @@
 	fleet    *fleet.Core
 	registry *placement.Registry
 	// items is what the mirror's entries mean.
-	items map[string]Item
+	items     map[string]Item
 	following following
 	// others is what the other instances do, as of the last tick.
 	others fleet.Others
@@ -232,7 +232,7 @@
 // countOthers sets what the other instances have under way at each endpoint.
 func (s *state) countOthers() {
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
-		endpoint.SetOthers(s.others.Uses[id])
+		endpoint.SetOthers(s.others.Uses[fleet.KeyOf(id)])
 	}
 }
 
@@ -242,11 +242,12 @@
 	if c == nil {
 		return
 	}
-	own := s.history.Before(now, s.reportInterval()+exchangeInterval)
+	own := s.history.Before(now, max(s.reportInterval()+exchangeInterval, s.others.Age))
 	division := allowance.Division{
 		Demand: func(workspace string) allowance.Demands {
-			zone := own[workspace] + s.others.Zone[workspace]
-			return allowance.Demands{Own: zone, Others: own[workspace] + s.others.Workspaces[workspace] - zone}
+			zone := s.others.Zone[workspace]
+			elsewhere := max(s.others.Region[workspace]-zone, 0) + s.others.Abroad[workspace]
+			return allowance.Demands{Own: own[workspace] + zone, Others: elsewhere}
 		},
 		Holders: len(s.edge.settings.Zones),
 		Blind:   s.others.Blind,
@@ -354,12 +355,12 @@
 // told.
 const demandResolution = 0.02
 
-func demands(zone string, rates map[string]float64) []fleet.ZoneDemand {
+func demands(rates map[string]float64) []fleet.Demand {
 	var told []fleet.Demand
 	for name, rate := range rates {
 		if rate >= demandResolution {
 			told = append(told, fleet.Demand{Workspace: name, Rate: float32(rate)})
 		}
 	}
-	return []fleet.ZoneDemand{{Zone: zone, Workspaces: told}}
+	return told
 }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -12,10 +12,13 @@
 	"lovagescale/internal/quarantine"
 )
 
-// digestLifetime is how long the uses and the demand of a region count after its
-// last digest.
+// digestLifetime is how long the uses of a region and its demand on upstreams count
+// after its last digest.
 const digestLifetime = 3 * time.Second
 
+// overdueAfter is the time without a report after which one should have come.
+const overdueAfter = 1600 * time.Millisecond
+
 // received is a region's digest and when it was made.
 type received struct {
 	digest Digest
@@ -30,31 +33,34 @@
 	members := []Status{c.self}
 	sum := newSum()
 	sum.add(own)
-	stale := false
+	overdue := make(map[string]int64)
 	for _, p := range c.peers {
-		if p.status.Member.Region != c.self.Member.Region {
+		if p.status.Member.Region != c.self.Member.Region || !p.reports(now, SilentAfter) {
 			continue
 		}
-		stale = stale || p.stale(now)
-		if p.reports(now, SilentAfter) {
-			members = append(members, p.status)
-			sum.add(p.activity)
-		} else {
-			sum.addWorkspaces(p.activity)
+		members = append(members, p.status)
+		sum.add(p.activity)
+		if quiet := now.Sub(p.reportedAt); quiet > overdueAfter {
+			overdue[p.status.Member.Instance] = quiet.Milliseconds()
 		}
 	}
 	slices.SortFunc(members, func(a, b Status) int { return cmp.Compare(a.Member.Instance, b.Member.Instance) })
-	return Digest{Region: c.self.Member.Region, Hash: hashOf(members), Members: members, Activity: sum.activity(), Stale: stale}
+	return Digest{
+		Region: c.self.Member.Region, Hash: hashOf(members), Members: members,
+		OverdueMillis: overdue, Activity: sum.activity(),
+	}
 }
 
-// Abroad returns the digest for other regions, which need no zones.
-func (d Digest) Abroad() Digest {
-	sum := newSum()
-	for _, zone := range d.Activity.Workspaces {
-		sum.addDemands("", zone.Workspaces)
-	}
-	d.Activity.Workspaces = sum.demands()
-	return d
+// DigestAbroad returns the digest of this instance's region for other regions, with
+// the demand on it.
+func (c *Core) DigestAbroad(now time.Time, own Activity) Digest {
+	digest := c.OwnDigest(now, own)
+	demand := toldTotals{region: make(rates), zone: make(rates), at: now}
+	c.sumRegion(now, "", &demand)
+	digest.Stale = demand.stale
+	demand.region.add(own.Demand)
+	digest.Activity.Demand = demand.region.rows()
+	return digest
 }
 
 // Digests returns the digests of all regions for a member of this one, the own one
@@ -70,6 +76,7 @@
 		if !slices.Contains(report.Regions, region) {
 			digest.Activity.Uses = nil
 		}
+		digest.Activity.Demand = nil // the totals have it
 		digests = append(digests, digest)
 	}
 	return withoutKnown(digests, report.Known)
@@ -82,13 +89,15 @@
 // Relays returns the digests for a delegate of another region: the own one made
 // now, and those that the other one lacks or has from long before.
 func (c *Core) Relays(now time.Time, own Activity, exchange Exchange) []Digest {
-	digests := []Digest{c.OwnDigest(now, own).Abroad()}
-	for region := range c.digests {
+	digests := []Digest{c.DigestAbroad(now, own)}
+	for region, demand := range c.demands {
 		digest, told := c.relayed(now, region)
+		digest.AgeMillis = max(digest.AgeMillis, now.Sub(demand.at).Milliseconds())
 		age, has := exchange.AgeMillis[region]
 		if !told || region == exchange.Digest.Region || (has && age < digest.AgeMillis+relayMargin.Milliseconds()) {
 			continue
 		}
+		digest.Activity.Demand, digest.Stale = demand.rows, demand.stale
 		digests = append(digests, digest)
 	}
 	return withoutKnown(digests, exchange.Known)
@@ -100,7 +109,10 @@
 	if region == c.self.Member.Region || !c.knows(region) {
 		return Digest{}, false
 	}
-	r := c.digests[region]
+	r, found := c.digests[region]
+	if !found {
+		return Digest{}, false
+	}
 	digest := r.digest
 	digest.AgeMillis = now.Sub(r.at).Milliseconds()
 	return digest, true
@@ -115,13 +127,11 @@
 	return digests
 }
 
-// Ages returns how old the digests of the other regions are, in milliseconds.
+// Ages returns how old the demand on the other regions is, in milliseconds.
 func (c *Core) Ages(now time.Time) map[string]int64 {
-	ages := make(map[string]int64, len(c.digests))
-	for region, r := range c.digests {
-		if region != c.self.Member.Region {
-			ages[region] = now.Sub(r.at).Milliseconds()
-		}
+	ages := make(map[string]int64, len(c.demands))
+	for region, demand := range c.demands {
+		ages[region] = now.Sub(demand.at).Milliseconds()
 	}
 	return ages
 }
@@ -143,32 +153,47 @@
 	if found && at.Before(last.at) {
 		return
 	}
-	if len(digest.Members) == 0 && found && last.digest.Hash == digest.Hash {
-		digest.Members = last.digest.Members
+	if len(digest.Members) == 0 {
+		if found && last.digest.Hash == digest.Hash {
+			digest.Members = last.digest.Members
+		} else {
+			digest.Hash = 0 // its members were left out and are not known: asked for again
+		}
 	}
 	c.digests[digest.Region] = &received{digest: digest, at: at, own: own}
 	for _, status := range digest.Members {
-		if p := c.learn(now, status); p != nil && at.After(p.heardAt) {
-			p.heardAt = at
-			p.status.State = status.State
+		p := c.learn(now, status)
+		if p == nil || p.reportedAt.After(at) {
+			continue
 		}
+		quiet := time.Duration(digest.OverdueMillis[status.Member.Instance]) * time.Millisecond
+		p.status.State = status.State
+		p.heardAt = later(p.reportedAt, at.Add(-quiet))
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Others is what the other instances do.
 type Others struct {
 	// Uses are their requests under way by endpoint.
-	Uses map[string]int
+	Uses map[EndpointKey]int
 	// Upstreams is the demand on upstreams by the region where it arrives.
 	Upstreams map[string][]UpstreamDemand
-	// Workspaces is the demand of workspaces, which is remembered while an instance
-	// of its region is known.
-	Workspaces map[string]float64
-	// Zone is the part of Workspaces in this instance's zone.
-	Zone map[string]float64
+	// Zone is the demand of workspaces on the other instances of this one's zone,
+	// Region on those of its whole region and Abroad on the other regions. It is
+	// remembered while an instance of its region is known.
+	Zone, Region, Abroad map[string]float64
 	// Blind says that a region with instances has told nothing yet, Stale that part of
-	// Workspaces is from before its instances fell silent.
+	// the demand is from before its instances fell silent.
 	Blind, Stale bool
+	// Age is how old the oldest news of the demand is, but for stale ones.
+	Age time.Duration
 	// Services are the answers of upstreams.
 	Services map[string]Service
 }
@@ -190,18 +215,6 @@
 	}
 }
 
-// addWorkspaces adds demand; zone is this instance's.
-func (o *Others) addWorkspaces(zone string, demand []ZoneDemand, sign float64) {
-	for _, of := range demand {
-		for _, d := range of.Workspaces {
-			o.Workspaces[d.Workspace] += sign * float64(d.Rate)
-			if of.Zone == zone {
-				o.Zone[d.Workspace] += sign * float64(d.Rate)
-			}
-		}
-	}
-}
-
 // knows reports whether an instance of the region is known.
 func (c *Core) knows(region string) bool { return c.KnownInRegion(region) > 0 }
 
@@ -209,13 +222,11 @@
 // reports.
 func (c *Core) Others(now time.Time) Others {
 	others := Others{
-		Uses:       make(map[string]int),
-		Upstreams:  make(map[string][]UpstreamDemand),
-		Workspaces: make(map[string]float64),
-		Zone:       make(map[string]float64),
-		Services:   make(map[string]Service),
+		Uses:      make(map[EndpointKey]int),
+		Upstreams: make(map[string][]UpstreamDemand),
+		Services:  make(map[string]Service),
 	}
-	home, zone := c.self.Member.Region, c.self.Member.Zone
+	home := c.self.Member.Region
 	delegate := c.IsDelegate(now)
 	for region, r := range c.digests {
 		if region == home && delegate {
@@ -225,51 +236,31 @@
 			others.add(region, r.digest.Activity, 1)
 			others.add(region, r.own, -1)
 		}
-		if c.knows(region) {
-			others.addWorkspaces(zone, r.digest.Activity.Workspaces, 1)
-			others.addWorkspaces(zone, r.own.Workspaces, -1)
-			others.Stale = others.Stale || r.digest.Stale || now.Sub(r.at) > SilentAfter
-		}
 	}
 	if delegate {
-		digest := c.OwnDigest(now, Activity{})
-		others.add(home, digest.Activity, 1)
-		others.addWorkspaces(zone, digest.Activity.Workspaces, 1)
-		others.Stale = others.Stale || digest.Stale
+		others.add(home, c.OwnDigest(now, Activity{}).Activity, 1)
 	}
-	others.Blind = c.blind(delegate)
+	demand := c.viewed(now, c.self.Member.Zone)
+	others.Zone, others.Region, others.Abroad = demand.zone, demand.region, demand.abroad
+	others.Blind, others.Stale = demand.blind, demand.stale
+	others.Age = now.Sub(demand.at)
 	return others
 }
 
-// blind reports whether a region has instances and no digest of it came. A
-// delegate makes that of its own region itself.
-func (c *Core) blind(delegate bool) bool {
-	for _, p := range c.peers {
-		region := p.status.Member.Region
-		_, told := c.digests[region]
-		if !told && !(delegate && region == c.self.Member.Region) {
-			return true
-		}
-	}
-	return false
-}
-
 // sum adds activities.
 type sum struct {
-	uses       map[string]int
-	upstreams  map[[2]string]float32
-	workspaces map[[2]string]float32 // by zone and workspace
-	services   map[string]Service
-	strikes    map[uint64]quarantine.Strike
+	uses      map[EndpointKey]int
+	upstreams map[[2]string]float32
+	services  map[string]Service
+	strikes   map[uint64]quarantine.Strike
 }
 
 func newSum() *sum {
 	return &sum{
-		uses:       make(map[string]int),
-		upstreams:  make(map[[2]string]float32),
-		workspaces: make(map[[2]string]float32),
-		services:   make(map[string]Service),
-		strikes:    make(map[uint64]quarantine.Strike),
+		uses:      make(map[EndpointKey]int),
+		upstreams: make(map[[2]string]float32),
+		services:  make(map[string]Service),
+		strikes:   make(map[uint64]quarantine.Strike),
 	}
 }
 
@@ -290,32 +281,6 @@
 	for _, strike := range a.Strikes {
 		s.strikes[strike.ID] = strike
 	}
-	s.addWorkspaces(a)
-}
-
-func (s *sum) addWorkspaces(a Activity) {
-	for _, zone := range a.Workspaces {
-		s.addDemands(zone.Zone, zone.Workspaces)
-	}
-}
-
-func (s *sum) addDemands(zone string, demands []Demand) {
-	for _, d := range demands {
-		s.workspaces[[2]string{zone, d.Workspace}] += d.Rate
-	}
-}
-
-// demands returns the demand of workspaces, a row a zone.
-func (s *sum) demands() []ZoneDemand {
-	rows := make(map[string][]Demand)
-	for key, rate := range s.workspaces {
-		rows[key[0]] = append(rows[key[0]], Demand{Workspace: key[1], Rate: rate})
-	}
-	var zones []ZoneDemand
-	for zone, row := range rows {
-		zones = append(zones, ZoneDemand{Zone: zone, Workspaces: row})
-	}
-	return zones
 }
 
 func (s *sum) activity() Activity {
@@ -326,7 +291,6 @@
 	for key, rate := range s.upstreams {
 		a.Upstreams = append(a.Upstreams, UpstreamDemand{Upstream: key[0], Region: key[1], Rate: rate})
 	}
-	a.Workspaces = s.demands()
 	for _, service := range s.services {
 		a.Services = append(a.Services, service)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,11 +68,16 @@
 	peers map[string]*peer
 	// digests are the last ones of each region, the own one as a delegate gave it.
 	digests map[string]*received
+	// demands is the demand on the other regions, as their delegates told it.
+	demands map[string]toldDemand
+	// told is what a delegate of this region told of all demand; nil before.
+	told *toldTotals
 }
 
 // New returns a core that knows its own instance only.
 func New(self Member) *Core {
-	return &Core{self: Status{Member: self}, peers: make(map[string]*peer), digests: make(map[string]*received)}
+	return &Core{self: Status{Member: self}, peers: make(map[string]*peer), digests: make(map[string]*received),
+		demands: make(map[string]toldDemand)}
 }
 
 // Self returns the instance's own record.
@@ -111,7 +116,9 @@
 		p = &peer{status: status, knownSince: now}
 		c.peers[member.Instance] = p
 	case member.Incarnation > p.status.Member.Incarnation:
-		*p = peer{status: status, knownSince: now, registered: p.registered}
+		// Its callers come back to it: until it reports, its demand is what it was.
+		before := Activity{Demand: p.activity.Demand}
+		*p = peer{status: status, knownSince: now, registered: p.registered, activity: before}
 	case member.Incarnation < p.status.Member.Incarnation:
 		return nil
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -26,15 +26,20 @@
 }
 
 func uses(endpoint string, n int) fleet.Activity {
-	return fleet.Activity{Uses: []fleet.Use{{Endpoint: endpoint, InFlight: n}}}
+	return fleet.Activity{Uses: []fleet.Use{{Endpoint: fleet.KeyOf(endpoint), InFlight: n}}}
 }
 
 func demand(workspace string, rate float32) fleet.Activity {
-	return demandIn("north-1", workspace, rate)
+	return fleet.Activity{Demand: []fleet.Demand{{Workspace: workspace, Rate: rate}}}
 }
 
-func demandIn(zone, workspace string, rate float32) fleet.Activity {
-	return fleet.Activity{Workspaces: []fleet.ZoneDemand{{Zone: zone, Workspaces: []fleet.Demand{{Workspace: workspace, Rate: rate}}}}}
+// usesOf are the requests under way at endpoints, by their identifiers.
+func usesOf(uses map[string]int) map[fleet.EndpointKey]int {
+	byKey := make(map[fleet.EndpointKey]int)
+	for endpoint, n := range uses {
+		byKey[fleet.KeyOf(endpoint)] = n
+	}
+	return byKey
 }
 
 func instances(members []fleet.Member) []string {
@@ -90,64 +95,67 @@
 		again.Incarnation = 2
 		Expect(core.Heard(start, report(again, fleet.Ready, uses("e", 1)))).To(BeTrue())
 		Expect(core.Heard(start, report(member("n1", "north"), fleet.Leaving, uses("e", 9)))).To(BeFalse())
-		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 1}))
+		Expect(core.Others(start).Uses).To(Equal(usesOf(map[string]int{"e": 1})))
 	})
 
 	It("sums up its region as a delegate and does not count itself among the others", func() {
 		core.Heard(start, report(member("n1", "north"), fleet.Ready, uses("e", 2)))
 		core.Heard(start, report(member("n3", "north"), fleet.Ready, uses("e", 3)))
 		digest := core.OwnDigest(start, uses("e", 4))
-		Expect(digest.Activity.Uses).To(Equal([]fleet.Use{{Endpoint: "e", InFlight: 9}}))
+		Expect(digest.Activity.Uses).To(Equal([]fleet.Use{{Endpoint: fleet.KeyOf("e"), InFlight: 9}}))
 		Expect(digest.Members).To(HaveLen(3))
-		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 5}))
+		Expect(core.Others(start).Uses).To(Equal(usesOf(map[string]int{"e": 5})))
 	})
 
 	It("takes its own part off the digest of its delegate", func() {
 		core.Registered(start, member("n0", "north"))
 		core.Registered(start, member("n1", "north"))
 		core.Digested(start, fleet.Digest{Region: "north", Hash: 1, Activity: uses("e", 7)}, uses("e", 4))
-		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 3}))
+		Expect(core.Others(start).Uses).To(Equal(usesOf(map[string]int{"e": 3})))
 	})
 
 	It("counts uses for a short time and demand on quotas while an instance of the region is known", func() {
 		both := uses("e", 2)
-		both.Workspaces = demandIn("", "azul", 5).Workspaces
+		both.Demand = demand("azul", 5).Demand
 		members := []fleet.Status{{Member: member("s1", "south"), State: fleet.Ready}}
-		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, Members: members, Activity: both}, fleet.Activity{})
+		south := fleet.Digest{Region: "south", Hash: 1, Members: members, Activity: both}
+		core.Digested(start, south, fleet.Activity{})
+		core.Demanded(start, south)
 		later := core.Others(start.Add(5 * time.Second))
 		Expect(later.Uses).To(BeEmpty())
-		Expect(later.Workspaces).To(Equal(map[string]float64{"azul": 5}))
+		Expect(later.Abroad).To(Equal(map[string]float64{"azul": 5}))
 		core.Registered(start, member("s1", "south"))
 		muchLater := start.Add(time.Minute)
 		core.Expire(muchLater)
-		Expect(core.Others(muchLater).Workspaces).To(Equal(map[string]float64{"azul": 5}), "cut off, and still registered")
+		Expect(core.Others(muchLater).Abroad).To(Equal(map[string]float64{"azul": 5}), "cut off, and still registered")
 		core.Unregistered("s1")
 		core.Expire(muchLater)
-		Expect(core.Others(muchLater).Workspaces).To(BeEmpty())
+		Expect(core.Others(muchLater).Abroad).To(BeEmpty())
 	})
 
 	It("tells the demand of its own zone apart", func() {
 		other := member("n3", "north")
 		other.Zone = "north-2"
-		core.Heard(start, report(member("n1", "north"), fleet.Ready, demandIn("north-1", "azul", 5)))
-		core.Heard(start, report(other, fleet.Ready, demandIn("north-2", "azul", 3)))
+		core.Heard(start, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
+		core.Heard(start, report(other, fleet.Ready, demand("azul", 3)))
 		others := core.Others(start)
-		Expect(others.Workspaces).To(Equal(map[string]float64{"azul": 8}))
+		Expect(others.Region).To(Equal(map[string]float64{"azul": 8}))
 		Expect(others.Zone).To(Equal(map[string]float64{"azul": 5}))
 	})
 
 	It("tells other regions the demand without zones", func() {
-		both := demandIn("north-1", "azul", 5)
-		both.Workspaces = append(both.Workspaces, demandIn("north-2", "azul", 3).Workspaces...)
-		abroad := core.OwnDigest(start, both).Abroad()
-		Expect(abroad.Activity.Workspaces).To(Equal(demandIn("", "azul", 8).Workspaces))
+		other := member("n3", "north")
+		other.Zone = "north-2"
+		core.Heard(start, report(other, fleet.Ready, demand("azul", 3)))
+		abroad := core.DigestAbroad(start, demand("azul", 5))
+		Expect(abroad.Activity.Demand).To(Equal(demand("azul", 8).Demand))
 	})
 
 	It("is blind while a region with instances has told nothing", func() {
 		Expect(core.Others(start).Blind).To(BeFalse())
 		core.Registered(start, member("s1", "south"))
 		Expect(core.Others(start).Blind).To(BeTrue())
-		core.Digested(start, fleet.Digest{Region: "south", Hash: 1}, fleet.Activity{})
+		core.Demanded(start, fleet.Digest{Region: "south", Hash: 1})
 		Expect(core.Others(start).Blind).To(BeFalse())
 	})
 
@@ -176,14 +184,19 @@
 	It("says that demand is stale when a member or a region has fallen silent", func() {
 		core.Heard(start, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
 		core.Registered(start, member("s1", "south"))
-		core.Digested(start, fleet.Digest{Region: "south", Hash: 1}, fleet.Activity{})
+		hear := func(now time.Time, stale bool) {
+			south := fleet.Digest{Region: "south", Hash: 1, Stale: stale}
+			core.Digested(now, south, fleet.Activity{})
+			core.Demanded(now, south)
+		}
+		hear(start, false)
 		Expect(core.Others(start).Stale).To(BeFalse())
 		later := start.Add(fleet.SilentAfter + time.Second)
 		core.Heard(later, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
 		Expect(core.Others(later).Stale).To(BeTrue(), "the other region is silent")
-		core.Digested(later, fleet.Digest{Region: "south", Hash: 1}, fleet.Activity{})
+		hear(later, false)
 		Expect(core.Others(later).Stale).To(BeFalse())
-		core.Digested(later, fleet.Digest{Region: "south", Hash: 1, Stale: true}, fleet.Activity{})
+		hear(later, true)
 		Expect(core.Others(later).Stale).To(BeTrue(), "a member of the other region is silent")
 	})
 
@@ -193,9 +206,9 @@
 
 	It("counts the demand of a member that has fallen silent", func() {
 		core.Heard(start, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
-		digest := core.OwnDigest(start.Add(5*time.Second), fleet.Activity{})
+		digest := core.DigestAbroad(start.Add(5*time.Second), fleet.Activity{})
 		Expect(digest.Members).To(HaveLen(1))
-		Expect(digest.Activity.Workspaces).To(HaveLen(1))
+		Expect(digest.Activity.Demand).To(Equal(demand("azul", 5).Demand))
 	})
 
 	It("leaves out members that the receiver knows, who keeps them", func() {
@@ -210,11 +223,37 @@
 		Expect(core.Entries(start.Add(4*time.Second), "south", 64)).To(Equal([]string{"s1:1"}))
 	})
 
+	It("asks for the members again when it got a digest without them that it does not know", func() {
+		// Two delegates answered at once: each left out the members that the report named,
+		// and the other one's digest, with more members, came in between.
+		n1 := fleet.Status{Member: member("n1", "north"), State: fleet.Ready}
+		n3 := fleet.Status{Member: member("n3", "north"), State: fleet.Ready}
+		core.Digested(start, fleet.Digest{Region: "north", Hash: 11, Members: []fleet.Status{n1}}, fleet.Activity{})
+		core.Digested(start, fleet.Digest{Region: "north", Hash: 13, Members: []fleet.Status{n1, n3}}, fleet.Activity{})
+		core.Digested(start, fleet.Digest{Region: "north", Hash: 11}, fleet.Activity{})
+		Expect(core.Known()).To(Equal(map[string]uint64{"north": 0}))
+	})
+
+	It("counts silence from an instance's last report, however many delegates tell of it", func() {
+		delegate := fleet.New(member("n0", "north"))
+		delegate.Heard(start, report(member("n1", "north"), fleet.Ready, fleet.Activity{}))
+		far := fleet.New(member("s1", "south"))
+		for now := start; now.Before(start.Add(2 * fleet.SilentAfter)); now = now.Add(250 * time.Millisecond) {
+			far.Digested(now, delegate.OwnDigest(now, fleet.Activity{}), fleet.Activity{})
+			takes := instances(far.Takes(now))
+			if now.Sub(start) <= fleet.SilentAfter {
+				Expect(takes).To(ContainElement("n1"))
+			} else {
+				Expect(takes).NotTo(ContainElement("n1"), "silent for %v", now.Sub(start))
+			}
+		}
+	})
+
 	It("tells a member of endpoints in its own region and in those that it names", func() {
 		core.Registered(start, member("s1", "south"))
 		core.Digested(start, fleet.Digest{Region: "south", Hash: 11, Activity: uses("e", 2)}, fleet.Activity{})
-		told := func(regions ...string) map[string]int {
-			known := make(map[string]int)
+		told := func(regions ...string) map[fleet.EndpointKey]int {
+			known := make(map[fleet.EndpointKey]int)
 			for _, digest := range core.Digests(start, uses("own", 1), fleet.Report{Regions: regions}) {
 				for _, use := range digest.Activity.Uses {
 					known[use.Endpoint] = use.InFlight
@@ -222,13 +261,15 @@
 			}
 			return known
 		}
-		Expect(told()).To(Equal(map[string]int{"own": 1}))
-		Expect(told("south")).To(Equal(map[string]int{"own": 1, "e": 2}))
+		Expect(told()).To(Equal(usesOf(map[string]int{"own": 1})))
+		Expect(told("south")).To(Equal(usesOf(map[string]int{"own": 1, "e": 2})))
 	})
 
 	It("relays a digest to a delegate that lacks it or has it from long before", func() {
 		core.Registered(start, member("s1", "south"))
-		core.Digested(start, fleet.Digest{Region: "south", Hash: 11, Activity: uses("e", 2)}, fleet.Activity{})
+		south := fleet.Digest{Region: "south", Hash: 11, Activity: uses("e", 2)}
+		core.Digested(start, south, fleet.Activity{})
+		core.Demanded(start, south)
 		relayed := func(ages map[string]int64) []string {
 			var regions []string
 			for _, digest := range core.Relays(start, fleet.Activity{}, fleet.Exchange{Digest: fleet.Digest{Region: "east"}, AgeMillis: ages}) {
@@ -244,7 +285,7 @@
 	It("passes over a digest that is older than one it has", func() {
 		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, Activity: uses("e", 1)}, fleet.Activity{})
 		core.Digested(start, fleet.Digest{Region: "south", Hash: 1, AgeMillis: 400, Activity: uses("e", 9)}, fleet.Activity{})
-		Expect(core.Others(start).Uses).To(Equal(map[string]int{"e": 1}))
+		Expect(core.Others(start).Uses).To(Equal(usesOf(map[string]int{"e": 1})))
 	})
 
 	It("forgets an instance that is neither registered nor heard", func() {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "lovagescale/internal/quarantine"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"lovagescale/internal/quarantine"
+)
 
 // Types of the messages between instances.
 const (
@@ -53,31 +57,22 @@
 	State  State  `msgpack:"s"`
 }
 
+// EndpointKey stands for an endpoint in messages: a hash of its identifier, which is
+// half as long as its text. Two endpoints of one key each seem to have the requests of
+// both.
+type EndpointKey uint32
+
+// KeyOf returns the key of the endpoint with the identifier.
+func KeyOf(endpoint string) EndpointKey { return EndpointKey(xxhash.Sum64String(endpoint)) }
+
 // Use is the requests under way at an endpoint.
 type Use struct {
 	//lint:ignore U1000 read by the msgpack library
 	_msgpack struct{} `msgpack:",as_array"`
-	Endpoint string
+	Endpoint EndpointKey
 	InFlight int
 }
 
-// Demand is the arrival of requests of a workspace, per second.
-type Demand struct {
-	//lint:ignore U1000 read by the msgpack library
-	_msgpack  struct{} `msgpack:",as_array"`
-	Workspace string
-	Rate      float32
-}
-
-// ZoneDemand is the demand of the workspaces on the instances of a zone, or of a
-// whole region where no zone is named.
-type ZoneDemand struct {
-	//lint:ignore U1000 read by the msgpack library
-	_msgpack   struct{} `msgpack:",as_array"`
-	Zone       string
-	Workspaces []Demand
-}
-
 // UpstreamDemand is the arrival of requests to an upstream, per second.
 type UpstreamDemand struct {
 	//lint:ignore U1000 read by the msgpack library
@@ -101,11 +96,12 @@
 
 // Activity is what one or several instances do.
 type Activity struct {
-	Uses       []Use               `msgpack:"u,omitempty"`
-	Upstreams  []UpstreamDemand    `msgpack:"d,omitempty"`
-	Workspaces []ZoneDemand        `msgpack:"w,omitempty"`
-	Services   []Service           `msgpack:"b,omitempty"`
-	Strikes    []quarantine.Strike `msgpack:"k,omitempty"`
+	Uses      []Use               `msgpack:"u,omitempty"`
+	Upstreams []UpstreamDemand    `msgpack:"d,omitempty"`
+	Services  []Service           `msgpack:"b,omitempty"`
+	Strikes   []quarantine.Strike `msgpack:"k,omitempty"`
+	// Demand is that of the workspaces; digests for members leave it out.
+	Demand []Demand `msgpack:"w,omitempty"`
 }
 
 // Report tells a delegate of the region that its sender lives and what it does.
@@ -126,20 +122,24 @@
 	// AgeMillis is how old the digest is at its sender.
 	AgeMillis int64 `msgpack:"a"`
 	// Hash is that of the members, which are left out where they are known.
-	Hash     uint64   `msgpack:"h"`
-	Members  []Status `msgpack:"m,omitempty"`
-	Activity Activity `msgpack:"t"`
+	Hash    uint64   `msgpack:"h"`
+	Members []Status `msgpack:"m,omitempty"`
+	// OverdueMillis is how long ago members reported last that should have since.
+	OverdueMillis map[string]int64 `msgpack:"l,omitempty"`
+	Activity      Activity         `msgpack:"t"`
 	// Stale says that the demand of a member is from before it fell silent.
 	Stale bool `msgpack:"o,omitempty"`
 }
 
-// Reply answers a report with the digests of all regions, unless it was brief.
+// Reply answers a report with the digests of all regions and the totals, unless it
+// was brief, and an exchange with digests.
 type Reply struct {
 	// Revision is that of the delegate's mirror.
 	Revision uint64 `msgpack:"v"`
 	// StoreAgeMillis is how long ago the store answered the delegate.
 	StoreAgeMillis int64    `msgpack:"s"`
 	Digests        []Digest `msgpack:"d"`
+	Totals         *Totals  `msgpack:"t,omitempty"`
 }
 
 // Exchange carries a delegate's digest of its region to one of another region,
