Keep the operator's time limits on callers' connections

Cause: header-timeout-s and idle-timeout-s were read and used by nothing: connections had 5 s for headers and 2 minutes of idleness, whatever the operator set. Ruled out: the HTTP server's own limits, which are fixed at its start.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -57,8 +57,7 @@
 
 // Upstream is one back-end service.
 type Upstream struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections bounds the connections to one endpoint from all instances.
 	MaxConnections int
 	// ColdTime is how long an endpoint stays cold after its start.
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -13,11 +13,19 @@
 // that no goroutine has come to yet.
 const quietTime = 250 * time.Millisecond
 
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // callerConn is a connection of a caller that knows when it last brought bytes.
 type callerConn struct {
 	net.Conn
 	// heardAt is when it was accepted or last brought bytes, in Unix nanoseconds.
 	heardAt atomic.Int64
+	// firstAt is when the first byte of a request came that is not served yet, in Unix
+	// nanoseconds; zero before.
+	firstAt atomic.Int64
+	// waitsSince is when it began to wait for a request; callerConns guards it.
+	waitsSince time.Time
 	// expired says that its reading was ended; callerConns guards it.
 	expired bool
 }
@@ -26,7 +34,9 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.heardAt.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		c.heardAt.Store(now)
+		c.firstAt.CompareAndSwap(0, now)
 	}
 	return n, err
 }
@@ -85,6 +95,10 @@
 		return
 	}
 	c.states[accepted] = state
+	if state != http.StateActive {
+		accepted.waitsSince = time.Now()
+		accepted.firstAt.Store(0)
+	}
 	if state == http.StateActive && accepted.expired {
 		accepted.expired = false
 		_ = accepted.SetReadDeadline(time.Time{}) // a closed one shows itself to its reader
@@ -103,7 +117,7 @@
 			continue
 		}
 		conn.expired = true
-		_ = conn.SetReadDeadline(now) // a closed one shows itself to its reader
+		_ = conn.SetReadDeadline(past) // a closed one shows itself to its reader
 	}
 	return len(c.states)
 }
--- a/internal/edge/callers_test.go
+++ b/internal/edge/callers_test.go
@@ -10,9 +10,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/catalog"
 )
 
-var _ = Describe("callers' connections at a planned stop", func() {
+var _ = Describe("callers' connections", func() {
 	var (
 		conns *callerConns
 		conn  *callerConn
@@ -74,6 +76,50 @@
 		Expect(conn.expired).To(BeFalse())
 	})
 
+	Context("with limits", func() {
+		limits := quietLimits{header: 3 * time.Second, idle: 15 * time.Second}
+		var waits time.Time
+		BeforeEach(func() {
+			conns.track(conn, http.StateIdle)
+			waits = conn.waitsSince
+		})
+
+		It("ends one that brings no request for longer than the idle limit", func() {
+			Expect(conns.closeSlow(waits.Add(limits.idle), waits, limits)).To(BeZero())
+			Expect(conns.closeSlow(waits.Add(limits.idle+time.Millisecond), waits, limits)).To(Equal(1))
+			Expect(ended()).To(BeTrue())
+			Expect(conns.closeSlow(waits.Add(time.Minute), waits, limits)).To(BeZero(), "it was ended")
+		})
+
+		It("ends one that takes longer than the limit for its headers, byte by byte", func() {
+			first := waits.Add(5 * time.Second)
+			conn.firstAt.Store(first.UnixNano())
+			conn.heardAt.Store(first.Add(limits.header).UnixNano())
+			Expect(conns.closeSlow(first.Add(limits.header), waits, limits)).To(BeZero())
+			Expect(conns.closeSlow(first.Add(limits.header+time.Millisecond), waits, limits)).To(Equal(1))
+		})
+
+		It("does not count the time of a pause, in which nothing was read", func() {
+			awake := waits.Add(time.Minute)
+			Expect(conns.closeSlow(awake.Add(limits.idle), awake, limits)).To(BeZero())
+			Expect(conns.closeSlow(awake.Add(limits.idle+time.Millisecond), awake, limits)).To(Equal(1))
+		})
+
+		It("leaves one alone with a request under way, and counts anew after it", func() {
+			conns.track(conn, http.StateActive)
+			Expect(conns.closeSlow(waits.Add(time.Hour), waits, limits)).To(BeZero())
+			conn.firstAt.Store(waits.UnixNano())
+			conns.track(conn, http.StateIdle)
+			Expect(conns.closeSlow(conn.waitsSince.Add(limits.idle), waits, limits)).To(BeZero())
+		})
+
+		It("takes the operator's limits, and its own without them", func() {
+			Expect(quietLimitsOf(nil)).To(Equal(quietLimits{defaultHeaderTimeout, defaultIdleTime}))
+			c := catalog.New(1, nil, nil, nil, catalog.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Minute})
+			Expect(quietLimitsOf(c)).To(Equal(quietLimits{time.Second, time.Minute}))
+		})
+	})
+
 	It("closes the port once, for the stop and for the server after it", func() {
 		Expect(conns.Close()).To(Succeed())
 		Expect(conns.Close()).To(Succeed())
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -51,10 +51,6 @@
 
 // Limits on callers.
 const (
-	readHeaderTimeout = 5 * time.Second
-	// callerIdleTime is longer than any operator's limit, so that a caller is
-	// the one to close.
-	callerIdleTime = 2 * time.Minute
 	// hardHeaderBytes is where the HTTP library cuts a caller off; up to there the
 	// refusal of headers above the operator's limit says why.
 	hardHeaderBytes = 256 << 10
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -30,7 +30,7 @@
 
 	requests, answered, lookUps             metrics.Counter
 	storeCalls, storeFailures, talkFailures metrics.Counter
-	loans                                   metrics.Counter
+	loans, quietClosed                      metrics.Counter
 	latency                                 metrics.Timer
 }
 
@@ -45,6 +45,7 @@
 		storeFailures: metrics.GetOrRegisterCounter("edge.store.failures", registry),
 		talkFailures:  metrics.GetOrRegisterCounter("edge.peer.failures", registry),
 		loans:         metrics.GetOrRegisterCounter("edge.quota.loans", registry),
+		quietClosed:   metrics.GetOrRegisterCounter("edge.callers.quiet_closed", registry),
 		latency:       metrics.GetOrRegisterTimer("edge.latency", registry),
 	}
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -22,12 +22,13 @@
 func (e *Edge) serveCallers(ctx context.Context, listener net.Listener) error {
 	conns := newCallerConns(listener)
 	server := &http.Server{
-		Handler:           e,
-		ConnState:         conns.track,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       callerIdleTime,
-		MaxHeaderBytes:    hardHeaderBytes,
+		Handler:        e,
+		ConnState:      conns.track,
+		MaxHeaderBytes: hardHeaderBytes,
 	}
+	sweeping, stopSweeping := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopSweeping()
+	go e.sweepQuiet(sweeping, conns)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(conns) }()
 	select {
