Hold no quota before others know of the instance, nor a whole part beside a cut-off holder

An instance now holds pools once its registration of this run is in force, or another one answered it.

--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -135,6 +136,11 @@
 	}
 }
 
+// hasOtherSeeds reports whether the settings name another instance.
+func (e *Edge) hasOtherSeeds() bool {
+	return slices.ContainsFunc(*e.seeds.Load(), func(seed string) bool { return seed != e.settings.Link })
+}
+
 func (e *Edge) joinSeed(ctx context.Context, seed string) {
 	client := link.NewClient(seed)
 	defer client.Close()
--- a/internal/edge/lending.go
+++ b/internal/edge/lending.go
@@ -93,16 +93,20 @@
 }
 
 // parts are the parts of the zone's quotas that an instance has as a holder, and when
-// no holder answers.
-type parts struct{ pool, spare float64 }
+// no holder answers. Without entitled it has none: nobody knows of it yet, so that the
+// others hold the whole.
+type parts struct {
+	pool, spare float64
+	entitled    bool
+}
 
 // divide sets this instance's parts of the quotas.
 func (l *lending) divide(now time.Time, c *catalog.Catalog, division allowance.Division, of parts) {
 	division.Fraction = of.spare
-	division.Holds = func(string) bool { return l.alone() }
+	division.Holds = func(string) bool { return of.entitled && l.alone() }
 	l.spare.Divide(now, c, division)
 	division.Fraction = of.pool
-	division.Holds = l.holds
+	division.Holds = func(workspace string) bool { return of.entitled && l.holds(workspace) }
 	l.pool.Divide(now, c, division)
 }
 
--- a/internal/edge/lending_test.go
+++ b/internal/edge/lending_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
 
+	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
 )
 
@@ -86,3 +88,43 @@
 		Expect(l.order("north-2", "azul")).To(HaveLen(2))
 	})
 })
+
+var _ = Describe("an instance that starts", func() {
+	// Load pattern: all instances start while the store loses its answers: each has the
+	// configuration and knows nobody. Six instances admitted 2.6 times the quota.
+	It("lends nothing of its own before others can know of it", func() {
+		c := catalog.New(1, nil, nil, []*catalog.Workspace{{Name: "azul", Rate: 20, Burst: 20}}, catalog.Limits{})
+		admitted := func(e *Edge, now time.Time) (n int) {
+			for range 100 {
+				if e.lending.borrow(now, c.Workspaces["azul"], nil).Granted {
+					n++
+				}
+			}
+			return n
+		}
+		start := func(seeds ...string) *Edge {
+			e := New(Settings{Instance: "one", Zone: "north-1", Region: "north", Link: "one", Seeds: seeds,
+				Zones: map[string]string{"north-1": "north"}, Bounds: DefaultBounds()}, Ports{}, zerolog.Nop())
+			e.catalog.Store(c)
+			return e
+		}
+		run := func(e *Edge, from time.Time) time.Time {
+			for range 8 {
+				from = from.Add(tickInterval)
+				e.state.tick(from)
+			}
+			return from
+		}
+
+		one := start("one", "two")
+		now := run(one, time.UnixMilli(1_000_000))
+		Expect(admitted(one, now)).To(BeZero())
+		one.state.fleet.Registered(now, one.state.fleet.Self())
+		now = run(one, now)
+		Expect(admitted(one, now)).To(BeNumerically("~", 20, 1))
+
+		alone := start("one")
+		now = run(alone, time.UnixMilli(1_000_000))
+		Expect(admitted(alone, now)).To(BeNumerically("~", 20, 1), "there is no other one")
+	})
+})
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -202,6 +202,7 @@
 	}
 	err = e.loop.Call(ctx, func() {
 		now := time.Now()
+		e.state.fleet.Answered(to.Instance)
 		e.state.storeSeen(now, now.Add(-time.Duration(reply.StoreAgeMillis)*time.Millisecond))
 		take(now, reply)
 	})
--- a/internal/edge/quota_sim_test.go
+++ b/internal/edge/quota_sim_test.go
@@ -29,6 +29,8 @@
 	reportAt, exchangeAt []time.Time
 	// group is the side of a partition that an instance is on.
 	group []int
+	// lost are the ways, from one instance to another, on which all is lost.
+	lost map[[2]int]bool
 	// late is the share of the borrows that are answered too late.
 	late     float64
 	catalog  *catalog.Catalog
@@ -63,6 +65,7 @@
 	w.downUntil = make([]time.Time, n)
 	w.reportAt, w.exchangeAt = make([]time.Time, n), make([]time.Time, n)
 	w.group = make([]int, n)
+	w.lost = make(map[[2]int]bool)
 	for i := range n {
 		w.start(i)
 	}
@@ -82,6 +85,7 @@
 			other.state.fleet.Registered(w.now, self)
 		}
 	}
+	e.state.fleet.Registered(w.now, self)
 	e.catalog.Store(w.catalog)
 	e.state.tick(w.now)
 }
@@ -90,7 +94,7 @@
 
 // reaches reports whether a message gets through now.
 func (w *quotaWorld) reaches(from, to int) bool {
-	return w.up(from) && w.up(to) && w.group[from] == w.group[to]
+	return w.up(from) && w.up(to) && w.group[from] == w.group[to] && !w.lost[[2]int{from, to}]
 }
 
 func (w *quotaWorld) index(instance string) int {
@@ -109,6 +113,7 @@
 		report := turn.report
 		report.Brief = turn.large && (k > 0 || turn.delegate)
 		if to := w.index(delegate.Instance); w.reaches(i, to) {
+			s.fleet.Answered(delegate.Instance)
 			s.takeReply(w.now, report, w.instances[to].state.answerReport(w.now, report))
 		} else {
 			s.fleet.Failed(w.now, delegate.Instance)
@@ -120,6 +125,7 @@
 	w.exchangeAt[i] = w.now.Add(exchangeInterval)
 	for _, delegate := range turn.exchangeWith {
 		if to := w.index(delegate.Instance); w.reaches(i, to) {
+			s.fleet.Answered(delegate.Instance)
 			s.takeRelays(w.now, w.instances[to].state.answerExchange(w.now, turn.exchange))
 		} else {
 			s.fleet.Failed(w.now, delegate.Instance)
@@ -220,8 +226,11 @@
 		}
 	case 4: // answers come late
 		w.late = 0.1
+	case 5: // an instance does not reach another one, which may reach it
+		w.lost[[2]int{i, w.random.IntN(len(w.instances))}] = true
 	default: // all is well again
 		clear(w.group)
+		clear(w.lost)
 		w.late = 0
 	}
 }
@@ -240,7 +249,7 @@
 			w.step(0.6*rate, even)
 		}
 		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
-			w.harm(rapid.IntRange(0, 5).Draw(rt, "fault"), rapid.IntRange(0, n-1).Draw(rt, "instance"))
+			w.harm(rapid.IntRange(0, 6).Draw(rt, "fault"), rapid.IntRange(0, n-1).Draw(rt, "instance"))
 			factor := rapid.Float64Range(0.5, 6).Draw(rt, "demand")
 			for range rapid.IntRange(5, 100).Draw(rt, "steps") {
 				w.step(factor*rate, even)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -255,7 +255,11 @@
 		Reserve: s.reserve(),
 	}
 	s.edge.lending.setHolders(s.fleet.Holders(now))
-	s.edge.lending.divide(now, c, division, parts{pool: s.fleet.HoldersPart(now), spare: 1 / float64(s.fleet.KnownInZone())})
+	s.edge.lending.divide(now, c, division, parts{
+		pool:     s.fleet.HoldersPart(now),
+		spare:    1 / float64(s.fleet.KnownInZone()),
+		entitled: s.fleet.Acknowledged() || !s.edge.hasOtherSeeds(),
+	})
 }
 
 // maxReserve is the part of the quotas that is kept back where reports are rarest.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,8 +7,8 @@
 // with the delegates of the other regions and answers reports with all of them.
 // So traffic grows with instances and regions, not with their products.
 //
-// How it fails: a delegate that does not answer is passed over for SuspectFor,
-// and the next one by name takes its place. An instance that reaches no other one
+// How it fails: a delegate that does not answer is passed over for SuspectFor, longer
+// each time, and the next one by name takes its place. An instance that reaches no other one
 // of its region is its own delegate. A member that is silent for SilentAfter gets
 // no callers; its demand counts until it is forgotten, so that a partition gives
 // no share of a quota away twice. One that is neither registered nor heard for
@@ -27,8 +27,10 @@
 	SilentAfter = 2500 * time.Millisecond
 	// ForgottenAfter is the silence after which an unregistered one is dropped.
 	ForgottenAfter = 10 * time.Second
-	// SuspectFor is how long a delegate that did not answer is passed over.
+	// SuspectFor is how long a delegate that did not answer is passed over, the first
+	// time; it grows by as much each further time, up to maxSuspect.
 	SuspectFor = 2 * time.Second
+	maxSuspect = 6 * time.Second
 )
 
 // delegates is the number of a region's delegates.
@@ -45,6 +47,10 @@
 	reportedAt   time.Time
 	activity     Activity
 	suspectUntil time.Time
+	// failures are the times that it was passed over since it answered last, the first
+	// one at failingSince.
+	failures     int
+	failingSince time.Time
 }
 
 func (p *peer) live(now time.Time) bool {
@@ -64,8 +70,10 @@
 // Core is the set of instances as one of them sees it. It is not safe for
 // concurrent use.
 type Core struct {
-	self  Status
-	peers map[string]*peer
+	self Status
+	// acknowledged says that others may know of this instance.
+	acknowledged bool
+	peers        map[string]*peer
 	// digests are the last ones of each region, the own one as a delegate gave it.
 	digests map[string]*received
 	// demands is the demand on the other regions, as their delegates told it.
@@ -89,8 +97,13 @@
 // State returns the instance's own state.
 func (c *Core) State() State { return c.self.State }
 
+// Acknowledged reports whether others may know of this run of the instance: its
+// registration is in force, or one of them answered a report.
+func (c *Core) Acknowledged() bool { return c.acknowledged }
+
 // Registered learns of a registration.
 func (c *Core) Registered(now time.Time, member Member) {
+	c.acknowledged = c.acknowledged || member == c.self.Member
 	if p := c.learn(now, Status{Member: member}); p != nil {
 		p.registered = true
 	}
@@ -133,6 +146,7 @@
 	}
 	p.heardAt = now
 	p.reportedAt = now
+	p.failures = 0
 	p.status.State = report.Status.State
 	p.activity = report.Activity
 	return true
@@ -140,8 +154,22 @@
 
 // Failed learns that an instance did not answer.
 func (c *Core) Failed(now time.Time, instance string) {
+	p, found := c.peers[instance]
+	if !found || now.Before(p.suspectUntil) {
+		return
+	}
+	if p.failures == 0 {
+		p.failingSince = now
+	}
+	p.failures++
+	p.suspectUntil = now.Add(min(time.Duration(p.failures)*SuspectFor, maxSuspect))
+}
+
+// Answered learns that an instance answered.
+func (c *Core) Answered(instance string) {
+	c.acknowledged = true
 	if p, found := c.peers[instance]; found {
-		p.suspectUntil = now.Add(SuspectFor)
+		p.failures = 0
 	}
 }
 
@@ -178,20 +206,31 @@
 	return zones
 }
 
+// elsewhere reports whether others have heard the instance since it does not answer
+// this one: it lives, and only the way to it is cut.
+func (p *peer) elsewhere() bool {
+	return p.failures > 0 && p.heardAt.Sub(p.failingSince) > overdueAfter
+}
+
 // HoldersPart returns which part of its zone's instances this one reaches. The others
 // may hold the zone's pools too, if they are alive and do not reach this one; those
-// that leave do not.
+// that leave do not. It is the even part while others reach one that this one does
+// not: that one goes on with its pools.
 func (c *Core) HoldersPart(now time.Time) float64 {
-	reached, silent := 1, 0
+	reached, silent, elsewhere := 1, 0, false
 	for _, p := range c.peers {
 		switch {
 		case p.status.Member.Zone != c.self.Member.Zone || p.status.State == Leaving:
 		case now.Before(p.suspectUntil) || !p.live(now):
 			silent++
+			elsewhere = elsewhere || p.elsewhere()
 		default:
 			reached++
 		}
 	}
+	if elsewhere {
+		return 1 / float64(reached+silent)
+	}
 	return float64(reached) / float64(reached+silent)
 }
 
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -84,6 +84,42 @@
 		Expect(core.IsDelegate(start.Add(fleet.SuspectFor))).To(BeFalse())
 	})
 
+	It("passes over one that goes on not answering for longer, so that later ones get their turn", func() {
+		for _, name := range []string{"n0", "n1"} {
+			core.Registered(start, member(name, "north"))
+		}
+		now := start
+		core.Failed(now, "n0")
+		now = now.Add(fleet.SuspectFor)
+		Expect(instances(core.Delegates(now, "north"))).To(Equal([]string{"n0", "n1"}), "it is tried again")
+		core.Failed(now, "n0")
+		core.Failed(now, "n0") // another call of the same time
+		Expect(instances(core.Delegates(now.Add(2*fleet.SuspectFor-1), "north"))).To(Equal([]string{"n1", "n2"}))
+		now = now.Add(2 * fleet.SuspectFor)
+		Expect(instances(core.Delegates(now, "north"))).To(Equal([]string{"n0", "n1"}))
+		core.Answered("n0")
+		core.Failed(now, "n0")
+		Expect(instances(core.Delegates(now.Add(fleet.SuspectFor), "north"))).To(Equal([]string{"n0", "n1"}), "it answered meanwhile")
+	})
+
+	It("is known to others when its registration of this run is in force, or one answered it", func() {
+		again := member("n2", "north")
+		again.Incarnation = 2
+		core = fleet.New(again)
+		core.Registered(start, member("n1", "north"))
+		core.Registered(start, member("n2", "north"))
+		Expect(core.Acknowledged()).To(BeFalse(), "that was the run before")
+		core.Registered(start, again)
+		Expect(core.Acknowledged()).To(BeTrue())
+
+		core = fleet.New(again)
+		core.Registered(start, member("n1", "north"))
+		core.Failed(start, "n1")
+		Expect(core.Acknowledged()).To(BeFalse())
+		core.Answered("n1")
+		Expect(core.Acknowledged()).To(BeTrue())
+	})
+
 	It("is its own delegate when no other instance of the region answers", func() {
 		core.Registered(start, member("n0", "north"))
 		core.Failed(start, "n0")
@@ -181,6 +217,30 @@
 		Expect(core.HoldersPart(start.Add(fleet.SilentAfter + time.Second))).To(BeNumerically("~", 1.0/3, 1e-9))
 	})
 
+	It("counts its even part only while others reach one of its zone that it does not reach", func() {
+		hear := func(now time.Time, names ...string) {
+			var members []fleet.Status
+			for _, name := range names {
+				members = append(members, fleet.Status{Member: member(name, "north"), State: fleet.Ready})
+			}
+			core.Digested(now, fleet.Digest{Region: "north", Hash: 1, Members: members}, fleet.Activity{})
+		}
+		hear(start, "n1", "n3")
+		core.Failed(start, "n1")
+		Expect(core.HoldersPart(start)).To(BeNumerically("~", 2.0/3, 1e-9))
+		soon := start.Add(time.Second)
+		hear(soon, "n1", "n3")
+		Expect(core.HoldersPart(soon)).To(BeNumerically("~", 2.0/3, 1e-9), "it may have died since")
+		core.Failed(start.Add(fleet.SuspectFor), "n1")
+		late := start.Add(3 * time.Second)
+		hear(late, "n1", "n3")
+		Expect(core.HoldersPart(late)).To(BeNumerically("~", 1.0/3, 1e-9))
+		core.Answered("n1")
+		Expect(core.HoldersPart(late.Add(2*fleet.SuspectFor))).To(BeNumerically("~", 1.0/3, 1e-9), "all are silent by now")
+		hear(late.Add(2*fleet.SuspectFor), "n1", "n3")
+		Expect(core.HoldersPart(late.Add(2 * fleet.SuspectFor))).To(Equal(1.0))
+	})
+
 	It("says that demand is stale when a member or a region has fallen silent", func() {
 		core.Heard(start, report(member("n1", "north"), fleet.Ready, demand("azul", 5)))
 		core.Registered(start, member("s1", "south"))
