--- a/cmd/lovage-soak/main.go
+++ b/cmd/lovage-soak/main.go
@@ -24,6 +24,7 @@
 	Instances int           `default:"4" help:"Instances."`
 	Endpoints int           `default:"6" help:"Endpoints."`
 	Callers   int           `default:"8" help:"Callers."`
+	Cuts      bool          `help:"Cut instances off from each other; lovage-edge must be built with -tags faults."`
 	Duration  time.Duration `default:"8s" help:"How long faults come."`
 	Recovery  time.Duration `default:"10s" help:"How long the fleet may take to serve again."`
 }
@@ -45,7 +46,8 @@
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
 			Program: args.Program, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
-			Callers: args.Callers, Duration: args.Duration, Recovery: args.Recovery,
+			Callers: args.Callers, Cuts: args.Cuts,
+			Duration: args.Duration, Recovery: args.Recovery,
 		})
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
