Give delegates time to answer after a start, and compare demand of the same time

Cause, first: an instance that had just read the store whole followed it until a delegate answered, all 87 at each start of the fleet: some 130 calls.

Half a burst for a whole fleet that starts was weighed and left: with fewer refusals of quotas there are more for want of room there. The state dump shows the parts of quotas and who follows the store.

--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -63,6 +63,8 @@
 	recent []period
 	window int
 	most   float64
+	// share is the part of the quota that this holder has.
+	share float64
 	// informed are the shares of the last time in which all holders were heard.
 	informed informedShares
 	// lostAt is when another holder took this one's place; zero while it holds.
@@ -104,6 +106,19 @@
 	return min(wait, maxWait), false
 }
 
+// Shares returns the parts of the workspaces' quotas that this holder has.
+func (q *Quotas) Shares() map[string]float64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	shares := make(map[string]float64)
+	for name, p := range q.workspaces {
+		if p.share > 0 {
+			shares[name] = p.share
+		}
+	}
+	return shares
+}
+
 // part returns the part of a workspace, which starts empty and uninformed.
 func (q *Quotas) part(now time.Time, workspace string) *part {
 	p, found := q.workspaces[workspace]
@@ -199,7 +214,7 @@
 	for name, workspace := range c.Workspaces {
 		p := q.part(now, name)
 		d := by.Demand(name)
-		share := p.share(now, d, by)
+		share := p.shareNow(now, d, by)
 		limit := workspace.Rate
 		holds := by.Holds == nil || by.Holds(name)
 		if p.above(now, workspace.Rate, d, holds) >= q.window {
@@ -207,8 +222,9 @@
 		}
 		p.most = (workspace.Rate*q.window.Seconds() + workspace.Burst) * share
 		depth := p.depth(workspace.Burst*share, by.Holders)
+		p.share = share
 		if !holds {
-			limit = 0
+			limit, p.share = 0, 0
 		}
 		if p.lost(now, holds) >= handOverTime {
 			depth = 0
@@ -218,8 +234,8 @@
 	}
 }
 
-// share returns the holder's part of the workspace's quota.
-func (p *part) share(now time.Time, d Demands, by Division) float64 {
+// shareNow returns the holder's part of the workspace's quota.
+func (p *part) shareNow(now time.Time, d Demands, by Division) float64 {
 	share := ShareOf(d.Own, d.Others, by.Holders)
 	if by.Blind {
 		share = min(share, 1/float64(max(by.Holders, 1)))
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -18,7 +18,11 @@
 	Peers     []fleet.Member                `json:"peers"`
 	Delegates []fleet.Member                `json:"delegates"`
 	Shares    map[string]map[string]float64 `json:"region_shares"`
-	Endpoints []placement.Description       `json:"endpoints"`
+	// Quotas are the parts of the workspaces' quotas that the instance holds.
+	Quotas map[string]float64 `json:"quota_shares"`
+	// Follows says that the instance follows the store itself.
+	Follows   bool                    `json:"follows_store"`
+	Endpoints []placement.Description `json:"endpoints"`
 }
 
 // dump returns the state on request.
@@ -40,5 +44,7 @@
 		d.Version = c.Version
 	}
 	d.Shares = e.steering.Shares()
+	d.Quotas = e.lending.pool.Shares()
+	d.Follows = !e.rests(time.Now())
 	return d, err
 }
--- a/internal/edge/follow.go
+++ b/internal/edge/follow.go
@@ -81,6 +81,8 @@
 		now := time.Now()
 		e.heardStore(now)
 		e.state.changed(now, e.state.mirror.Reset(entries, revision))
+		e.state.following.read(now)
+		e.state.publishFollowing(now)
 	})
 }
 
--- a/internal/edge/following.go
+++ b/internal/edge/following.go
@@ -33,6 +33,13 @@
 	f.freshAt[delegate] = now
 }
 
+// read learns that this instance read the store whole: that is fresh, and gives the
+// delegates time to answer its first report.
+func (f *following) read(now time.Time) { f.heard(now, ownReading, 0) }
+
+// ownReading stands in for a delegate's name.
+const ownReading = ""
+
 // failed learns that a delegate does not answer.
 func (f *following) failed(delegate string) { delete(f.freshAt, delegate) }
 
--- a/internal/edge/following_test.go
+++ b/internal/edge/following_test.go
@@ -67,6 +67,26 @@
 	return fleet.Report{Status: fleet.Status{Member: member, State: fleet.Leaving}}
 }
 
+// Load pattern: all instances start at once, on the first second of a day or after a
+// loss of power: each read the store whole and then followed it until a delegate
+// answered.
+func TestAnInstanceThatReadTheStoreGivesDelegatesTimeToAnswer(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	first, third := fleetOf(now, "a", "b", "c"), fleetOf(now, "c", "a", "b")
+	for _, s := range []*state{first, third} {
+		s.following.read(now)
+		s.publishFollowing(now)
+	}
+	g.Expect(first.edge.rests(now)).To(BeFalse())
+	g.Expect(third.edge.rests(now)).To(BeTrue())
+	g.Expect(third.edge.rests(now.Add(delegateFresh))).To(BeFalse(), "none answered")
+	alone := fleetOf(now, "a")
+	alone.following.read(now)
+	alone.publishFollowing(now)
+	g.Expect(alone.edge.rests(now)).To(BeFalse(), "others may come")
+}
+
 func TestNobodyRestsOnOldNews(t *testing.T) {
 	g := NewWithT(t)
 	now := time.Now()
--- a/internal/edge/quota_sim_test.go
+++ b/internal/edge/quota_sim_test.go
@@ -261,3 +261,26 @@
 		}
 	})
 }
+
+// Load pattern: demand that begins everywhere at once, as after a restart of all. Each
+// instance heard of the others' demand before its own counted, so that the shares added
+// up to 0.73 of the quota for half a second.
+func TestSharesHoldTheQuotaWhileDemandBeginsEverywhere(t *testing.T) {
+	w := newQuotaWorld(3, 3, 2, 2, 300)
+	even := slices.Repeat([]float64{1 / float64(len(w.instances))}, len(w.instances))
+	for range 60 {
+		w.step(0, even)
+	}
+	least := 1.0
+	for range 60 {
+		w.step(0.6*300, even)
+		sum := 0.0
+		for _, e := range w.instances {
+			sum += e.lending.pool.Shares()["azul"]
+		}
+		least = min(least, sum)
+	}
+	if least < 0.8 {
+		t.Fatalf("the shares of all zones add up to %.3f while demand rises", least)
+	}
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -40,8 +40,9 @@
 	following following
 	// others is what the other instances do, as of the last tick.
 	others fleet.Others
-	// history is the demand of workspaces on this instance.
-	history allowance.History
+	// history is the demand of workspaces on this instance, inZone and elsewhere that on
+	// the others of its zone and on all other zones, as heard.
+	history, inZone, elsewhere allowance.History
 	// missing are the endpoints that an outage of the store left unregistered,
 	// with the time at which they count as gone.
 	missing map[string]time.Time
@@ -201,6 +202,8 @@
 	s.countOthers()
 	s.edge.arrivals.Tick(elapsed)
 	s.history.Add(now, s.edge.arrivals.Rates())
+	s.inZone.Add(now, s.others.Zone)
+	s.elsewhere.Add(now, s.others.Elsewhere())
 	s.edge.lending.tick(now, elapsed)
 	s.divide(now)
 	s.steer(now, elapsed)
@@ -242,12 +245,13 @@
 	if c == nil {
 		return
 	}
-	own := s.history.Before(now, max(s.reportInterval()+exchangeInterval, s.others.Age))
+	delay := max(s.reportInterval()+exchangeInterval, s.others.Age)
+	own := s.history.Before(now, delay)
+	heard := time.Duration(float64(delay) * heardPart)
+	inZone, elsewhere := s.inZone.Before(now, heard), s.elsewhere.Before(now, heard)
 	division := allowance.Division{
 		Demand: func(workspace string) allowance.Demands {
-			zone := s.others.Zone[workspace]
-			elsewhere := max(s.others.Region[workspace]-zone, 0) + s.others.Abroad[workspace]
-			return allowance.Demands{Own: own[workspace] + zone, Others: elsewhere}
+			return allowance.Demands{Own: own[workspace] + inZone[workspace], Others: elsewhere[workspace]}
 		},
 		Holders: len(s.edge.settings.Zones),
 		Blind:   s.others.Blind,
@@ -262,6 +266,11 @@
 	})
 }
 
+// heardPart is the part of the delay of an instance's own demand that counts for what
+// it heard of the others, which is old already. Without it, a demand that rises
+// everywhere at once would show at the others first, and every share would fall.
+const heardPart = 1.0 / 3
+
 // maxReserve is the part of the quotas that is kept back where reports are rarest.
 const maxReserve = 0.08
 
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -198,6 +198,18 @@
 	Services map[string]Service
 }
 
+// Elsewhere returns the demand of workspaces on all other zones.
+func (o *Others) Elsewhere() map[string]float64 {
+	elsewhere := make(map[string]float64, len(o.Region))
+	for workspace, rate := range o.Abroad {
+		elsewhere[workspace] = rate
+	}
+	for workspace, rate := range o.Region {
+		elsewhere[workspace] += max(rate-o.Zone[workspace], 0)
+	}
+	return elsewhere
+}
+
 // add takes an activity of a region, or takes one out with sign -1.
 func (o *Others) add(region string, activity Activity, sign int) {
 	for _, use := range activity.Uses {
