--- a/internal/edge/following_test.go
+++ b/internal/edge/following_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -122,3 +123,17 @@
 	g.Expect(s.toldAge(now)).To(BeNumerically("~", time.Minute, time.Millisecond),
 		"one that does not rest tells of its own calls only")
 }
+
+// Load pattern: all instances of a large region start at once.
+func TestAnInstanceThatBeginsReportsOften(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	var others []string
+	for n := range 40 {
+		others = append(others, fmt.Sprint("b", n))
+	}
+	s := fleetOf(now, "c", others...)
+	g.Expect(s.turn(now).interval).To(Equal(reportInterval))
+	g.Expect(s.turn(now).large).To(BeTrue())
+	g.Expect(s.turn(now.Add(startTime)).interval).To(Equal(maxReportInterval))
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -17,6 +17,9 @@
 	reportInterval       = 250 * time.Millisecond
 	instancesPerInterval = 8
 	maxReportInterval    = time.Second
+	// startTime is how long an instance that begins reports at the shortest interval:
+	// until it has heard who lives it holds small parts of the quotas.
+	startTime = 3 * time.Second
 	// exchangeInterval is the time between two exchanges of a delegate with another
 	// region.
 	exchangeInterval = 500 * time.Millisecond
@@ -69,6 +72,12 @@
 	self := s.fleet.Self()
 	interval := s.reportInterval()
 	t := turn{interval: interval, large: interval > reportInterval}
+	if s.beganAt.IsZero() {
+		s.beganAt = now
+	}
+	if now.Sub(s.beganAt) < startTime {
+		t.interval = reportInterval
+	}
 	t.report = fleet.Report{
 		Status:   fleet.Status{Member: self, State: s.fleet.State()},
 		Activity: own,
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -52,7 +52,9 @@
 	// knows.
 	storeSeenAt time.Time
 	tickedAt    time.Time
-	dirty       bool
+	// beganAt is when the instance reported first.
+	beganAt time.Time
+	dirty   bool
 }
 
 // changed takes the keys that changed in the mirror.
