--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -44,25 +45,35 @@
 	at    time.Time
 }
 
-// toldTotals are the totals that a delegate told last, without this instance's own
-// part of them.
-type toldTotals struct {
+// demandView is the demand as this instance knows it, without its own.
+type demandView struct {
 	region, zone, abroad rates
 	blind, stale         bool
-	// at is when the oldest news in them was made, but for stale ones.
+	// at is when the oldest news in it was made, but for stale ones.
 	at time.Time
 }
 
-// from notes that the totals hold news of a time; those of instances that have fallen
-// silent make them stale instead.
-func (t *toldTotals) from(now, at time.Time) {
+// newDemandView returns a view of nothing, as of a time.
+func newDemandView(at time.Time) demandView {
+	return demandView{region: make(rates), zone: make(rates), abroad: make(rates), at: at}
+}
+
+// from notes that the view holds news of a time; those of instances that have fallen
+// silent make it stale instead.
+func (v *demandView) from(now, at time.Time) {
 	if now.Sub(at) > SilentAfter {
-		t.stale = true
-	} else if at.Before(t.at) {
-		t.at = at
+		v.stale = true
+	} else if at.Before(v.at) {
+		v.at = at
 	}
 }
 
+// take notes that the view holds what another one holds.
+func (v *demandView) take(now time.Time, other *demandView) {
+	v.stale = v.stale || other.stale
+	v.from(now, other.at)
+}
+
 // rates are requests per second by workspace.
 type rates map[string]float64
 
@@ -110,16 +121,16 @@
 // Stale or blind ones replace better ones at once: in a partition that has just begun,
 // demand from before it would let shares grow on both sides.
 func (c *Core) Totaled(now time.Time, totals Totals, own []Demand) {
-	told := &toldTotals{region: make(rates), zone: make(rates), abroad: make(rates),
-		blind: totals.Blind, stale: totals.Stale, at: now.Add(-time.Duration(totals.AgeMillis) * time.Millisecond)}
+	told := newDemandView(now.Add(-time.Duration(totals.AgeMillis) * time.Millisecond))
+	told.blind, told.stale = totals.Blind, totals.Stale
 	for _, row := range totals.Rows {
-		told.zone.add([]Demand{{Workspace: row.Workspace, Rate: row.Zone}})
-		told.region.add([]Demand{{Workspace: row.Workspace, Rate: row.Region}})
-		told.abroad.add([]Demand{{Workspace: row.Workspace, Rate: row.Abroad}})
+		told.zone[row.Workspace] = float64(row.Zone)
+		told.region[row.Workspace] = float64(row.Region)
+		told.abroad[row.Workspace] = float64(row.Abroad)
 	}
 	told.zone.take(own)
 	told.region.take(own)
-	c.told = told
+	c.told = &told
 }
 
 // Totals returns the totals for a member of a zone of this region. own is this
@@ -151,11 +162,11 @@
 // viewed returns the demand on all other instances, a zone of this region apart: a
 // delegate sums up the reports to it and what other regions' delegates told, the
 // others have it from a delegate.
-func (c *Core) viewed(now time.Time, zone string) toldTotals {
+func (c *Core) viewed(now time.Time, zone string) demandView {
 	delegate := c.IsDelegate(now)
-	view := toldTotals{region: make(rates), zone: make(rates), abroad: make(rates), at: now}
+	view := newDemandView(now)
 	if !delegate && c.told != nil {
-		view.region, view.zone = c.told.region.clone(), c.told.zone.clone()
+		view.region, view.zone = maps.Clone(c.told.region), maps.Clone(c.told.zone)
 		view.take(now, c.told)
 	} else {
 		c.sumRegion(now, zone, &view)
@@ -166,7 +177,7 @@
 }
 
 // sumRegion adds the reports of this region to a view.
-func (c *Core) sumRegion(now time.Time, zone string, view *toldTotals) {
+func (c *Core) sumRegion(now time.Time, zone string, view *demandView) {
 	for _, p := range c.peers {
 		if p.status.Member.Region != c.self.Member.Region {
 			continue
@@ -184,10 +195,10 @@
 
 // sumAbroad adds the demand on the other regions to a view. A delegate that has not
 // heard all of them goes on with what its predecessor told.
-func (c *Core) sumAbroad(now time.Time, delegate bool, view *toldTotals) {
+func (c *Core) sumAbroad(now time.Time, delegate bool, view *demandView) {
 	unheard := c.unheard()
 	if c.told != nil && (!delegate || unheard) && c.knowsAbroad() {
-		view.abroad = c.told.abroad.clone()
+		view.abroad = maps.Clone(c.told.abroad)
 		view.blind = view.blind || c.told.blind
 		view.take(now, c.told)
 		return
@@ -202,20 +213,6 @@
 	}
 }
 
-func (r rates) clone() rates {
-	copied := make(rates, len(r))
-	for workspace, rate := range r {
-		copied[workspace] = rate
-	}
-	return copied
-}
-
-// take notes that these totals hold others.
-func (t *toldTotals) take(now time.Time, others *toldTotals) {
-	t.stale = t.stale || others.stale
-	t.from(now, others.at)
-}
-
 // unheard reports whether another region has instances and has told no demand.
 func (c *Core) unheard() bool {
 	for _, p := range c.peers {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -55,7 +55,7 @@
 // the demand on it.
 func (c *Core) DigestAbroad(now time.Time, own Activity) Digest {
 	digest := c.OwnDigest(now, own)
-	demand := toldTotals{region: make(rates), zone: make(rates), at: now}
+	demand := newDemandView(now)
 	c.sumRegion(now, "", &demand)
 	digest.Stale = demand.stale
 	demand.region.add(own.Demand)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,8 +78,9 @@
 	digests map[string]*received
 	// demands is the demand on the other regions, as their delegates told it.
 	demands map[string]toldDemand
-	// told is what a delegate of this region told of all demand; nil before.
-	told *toldTotals
+	// told is what a delegate of this region told of all demand, without this
+	// instance's own; nil before.
+	told *demandView
 }
 
 // New returns a core that knows its own instance only.
