--- a/internal/allowance/history.go
+++ b/internal/allowance/history.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// History holds a holder's own demand of the last periods, so that it can divide a
-// quota by demand as old as what it knows of the others. With its own demand of now,
+// History holds demand of the last periods, a holder's own or what it heard of others,
+// so that it can divide a quota by demand of the same time. With its own demand of now,
 // all holders would take more at once when a workspace's demand rises everywhere.
 // It is not safe for concurrent use.
 type History struct{ periods []snapshot }
--- a/internal/edge/callers.go
+++ b/internal/edge/callers.go
@@ -116,8 +116,13 @@
 		if state == http.StateActive || now.UnixNano()-conn.heardAt.Load() < int64(quietTime) {
 			continue
 		}
-		conn.expired = true
-		_ = conn.SetReadDeadline(past) // a closed one shows itself to its reader
+		conn.expire()
 	}
 	return len(c.states)
 }
+
+// expire ends the reading of the connection; callerConns holds its lock.
+func (c *callerConn) expire() {
+	c.expired = true
+	_ = c.SetReadDeadline(past) // a closed one shows itself to its reader
+}
--- a/internal/edge/quiet.go
+++ b/internal/edge/quiet.go
@@ -64,9 +64,8 @@
 		if state == http.StateActive || conn.expired || !conn.slow(now, awake, limits) {
 			continue
 		}
-		conn.expired = true
+		conn.expire()
 		closed++
-		_ = conn.SetReadDeadline(past) // a closed one shows itself to its reader
 	}
 	return closed
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -148,7 +148,7 @@
 type Exchange struct {
 	Digest Digest            `msgpack:"d"`
 	Known  map[string]uint64 `msgpack:"h,omitempty"`
-	// AgeMillis is how old the sender's digests of the other regions are.
+	// AgeMillis is how old the demand is that the sender knows of the other regions.
 	AgeMillis map[string]int64 `msgpack:"a,omitempty"`
 }
 
