Honour what endpoints state in their answers: that they leave, and for how long they want no requests

Cause: an answer with Server-Leaving, and a 503 with Retry-After, were passed on like any other; the endpoint went on getting requests until its entry changed. An action's answer with status 503 that lacks the statement that it did not run was passed on with that status, which promises callers that it did not run.

Change: a run of an endpoint that says that it leaves gets nothing more from the instance that heard it, nor, with the next report, from the others; a new run under its name does. An endpoint that wants nothing counts as absent until its time is over; where no other is left, callers are refused at once with that time. Values that are no time count as none, those above a minute as a minute; both are logged. A 503, 429, 408 or 421 without the statement becomes 502 for an action.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -53,7 +54,7 @@
 	for {
 		endpoint, err := e.chooseEndpoint(q, attempts)
 		if err != nil && failedAnswer != nil {
-			return failedAnswer, attempts, nil
+			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
 		if err != nil {
 			return nil, attempts, e.noRoomRefusal(q, attempts, err)
@@ -64,7 +65,7 @@
 			reached++
 		}
 		if result == placement.Answered {
-			return answer, attempts, nil
+			return e.endpointAnswer(q, answer, attempts)
 		}
 		if result == placement.Failed {
 			failedAnswer = answer
@@ -73,12 +74,23 @@
 			continue
 		}
 		if failedAnswer != nil {
-			return failedAnswer, attempts, nil
+			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
 		return nil, attempts, e.failureRefusal(ctx, q, attempts)
 	}
 }
 
+// endpointAnswer returns an endpoint's answer for the caller. An action's answer whose
+// status promises that the request did not run is replaced, because the endpoint did not
+// state that.
+func (e *Edge) endpointAnswer(q *request, answer *upstream.Answer, attempts []attempt) (*upstream.Answer, []attempt, *refusal.Refusal) {
+	if q.route.Kind != catalog.Idempotent && e.ports.Callers.PromisesNotRun(answer.Status) {
+		return nil, attempts, refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown,
+			fmt.Sprintf("the endpoint answered with status %d but may have run the request", answer.Status))
+	}
+	return answer, attempts, nil
+}
+
 // chooseEndpoint returns an endpoint of the request's region that was not attempted yet.
 func (e *Edge) chooseEndpoint(q *request, attempts []attempt) (*placement.Endpoint, error) {
 	want := placement.Request{
@@ -108,6 +120,7 @@
 		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
 			endpoint.SetReportedLoad(now, running+waiting)
 		}
+		e.applyStatements(now, q, endpoint, answer)
 	}
 	e.table.Load().End(now, endpoint, result, latencyRatio)
 	if result == placement.Lost {
@@ -120,6 +133,22 @@
 	return answer, result
 }
 
+// applyStatements applies what an endpoint states in its answer about further requests:
+// that it is leaving, or for how long it wants none.
+func (e *Edge) applyStatements(now time.Time, q *request, endpoint *placement.Endpoint, answer *upstream.Answer) {
+	if e.ports.Upstreams.Leaving(answer.Header) && endpoint.SetLeaving() {
+		e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Msg("endpoint is leaving and gets no further requests")
+	}
+	pause, err := e.ports.Upstreams.Pause(answer.Status, answer.Header)
+	if err != nil {
+		e.log.Warn().Err(err).Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Dur("pause", pause).Msg("endpoint's statement is out of bounds")
+	}
+	if pause > 0 {
+		endpoint.Pause(now.Add(pause))
+		e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Dur("pause", pause).Msg("endpoint wants no requests")
+	}
+}
+
 // classify returns the result of an attempt.
 func (e *Edge) classify(ctx context.Context, answer *upstream.Answer, err error) placement.Result {
 	if err == nil {
@@ -215,8 +244,13 @@
 }
 
 // retryAfter returns the time after which a refused caller may retry. It is random, so
-// that the retries spread over the time in which the requests in flight end.
+// that the retries spread over the time in which the requests in flight end. If no
+// endpoint wants requests, it starts when the first one does again.
 func (e *Edge) retryAfter(q *request) time.Duration {
+	return e.table.Load().PausedFor(time.Now(), q.upstream, q.region) + e.retrySpread(q)
+}
+
+func (e *Edge) retrySpread(q *request) time.Duration {
 	serviceTime := e.stats.serviceTime(q.upstream)
 	wait := time.Duration((0.5 + rand.Float64()) * float64(serviceTime))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -151,6 +151,9 @@
 		if n := endpoint.InFlight(); n > 0 {
 			activity.EndpointLoads = append(activity.EndpointLoads, fleet.EndpointLoad{Endpoint: fleet.KeyOf(id), InFlight: n})
 		}
+		if endpoint.SaidLeaving() {
+			activity.Leaving = append(activity.Leaving, fleet.LeavingEndpoint{Endpoint: id, StartMillis: endpoint.StartMillis})
+		}
 	}
 	return activity
 }
@@ -244,11 +247,20 @@
 	}
 }
 
-// applyDigest applies a digest and its strikes. If the digest is of this instance's
+// applyDigest applies a digest and what it tells of requests and endpoints. If the digest is of this instance's
 // region, own is this instance's part of it.
 func (s *state) applyDigest(now time.Time, digest fleet.Digest, own fleet.Activity) {
 	s.fleet.ApplyDigest(now, digest, own)
-	s.edge.quarantine.addStrikes(now, digest.Activity.Strikes)
+	s.applyWarnings(now, digest.Activity)
+}
+
+// applyWarnings applies what other instances found out about requests that crash endpoints
+// and about endpoints that are leaving.
+func (s *state) applyWarnings(now time.Time, activity fleet.Activity) {
+	s.edge.quarantine.addStrikes(now, activity.Strikes)
+	for _, endpoint := range activity.Leaving {
+		s.registry.SetLeaving(endpoint.Endpoint, endpoint.StartMillis)
+	}
 }
 
 // handleReport handles a report from an instance of the region.
@@ -263,7 +275,7 @@
 // handleReport applies a report from an instance of the region and returns the reply.
 func (s *state) handleReport(now time.Time, report fleet.Report) fleet.Reply {
 	if s.fleet.ApplyReport(now, report) {
-		s.edge.quarantine.addStrikes(now, report.Activity.Strikes)
+		s.applyWarnings(now, report.Activity)
 	}
 	if report.OmitDigests {
 		return fleet.Reply{}
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -64,6 +64,9 @@
 	RewriteHeader(header http.Header, workspace string)
 	// WriteRefusal writes a refusal of the request with the given identifier.
 	WriteRefusal(w http.ResponseWriter, id string, r *refusal.Refusal)
+	// PromisesNotRun reports whether a status tells callers that the request did not run
+	// and never will.
+	PromisesNotRun(status int) bool
 	// ParseReportedLoad returns the load that an endpoint reported in its answer.
 	// reported is false if there is none.
 	ParseReportedLoad(header http.Header) (running, waiting int, reported bool)
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -276,6 +276,7 @@
 	upstreamDemand  map[[2]string]float32
 	upstreamAnswers map[string]UpstreamAnswers
 	strikes         map[uint64]quarantine.Strike
+	leaving         map[LeavingEndpoint]bool
 }
 
 func newActivitySum() *activitySum {
@@ -284,6 +285,7 @@
 		upstreamDemand:  make(map[[2]string]float32),
 		upstreamAnswers: make(map[string]UpstreamAnswers),
 		strikes:         make(map[uint64]quarantine.Strike),
+		leaving:         make(map[LeavingEndpoint]bool),
 	}
 }
 
@@ -304,6 +306,9 @@
 	for _, strike := range a.Strikes {
 		s.strikes[strike.ID] = strike
 	}
+	for _, endpoint := range a.Leaving {
+		s.leaving[endpoint] = true
+	}
 }
 
 func (s *activitySum) activity() Activity {
@@ -320,6 +325,9 @@
 	for _, strike := range s.strikes {
 		a.Strikes = append(a.Strikes, strike)
 	}
+	for endpoint := range s.leaving {
+		a.Leaving = append(a.Leaving, endpoint)
+	}
 	return a
 }
 
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -104,6 +104,17 @@
 	Strikes         []quarantine.Strike `msgpack:"k,omitempty"`
 	// WorkspaceDemand is the demand of workspaces. Digests for members omit it.
 	WorkspaceDemand []WorkspaceDemand `msgpack:"w,omitempty"`
+	// Leaving are the endpoints that stated in an answer that they are leaving.
+	Leaving []LeavingEndpoint `msgpack:"l,omitempty"`
+}
+
+// LeavingEndpoint is a run of an endpoint that is leaving.
+type LeavingEndpoint struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	// StartMillis is the start of the run in Unix milliseconds.
+	StartMillis int64
 }
 
 // Report tells a delegate of the region that its sender is alive, and the sender's
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -34,8 +34,22 @@
 	mu          sync.Mutex
 	health      health
 	coldLimiter coldLimiter
+	departure   departure
+	// pausedUntil is the time until which the endpoint wants no requests of this instance.
+	pausedUntil time.Time
 }
 
+// departure is what this instance knows of an endpoint's leaving.
+type departure uint8
+
+const (
+	staying departure = iota
+	// leavingByReport was reported by another instance.
+	leavingByReport
+	// leavingByAnswer was stated in an answer to this instance.
+	leavingByAnswer
+)
+
 // newEndpoint returns the endpoint of a record.
 func newEndpoint(record Record, region string, pool *upstream.Pool) *Endpoint {
 	return &Endpoint{Record: record, Region: region, Pool: pool, hash: hashString(record.ID)}
@@ -86,10 +100,60 @@
 	}
 }
 
+// SetLeaving records that the endpoint stated in an answer that it is leaving. This run
+// of it gets no further requests. It returns false if an answer stated so before.
+func (e *Endpoint) SetLeaving() bool {
+	known := e.raiseDeparture(leavingByAnswer)
+	e.Pool.SetRetired(true)
+	return known < leavingByAnswer
+}
+
+// raiseDeparture records what is known of the endpoint's leaving, unless more is known
+// already, and returns what was known before.
+func (e *Endpoint) raiseDeparture(d departure) departure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	known := e.departure
+	e.departure = max(known, d)
+	return known
+}
+
+func (e *Endpoint) knownDeparture() departure { return e.raiseDeparture(staying) }
+
+// SaidLeaving reports whether an answer to this instance stated that the endpoint is
+// leaving.
+func (e *Endpoint) SaidLeaving() bool { return e.knownDeparture() == leavingByAnswer }
+
+// Pause records that the endpoint wants no requests of this instance until the given time.
+func (e *Endpoint) Pause(until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if until.After(e.pausedUntil) {
+		e.pausedUntil = until
+	}
+}
+
+// remainingPause returns how much longer the endpoint wants no requests, or 0. It reports
+// false if the endpoint is leaving.
+func (e *Endpoint) remainingPause(now time.Time) (time.Duration, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(e.pausedUntil.Sub(now), 0), e.departure == staying
+}
+
+// absent reports whether the endpoint's slots are out of use, because it is leaving or
+// wants no requests. The caller must hold the lock.
+func (e *Endpoint) absent(now time.Time) bool {
+	return e.departure != staying || now.Before(e.pausedUntil)
+}
+
 // status returns the health of the endpoint and whether the endpoint is cold.
 func (e *Endpoint) status(now time.Time) (healthStatus, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if e.absent(now) {
+		return unavailable, false
+	}
 	return e.health.status(now, int(e.inFlight.Load())), e.coldLimiter.isActive(now)
 }
 
@@ -168,6 +232,9 @@
 	FailureRate    float64 `json:"failures"`
 	Usable         bool    `json:"usable"`
 	Cold           bool    `json:"cold"`
+	Leaving        bool    `json:"leaving"`
+	// PauseMillis is how much longer the endpoint wants no requests of this instance.
+	PauseMillis int64 `json:"pause_ms"`
 }
 
 // Describe returns the endpoint's state for the dump.
@@ -178,6 +245,7 @@
 		ID: e.ID, Upstream: e.Upstream, Address: e.Address, Zone: e.Zone, Slots: e.Slots,
 		InFlight: e.InFlight(), OthersInFlight: int(e.othersInFlight.Load()),
 		LatencyRatio: e.health.latencyRatio, FailureRate: e.health.failureRate,
-		Usable: e.health.status(now, e.InFlight()) == healthy, Cold: e.coldLimiter.isActive(now),
+		Usable: !e.absent(now) && e.health.status(now, e.InFlight()) == healthy, Cold: e.coldLimiter.isActive(now),
+		Leaving: e.departure != staying, PauseMillis: max(e.pausedUntil.Sub(now), 0).Milliseconds(),
 	}
 }
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -15,12 +15,20 @@
 	zoneRegions map[string]string
 	newPool     PoolFactory
 	endpoints   map[string]*Endpoint
-	// latest are the last records of endpoints, including removed ones.
-	latest    map[string]Record
+	// latest are the last known runs of endpoints, including removed ones.
+	latest    map[string]lastRun
 	evacuated map[string]bool
 }
 
-// maxLatest is the number of records above which those of removed endpoints are dropped.
+// lastRun is the last known run of an endpoint.
+type lastRun struct {
+	Record
+	// departure is what was known of the run's leaving when its endpoint was removed or
+	// replaced.
+	departure departure
+}
+
+// maxLatest is the number of runs above which those of removed endpoints are dropped.
 const maxLatest = 20000
 
 // NewRegistry returns an empty registry. zoneRegions is the region of each zone.
@@ -29,7 +37,7 @@
 		zoneRegions: zoneRegions,
 		newPool:     newPool,
 		endpoints:   make(map[string]*Endpoint),
-		latest:      make(map[string]Record),
+		latest:      make(map[string]lastRun),
 		evacuated:   make(map[string]bool),
 	}
 }
@@ -46,27 +54,31 @@
 // was restarted under its identifier replaces the previous one. A record that was written
 // before one that is known already is ignored.
 func (r *Registry) Register(now time.Time, record Record, policy ColdPolicy) bool {
-	if latest, seen := r.latest[record.ID]; seen && record.olderThan(latest) {
+	latest, seen := r.latest[record.ID]
+	if seen && record.olderThan(latest.Record) {
 		return false
 	}
-	r.storeLatest(record)
 	known, found := r.endpoints[record.ID]
 	if !found || !known.sameLifetime(record) {
-		if found {
-			known.Pool.SetRetired(true)
+		r.Remove(record.ID)
+		departure := staying
+		if seen && latest.StartMillis == record.StartMillis {
+			departure = r.latest[record.ID].departure
 		}
 		known = newEndpoint(record, r.zoneRegions[record.Zone], r.newPool(record))
+		known.raiseDeparture(departure)
 		r.endpoints[record.ID] = known
 	}
+	r.storeLatest(lastRun{Record: record, departure: known.knownDeparture()})
 	if record.ColdLeft > 0 {
 		known.SetCold(now, now.Add(record.ColdLeft), policy.Interval)
 	}
 	return true
 }
 
-// storeLatest stores the record. If there are more than maxLatest, it drops those of
+// storeLatest stores the last run. If there are more than maxLatest, it drops those of
 // removed endpoints.
-func (r *Registry) storeLatest(record Record) {
+func (r *Registry) storeLatest(record lastRun) {
 	r.latest[record.ID] = record
 	if len(r.latest) <= maxLatest {
 		return
@@ -86,6 +98,18 @@
 	}
 	known.Pool.SetRetired(true)
 	delete(r.endpoints, id)
+	last := r.latest[id]
+	last.departure = known.knownDeparture()
+	r.latest[id] = last
+}
+
+// SetLeaving records that another instance heard from a run of an endpoint that it is
+// leaving. Another run of the endpoint is not affected.
+func (r *Registry) SetLeaving(id string, startMillis int64) {
+	if known, found := r.endpoints[id]; found && known.StartMillis == startMillis {
+		known.raiseDeparture(leavingByReport)
+		known.Pool.SetRetired(true)
+	}
 }
 
 // Evacuate stops sending requests to the endpoints of a zone.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -144,16 +144,39 @@
 	return best, nil
 }
 
+// PausedFor returns the time until the first endpoint of an upstream in a region may get
+// requests again, or 0 if one wants them now. Endpoints that are leaving do not count.
+func (t *Table) PausedFor(now time.Time, upstream, region string) time.Duration {
+	shortest := time.Duration(0)
+	for _, e := range t.upstreams[upstream][region] {
+		pause, stays := e.remainingPause(now)
+		if !stays {
+			continue
+		}
+		if pause == 0 {
+			return 0
+		}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
+		}
+	}
+	return shortest
+}
+
 // End records the result of an attempt at an endpoint that Choose returned. latencyRatio
 // is the duration of the attempt divided by the usual one for its route, or 0 if unknown.
 func (t *Table) End(now time.Time, e *Endpoint, result Result, latencyRatio float64) {
 	e.endRequest(now, result, latencyRatio)
 }
 
-// meanUtilization returns the utilization of all endpoints together.
+// meanUtilization returns the utilization of all endpoints together. Those whose slots are
+// out of use do not count.
 func meanUtilization(now time.Time, endpoints []*Endpoint) float64 {
 	inFlight, slots := 0, 0
 	for _, e := range endpoints {
+		if pause, stays := e.remainingPause(now); pause > 0 || !stays {
+			continue
+		}
 		inFlight += e.totalInFlight(now)
 		slots += e.Slots
 	}
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -32,6 +32,13 @@
 	// NotRun reports whether an answer states that the endpoint did not run the
 	// request.
 	NotRun func(status int, header http.Header) bool
+	// Leaving reports whether an answer states that the endpoint is leaving and gets no
+	// new requests.
+	Leaving func(header http.Header) bool
+	// Pause returns for how long the endpoint wants no requests according to an answer,
+	// or 0. With a value that cannot be used it also returns an error that names the
+	// value; the pause is then the one to keep instead.
+	Pause func(status int, header http.Header) (time.Duration, error)
 }
 
 // defaultDialect uses the Lovage-* headers that the package comment describes.
@@ -41,6 +48,8 @@
 	NotRun: func(_ int, header http.Header) bool {
 		return header.Get(HeaderOutcome) == OutcomeNotRun
 	},
+	Leaving: func(header http.Header) bool { return header.Get(HeaderDraining) == "true" },
+	Pause:   func(int, http.Header) (time.Duration, error) { return 0, nil },
 }
 
 // requiresEcho reports whether the answer must echo the request's identifier.
