Deliver refusals to callers that still send, and give back the memory of refused bodies

Ruled out: the limit itself, the handler (it always answered). Cause, memory: a request refused after its body was read (quarantine) kept its reservation, so that the instance refused all bodies in the end; bodies of unknown length reserved nothing.

Change: a refusal goes out at once, then up to 1 MiB or 1 s of the rest of the body is discarded. Reservations are returned on every way out; unknown lengths reserve as they grow.

--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"lovagescale/internal/call"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/header"
@@ -27,10 +23,6 @@
 // because the instance has no configuration yet or no memory for the body.
 const unavailableRetryAfter = 500 * time.Millisecond
 
-// bodyMemoryDivisor is the divisor of Settings.MemoryBytes that gives the limit of
-// bodyMemory.
-const bodyMemoryDivisor = 4
-
 // request is a caller's request while the instance handles it.
 type request struct {
 	caller    CallerInfo
@@ -61,23 +53,6 @@
 	return q.workspace.Name
 }
 
-// bodyMemory limits the total size of the bodies of known length that are held at a time.
-type bodyMemory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// reserve reserves n bytes. It returns false if fewer are left.
-func (m *bodyMemory) reserve(n int64) bool {
-	if m.used.Add(n) <= m.limit {
-		return true
-	}
-	m.used.Add(-n)
-	return false
-}
-
-func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
-
 // ServeHTTP implements http.Handler for callers.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.counters.requests.Inc(1)
@@ -85,11 +60,11 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := e.readRequest(w, r)
+	defer func() { e.bodyMemory.release(q.reservedBytes) }()
 	if refused != nil {
-		e.writeRefusal(w, q, nil, refused)
+		refuseUnread(w, r, func() { e.writeRefusal(w, q, nil, refused) })
 		return
 	}
-	defer e.bodyMemory.release(q.reservedBytes)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	answer, attempts, refused := e.runAttempts(ctx, q)
@@ -175,56 +150,6 @@
 	return limit
 }
 
-// readBody reads the body. A body of known length reserves its size in bodyMemory first.
-func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, *refusal.Refusal) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	limit := q.catalog.Limits.MaxBodyBytes
-	if limit > 0 && r.ContentLength > limit {
-		return nil, bodyTooLarge(limit)
-	}
-	if r.ContentLength > 0 && !e.bodyMemory.reserve(r.ContentLength) {
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
-			"no memory for the body").WithRetryAfter(jitter(unavailableRetryAfter))
-	}
-	q.reservedBytes = max(r.ContentLength, 0)
-	if limit > 0 {
-		r.Body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	body, err := readAll(r)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, e.releaseBody(q, bodyTooLarge(limit))
-	}
-	if err != nil {
-		return nil, e.releaseBody(q, refusal.New(http.StatusBadRequest, refusal.BodyIncomplete, refusal.NotRun, "body was cut short"))
-	}
-	return body, nil
-}
-
-// releaseBody releases the memory of a body that could not be read and returns the
-// refusal.
-func (e *Edge) releaseBody(q *request, refused *refusal.Refusal) *refusal.Refusal {
-	e.bodyMemory.release(q.reservedBytes)
-	q.reservedBytes = 0
-	return refused
-}
-
-func readAll(r *http.Request) ([]byte, error) {
-	if r.ContentLength < 0 {
-		return io.ReadAll(r.Body)
-	}
-	body := make([]byte, r.ContentLength)
-	_, err := io.ReadFull(r.Body, body)
-	return body, err
-}
-
-func bodyTooLarge(limit int64) *refusal.Refusal {
-	return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, refusal.NotRun,
-		fmt.Sprintf("body is above the limit of %d bytes", limit))
-}
-
 // pathOf returns the path as the caller sent it.
 func pathOf(r *http.Request) string {
 	path, _, _ := strings.Cut(targetOf(r), "?")
