Order state by the store's era and keep what was acknowledged when it comes back from a copy

Cause: the mirror ordered by revision alone. The copy could bring back gone endpoints and zones, and dropped those that lived but were not in it.

Change: positions are era and revision, in mirror, deltas, pulls, replies and follower.

Not done: eras in the product's own store protocol (lovage-entry), see docs/operators/outages.md.

--- a/cmd/lovage-soak/main.go
+++ b/cmd/lovage-soak/main.go
@@ -25,6 +25,7 @@
 	Endpoints int           `default:"6" help:"Number of endpoints."`
 	Callers   int           `default:"8" help:"Number of callers."`
 	Cuts      bool          `help:"Cut instances off from each other; lovage-edge must be built with -tags faults."`
+	Drills    bool          `help:"Let the store come back from a copy."`
 	Duration  time.Duration `default:"8s" help:"Time during which faults are injected."`
 	Recovery  time.Duration `default:"10s" help:"Time within which the fleet must serve again after the faults."`
 }
@@ -46,7 +47,7 @@
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
 			Program: args.Program, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
-			Callers: args.Callers, Cuts: args.Cuts,
+			Callers: args.Callers, Cuts: args.Cuts, Drills: args.Drills,
 			Duration: args.Duration, Recovery: args.Recovery,
 		})
 		if err != nil {
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -52,7 +52,7 @@
 
 // addRequestFields adds to a log event what the handling of the request depended on.
 func (e *Edge) addRequestFields(event *zerolog.Event, q *request, attempts []attempt) *zerolog.Event {
-	event = event.Str("request", q.caller.ID).Uint64("revision", e.revision.Load())
+	event = event.Str("request", q.caller.ID).Uint64("revision", e.position.Load().Revision)
 	if q.catalog != nil {
 		event = event.Uint64("version", q.catalog.Version)
 	}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -12,6 +12,7 @@
 type Dump struct {
 	Instance  fleet.Member                  `json:"instance"`
 	State     string                        `json:"state"`
+	Era       uint64                        `json:"store_era"`
 	Revision  uint64                        `json:"store_revision"`
 	Version   uint64                        `json:"configuration_version"`
 	Evacuated []string                      `json:"evacuated_zones"`
@@ -32,7 +33,8 @@
 		now := time.Now()
 		d.Instance = e.state.fleet.Self()
 		d.State = e.state.fleet.State().String()
-		d.Revision = e.state.mirror.Revision()
+		position := e.state.mirror.Position()
+		d.Era, d.Revision = position.Era, position.Revision
 		d.Evacuated = e.state.registry.Evacuated()
 		d.Peers = e.state.fleet.Peers()
 		d.Delegates = e.state.fleet.Delegates(now, e.settings.Region)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	"lovagescale/internal/operator"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
+	"lovagescale/internal/store"
 	"lovagescale/internal/upstream"
 )
 
@@ -80,7 +81,8 @@
 	// "" are for callers of any other region.
 	callerAddresses atomic.Pointer[map[string][]string]
 	instanceCount   atomic.Int64
-	revision        atomic.Uint64
+	// position is that of the mirror of the store.
+	position atomic.Pointer[store.Position]
 	// ownStoreAnswerAt is the time of the store's last answer to this instance, in Unix
 	// nanoseconds.
 	ownStoreAnswerAt atomic.Int64
@@ -90,6 +92,8 @@
 	// to follow the store, in Unix nanoseconds.
 	delegatesFreshUntil atomic.Int64
 	pullInProgress      atomic.Bool
+	// eraBegun gets a value when the store has begun a new era.
+	eraBegun chan struct{}
 	leaving             atomic.Bool
 
 	peers *link.Peers
@@ -122,9 +126,11 @@
 		balancer:        placement.NewRegionBalancer(s.Region),
 		stats:           newTrafficStats(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
+		eraBegun:        make(chan struct{}, 1),
 	}
 	e.bounds.Store(&s.Bounds)
 	e.seeds.Store(&s.Seeds)
+	e.position.Store(&store.Position{})
 	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
 	self := fleet.Member{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Zone: s.Zone, Region: s.Region,
@@ -173,6 +179,7 @@
 	linkServer.Handle(fleet.TypeExchange, e.handleExchange)
 	linkServer.Handle(fleet.TypePull, e.handlePull)
 	linkServer.Handle(fleet.TypeBorrow, e.handleBorrow)
+	linkServer.Handle(fleet.TypeConfirm, e.handleConfirm)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -102,7 +102,8 @@
 func (e *Edge) updateGauges(now time.Time) {
 	set := func(name string, value int64) { metrics.GetOrRegisterGauge(name, e.registry).Update(value) }
 	set("edge.store.age_ms", e.storeAge(now).Milliseconds())
-	set("edge.store.revision", int64(e.revision.Load()))
+	set("edge.store.era", int64(e.position.Load().Era))
+	set("edge.store.revision", int64(e.position.Load().Revision))
 	set("edge.instances", e.instanceCount.Load())
 	set("edge.bodies.bytes", e.bodyMemory.used.Load())
 	if c := e.catalog.Load(); c != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -198,7 +198,7 @@
 }
 
 // sendMessage sends a message and calls apply with the reply on the control loop. If the
-// peer's mirror is at a later revision and this instance does not follow the store
+// peer's mirror is at a later position and this instance does not follow the store
 // itself, it pulls from the peer.
 func (e *Edge) sendMessage(ctx context.Context, to fleet.Member, messageType string, message any, apply func(time.Time, fleet.Reply)) {
 	callCtx, cancel := context.WithTimeout(ctx, messageTimeout)
@@ -224,7 +224,7 @@
 	if err != nil {
 		return
 	}
-	if reply.Revision > e.revision.Load() && e.needsPeerMirror(time.Now()) {
+	if reply.Position().Compare(*e.position.Load()) > 0 && e.needsPeerMirror(time.Now()) {
 		e.pullUnlessInProgress(ctx, client)
 	}
 }
@@ -310,7 +310,8 @@
 	err := e.loop.Call(ctx, func() {
 		now := time.Now()
 		reply = handle(now)
-		reply.Revision = e.state.mirror.Revision()
+		position := e.state.mirror.Position()
+		reply.Era, reply.Revision = position.Era, position.Revision
 		reply.StoreAgeMillis = e.state.storeAgeForPeers(now).Milliseconds()
 	})
 	return reply, err
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -37,6 +37,8 @@
 	// Decode returns the entry's resource, nil for an entry that instances do not use, or
 	// an error that names the entry.
 	Decode(entry store.Entry) (Resource, error)
+	// EvacuationKey returns the key of the evacuation of a zone.
+	EvacuationKey(zone string) string
 	// InstanceKey returns the key of an instance's registration.
 	InstanceKey(instance string) string
 	// EncodeInstance returns the value of an instance's registration.
--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -37,18 +37,36 @@
 		var lapsed *store.LeaseLapsedError
 		switch {
 		case err == nil:
-			sleep(ctx, jitter(renewInterval))
+			if e.eraBegunWithin(ctx, jitter(renewInterval)) {
+				lease = "" // it is from before the store's copy, which may have given its number out again
+			}
 		case errors.As(err, &lapsed):
 			lease = ""
 			e.log.Warn().Err(err).Msg("registration has lapsed")
 		default:
 			e.log.Warn().Err(err).Msg("registration is not renewed")
-			sleep(ctx, jitter(registrationRetryPause))
+			if e.eraBegunWithin(ctx, jitter(registrationRetryPause)) {
+				lease = ""
+			}
 		}
 	}
 	e.endRegistration(ctx, lease)
 }
 
+// eraBegunWithin waits until the store begins a new era, and reports whether it does. It
+// waits no longer than wait.
+func (e *Edge) eraBegunWithin(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-e.eraBegun:
+		return true
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
 // createRegistration writes the registration with a new lease.
 func (e *Edge) createRegistration(ctx context.Context) (store.LeaseID, error) {
 	self := e.state.fleet.Self() // immutable, so safe outside of the control loop
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -8,6 +8,7 @@
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/store"
 )
 
 // tickInterval is the interval of the control loop's ticks.
@@ -46,6 +47,15 @@
 	// otherZonesDemand are the demand that the other instances of its zone and all other
 	// zones reported.
 	ownDemand, zoneDemand, otherZonesDemand allowance.DemandHistory
+	// catalogEntry is the entry of the configuration in force.
+	catalogEntry store.Entry
+	// copied is set while changes are applied that come from a copy of the store.
+	copied bool
+	// pendingRestores are the evacuated zones whose entries a copy of the store lacked,
+	// with the time at which they are taken back. copyUntil is the end of the time in
+	// which removals of evacuations wait.
+	pendingRestores map[string]time.Time
+	copyUntil       time.Time
 	// pendingRemovals are the endpoints whose entries disappeared after an outage of the
 	// store, with the time at which they are removed.
 	pendingRemovals map[string]time.Time
@@ -65,7 +75,8 @@
 	for _, key := range keys {
 		s.applyChange(now, key)
 	}
-	s.edge.revision.Store(s.mirror.Revision())
+	position := s.mirror.Position()
+	s.edge.position.Store(&position)
 	if s.tableChanged {
 		s.publishTable(now)
 	}
@@ -89,9 +100,9 @@
 	s.resources[key] = resource
 	switch resource := resource.(type) {
 	case *catalog.Catalog:
-		s.applyCatalog(now, resource)
+		s.applyCatalog(now, resource, entry)
 	case placement.Record:
-		if !s.registry.Register(now, resource, s.coldPolicy(resource.Upstream)) {
+		if !s.register(now, resource) {
 			s.edge.log.Warn().Str("endpoint", resource.ID).Uint64("sequence", resource.Sequence).Msg("older record is passed over")
 			return
 		}
@@ -100,8 +111,7 @@
 	case fleet.Member:
 		s.fleet.ApplyRegistration(now, resource)
 	case Evacuation:
-		s.registry.Evacuate(resource.Zone)
-		s.tableChanged = true
+		s.evacuate(resource.Zone)
 		s.edge.log.Info().Str("zone", resource.Zone).Uint64("revision", entry.Revision).Msg("zone is evacuated")
 	}
 }
@@ -120,9 +130,7 @@
 	case fleet.Member:
 		s.fleet.RemoveRegistration(resource.Instance)
 	case Evacuation:
-		s.registry.Restore(now, resource.Zone, s.coldPolicy)
-		s.tableChanged = true
-		s.edge.log.Info().Str("zone", resource.Zone).Msg("zone is taken back")
+		s.endEvacuation(now, resource.Zone)
 	}
 }
 
@@ -158,13 +166,14 @@
 
 // applyCatalog puts a configuration in force unless one of the same or a later version
 // is.
-func (s *state) applyCatalog(now time.Time, c *catalog.Catalog) {
+func (s *state) applyCatalog(now time.Time, c *catalog.Catalog, entry store.Entry) {
 	current := s.edge.catalog.Load()
 	if current != nil && current.Version >= c.Version {
 		s.edge.log.Warn().Uint64("version", c.Version).Uint64("in_force", current.Version).Msg("older configuration is passed over")
 		return
 	}
 	s.edge.catalog.Store(c)
+	s.catalogEntry = entry
 	s.divideQuotas(now)
 	s.edge.log.Info().Uint64("version", c.Version).Int("routes", c.RouteCount()).Int("workspaces", len(c.Workspaces)).
 		Msg("configuration is in force")
@@ -199,6 +208,7 @@
 	}
 	s.lastTickAt = now
 	s.removePendingEndpoints(now)
+	s.restorePendingZones(now)
 	s.fleet.Expire(now)
 	s.publishFollowerElection(now)
 	s.peerActivity = s.fleet.PeerActivity(now)
--- a/internal/edge/store_follower.go
+++ b/internal/edge/store_follower.go
@@ -78,15 +78,18 @@
 
 func (e *Edge) readSnapshot(ctx context.Context) error {
 	e.counters.storeCalls.Inc(1)
-	entries, revision, err := e.ports.Follower.Snapshot(ctx, e.ports.Entries.Prefix())
+	entries, position, err := e.ports.Follower.Snapshot(ctx, e.ports.Entries.Prefix())
 	if err != nil {
 		return err
 	}
-	e.log.Info().Uint64("revision", revision).Int("entries", len(entries)).Msg("store was read whole")
+	e.log.Info().Uint64("era", position.Era).Uint64("revision", position.Revision).Int("entries", len(entries)).Msg("store was read whole")
+	delta := mirror.Delta{Full: true, Era: position.Era, Revision: position.Revision, Entries: entries}
+	if _, err := e.applyDelta(ctx, delta, nil); err != nil {
+		return err
+	}
 	return e.loop.Call(ctx, func() {
 		now := time.Now()
 		e.recordOwnStoreAnswer(now)
-		e.state.applyChanges(now, e.state.mirror.ApplySnapshot(entries, revision))
 		e.state.followerElection.recordOwnRead(now)
 		e.state.publishFollowerElection(now)
 	})
@@ -94,14 +97,14 @@
 
 func (e *Edge) readChanges(ctx context.Context) error {
 	e.counters.storeCalls.Inc(1)
-	changes, revision, err := e.ports.Follower.Changes(ctx, e.ports.Entries.Prefix(), e.revision.Load(), watchTimeout)
+	changes, position, err := e.ports.Follower.Changes(ctx, e.ports.Entries.Prefix(), *e.position.Load(), watchTimeout)
 	if err != nil {
 		return err
 	}
 	err = e.loop.Call(ctx, func() {
 		now := time.Now()
 		e.recordOwnStoreAnswer(now)
-		e.state.applyChanges(now, e.state.mirror.ApplyChanges(changes, revision))
+		e.state.applyChanges(now, e.state.mirror.ApplyChanges(changes, position))
 	})
 	if len(changes) > 0 {
 		sleep(ctx, time.Duration(batchFraction*float64(e.bounds.Load().InForce)))
@@ -132,11 +135,11 @@
 	return e.reliesOnDelegates(now) || e.storeAge(now) > maxStoreAge
 }
 
-// pullFromSeeds pulls from the seeds until this instance's mirror has a revision.
+// pullFromSeeds pulls from the seeds until this instance's mirror has a position.
 func (e *Edge) pullFromSeeds(ctx context.Context) {
-	for ctx.Err() == nil && e.revision.Load() == 0 {
+	for ctx.Err() == nil && e.position.Load().Revision == 0 {
 		for _, seed := range *e.seeds.Load() {
-			if seed != e.settings.Link && e.revision.Load() == 0 {
+			if seed != e.settings.Link && e.position.Load().Revision == 0 {
 				e.pullFromSeed(ctx, seed)
 			}
 		}
@@ -162,16 +165,17 @@
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
 	var delta mirror.Delta
-	if err := client.Call(ctx, fleet.TypePull, fleet.Pull{After: e.revision.Load()}, &delta); err != nil {
+	position := e.position.Load()
+	if err := client.Call(ctx, fleet.TypePull, fleet.Pull{Era: position.Era, After: position.Revision}, &delta); err != nil {
 		return err
 	}
-	return e.loop.Call(ctx, func() {
-		now := time.Now()
-		changed := e.state.mirror.Merge(delta)
-		e.state.applyChanges(now, changed)
-		e.log.Info().Str("peer", client.Peer()).Uint64("revision", delta.Revision).Int("changed", len(changed)).
-			Msg("mirror was taken from a peer")
-	})
+	changed, err := e.applyDelta(ctx, delta, []string{client.Peer()})
+	if err != nil {
+		return err
+	}
+	e.log.Info().Str("peer", client.Peer()).Uint64("era", delta.Era).Uint64("revision", delta.Revision).Int("changed", changed).
+		Msg("mirror was taken from a peer")
+	return nil
 }
 
 // handlePull handles a pull of a peer.
@@ -181,7 +185,7 @@
 		return nil, err
 	}
 	var delta mirror.Delta
-	err := e.loop.Call(ctx, func() { delta = e.state.mirror.DeltaSince(pull.After) })
+	err := e.loop.Call(ctx, func() { delta = e.state.mirror.DeltaSince(store.Position{Era: pull.Era, Revision: pull.After}) })
 	return delta, err
 }
 
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovagescale/internal/quarantine"
+	"lovagescale/internal/store"
 )
 
 // Types of the messages between instances.
@@ -12,6 +13,7 @@
 	TypeExchange = "fleet.exchange"
 	TypePull     = "fleet.pull"
 	TypeBorrow   = "fleet.borrow"
+	TypeConfirm  = "fleet.confirm"
 )
 
 // State says whether callers may be sent to an instance.
@@ -153,7 +155,8 @@
 // all regions and the totals, unless the report asks to omit them; to an Exchange it
 // holds the digests that the sender lacks.
 type Reply struct {
-	// Revision is the revision of the replying instance's mirror of the store.
+	// Era and Revision are the position of the replying instance's mirror of the store.
+	Era      uint64 `msgpack:"e,omitempty"`
 	Revision uint64 `msgpack:"v"`
 	// StoreAgeMillis is the time since the store last answered, as far as the replying
 	// instance knows.
@@ -188,8 +191,42 @@
 	RetryAfterMillis int64 `msgpack:"t"`
 }
 
-// Pull asks another instance for the changes in its mirror of the store after a revision.
+// Position returns the position of the replying instance's mirror of the store.
+func (r *Reply) Position() store.Position {
+	return store.Position{Era: r.Era, Revision: r.Revision}
+}
+
+// Pull asks another instance for the changes in its mirror of the store after a position.
 // The reply is a mirror.Delta.
 type Pull struct {
+	Era   uint64 `msgpack:"e,omitempty"`
 	After uint64 `msgpack:"a"`
 }
+
+// Confirm asks another instance what it knows beyond a copy from which the store came back.
+// Endpoints are those of the copy.
+type Confirm struct {
+	Endpoints []EndpointRecord `msgpack:"u,omitempty"`
+}
+
+// EndpointRecord identifies a record that an endpoint wrote of itself.
+type EndpointRecord struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	// StartMillis is the start of the endpoint's lifetime in Unix milliseconds.
+	StartMillis int64
+	// Sequence increases with each record of one lifetime.
+	Sequence uint64
+}
+
+// ConfirmReply is the reply to a Confirm.
+type ConfirmReply struct {
+	// Configuration is the entry of the configuration in force; it has no key if there is
+	// none.
+	Configuration store.Entry `msgpack:"c"`
+	// EvacuatedZones are the zones that get no requests.
+	EvacuatedZones []string `msgpack:"z,omitempty"`
+	// Departed are the last records of those endpoints that are draining or gone.
+	Departed []EndpointRecord `msgpack:"d,omitempty"`
+}
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -26,6 +26,9 @@
 	// departure is what was known of the run's leaving when its endpoint was removed or
 	// replaced.
 	departure departure
+	// removed is set once the endpoint's entry is gone, or another instance knew it to be
+	// draining or gone.
+	removed bool
 }
 
 // maxLatest is the number of runs above which those of removed endpoints are dropped.
@@ -69,7 +72,7 @@
 		known.raiseDeparture(departure)
 		r.endpoints[record.ID] = known
 	}
-	r.storeLatest(lastRun{Record: record, departure: known.knownDeparture()})
+	r.storeLatest(lastRun{Record: record, departure: known.knownDeparture(), removed: false})
 	if record.ColdLeft > 0 {
 		known.SetCold(now, now.Add(record.ColdLeft), policy.Interval)
 	}
@@ -99,10 +102,47 @@
 	known.Pool.SetRetired(true)
 	delete(r.endpoints, id)
 	last := r.latest[id]
-	last.departure = known.knownDeparture()
+	last.departure, last.removed = known.knownDeparture(), true
 	r.latest[id] = last
 }
 
+// RegisterCopy applies the record of an endpoint as Register does, but the record is from a
+// copy from which the store came back. It may be older than what is known: an endpoint that
+// was removed stays removed until it writes a later record.
+func (r *Registry) RegisterCopy(now time.Time, record Record, policy ColdPolicy) bool {
+	if latest, seen := r.latest[record.ID]; seen && latest.removed && !latest.olderThan(record) {
+		return false
+	}
+	return r.Register(now, record, policy)
+}
+
+// Depart applies what another instance knows of an endpoint that is draining or gone: the
+// endpoint and start, and the sequence of its last record. The endpoint is removed unless
+// a later record of it is known.
+func (r *Registry) Depart(id string, startMillis int64, sequence uint64) {
+	last := Record{ID: id, StartMillis: startMillis, Sequence: sequence}
+	if latest, seen := r.latest[id]; seen && last.olderThan(latest.Record) {
+		return
+	}
+	r.Remove(id)
+	departure := staying
+	if known := r.latest[id]; known.StartMillis == startMillis {
+		departure = known.departure
+	}
+	r.storeLatest(lastRun{Record: last, departure: departure, removed: true})
+}
+
+// Departed reports whether the endpoint is known to be draining or gone according to a
+// record at least as late as the given one, and returns that record.
+func (r *Registry) Departed(id string, startMillis int64, sequence uint64) (Record, bool) {
+	latest, seen := r.latest[id]
+	stated := Record{ID: id, StartMillis: startMillis, Sequence: sequence}
+	if !seen || latest.olderThan(stated) || (!latest.removed && !latest.Draining) {
+		return Record{}, false
+	}
+	return latest.Record, true
+}
+
 // SetLeaving records that another instance heard from a run of an endpoint that it is
 // leaving. Another run of the endpoint is not affected.
 func (r *Registry) SetLeaving(id string, startMillis int64) {
--- a/internal/store/follower.go
+++ b/internal/store/follower.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -13,19 +14,30 @@
 	Removed bool
 }
 
+// Position is a point in the store's history. A store that comes back from a copy begins a
+// new era: it has lost all writes since the copy and gives their revisions out again.
+// Positions are therefore ordered by era and then by revision. Era 0 is that of a store
+// which states none.
+type Position struct{ Era, Revision uint64 }
+
+// Compare returns -1, 0 or 1 if p is before, equal to or after other.
+func (p Position) Compare(other Position) int {
+	return cmp.Or(cmp.Compare(p.Era, other.Era), cmp.Compare(p.Revision, other.Revision))
+}
+
 // Follower reads all entries under a prefix and then follows their changes.
 type Follower interface {
-	// Snapshot returns the entries under the prefix and the revision from which
-	// to follow changes. Entries may be read in several pages; the revision is not
-	// above that of the oldest page, so no change is missed. On failure it returns
+	// Snapshot returns the entries under the prefix and the position from which
+	// to follow changes. Entries may be read in several pages of one era; the revision is
+	// not above that of the oldest page, so no change is missed. On failure it returns
 	// an *UnavailableError.
-	Snapshot(ctx context.Context, prefix string) ([]Entry, uint64, error)
-	// Changes waits at most wait for changes under the prefix with a revision above
-	// after, and returns them with the revision to continue from. It is not an
-	// error if there are none. It returns a *HistoryLostError if the store no
-	// longer has the changes since that revision, and an *UnavailableError on any
-	// other failure.
-	Changes(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Change, uint64, error)
+	Snapshot(ctx context.Context, prefix string) ([]Entry, Position, error)
+	// Changes waits at most wait for changes under the prefix after the position, and
+	// returns them with the position to continue from, which is of the same era. It is not
+	// an error if there are none. It returns a *HistoryLostError if the store no
+	// longer has the changes since that position or is in another era, and an
+	// *UnavailableError on any other failure.
+	Changes(ctx context.Context, prefix string, after Position, wait time.Duration) ([]Change, Position, error)
 }
 
 // Registrar writes entries that the store keeps only while their owner renews a
@@ -45,13 +57,13 @@
 }
 
 // HistoryLostError reports that the store no longer has the changes after a
-// revision. The entries under the prefix must be read again with Snapshot.
+// position. The entries under the prefix must be read again with Snapshot.
 type HistoryLostError struct {
 	Prefix string
-	After  uint64
+	After  Position
 }
 
 // Error implements the error interface.
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("store no longer has the changes under %q after revision %d", e.Prefix, e.After)
+	return fmt.Sprintf("store no longer has the changes under %q after revision %d of era %d", e.Prefix, e.After.Revision, e.After.Era)
 }
