Pack the digests that instances send each other

Cause: a delegate's reply to each report had 11.2 KB on 198 instances (7.5 KB of it rows of endpoint loads, 3.3 KB of workspaces), 64 of them a second and two of three over a zone border; each exchange between regions held all members, 6.8 of 11.3 KB. Ruled out: the members in replies (left out already), reports (0.5 KB).

Change: loads are numbers in the order of the endpoints that both sides know (rows where they differ), demand in the totals has 8 significant bits, the whole is compressed; exchanges leave out members that the receiver got in an earlier one. Peers say in their messages that they accept this; old builds get and send plain ones.

TestFuzzQuotaUnderFaults runs through packing.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -94,7 +94,7 @@
 	pullInProgress      atomic.Bool
 	// eraBegun gets a value when the store has begun a new era.
 	eraBegun chan struct{}
-	leaving             atomic.Bool
+	leaving  atomic.Bool
 
 	peers *link.Peers
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -45,8 +45,8 @@
 		}
 		if now.Sub(lastExchange) >= exchangeInterval {
 			lastExchange = now
-			for _, delegate := range round.exchangeWith {
-				go e.sendExchange(ctx, delegate, round.exchange)
+			for _, exchange := range round.exchanges {
+				go e.sendExchange(ctx, exchange)
 			}
 		}
 		sleep(ctx, jitter(round.interval))
@@ -55,11 +55,10 @@
 
 // messageRound holds the messages that an instance sends in one round.
 type messageRound struct {
-	report       fleet.Report
-	reportTo     []fleet.Member
-	exchange     fleet.Exchange
-	exchangeWith []fleet.Member
-	interval     time.Duration
+	report    fleet.Report
+	reportTo  []fleet.Member
+	exchanges []outgoingExchange
+	interval  time.Duration
 	// isDelegate is set if this instance is a delegate, so that it receives the reports
 	// of its region itself.
 	isDelegate bool
@@ -68,6 +67,26 @@
 	largeRegion bool
 }
 
+// outgoingExchange is an exchange as it is sent to a delegate of another region.
+type outgoingExchange struct {
+	to       fleet.Member
+	exchange fleet.Exchange
+	// membersHash is the hash of this region's members.
+	membersHash uint64
+}
+
+// newExchange returns the exchange as the delegate accepts it.
+func (s *state) newExchange(to fleet.Member, exchange fleet.Exchange) outgoingExchange {
+	outgoing := outgoingExchange{to: to, exchange: exchange, membersHash: exchange.Digest.MembersHash}
+	packed, err := s.fleet.PackExchange(to, exchange)
+	if err != nil {
+		s.edge.log.Warn().Err(err).Str("peer", to.Instance).Msg("exchange is sent unpacked")
+		return outgoing
+	}
+	outgoing.exchange = packed
+	return outgoing
+}
+
 // newMessageRound returns the messages to send now.
 func (s *state) newMessageRound(now time.Time) messageRound {
 	ownActivity := s.activity(now)
@@ -85,6 +104,7 @@
 		Activity:     ownActivity,
 		MemberHashes: s.fleet.MemberHashes(),
 		UsedRegions:  s.regionsInUse(),
+		Packing:      s.fleet.Packing(),
 	}
 	position := -1
 	for i, delegate := range s.fleet.Delegates(now, self.Region) {
@@ -98,17 +118,18 @@
 		return round
 	}
 	round.isDelegate = true
-	round.exchange = fleet.Exchange{
+	exchange := fleet.Exchange{
 		Digest:          s.fleet.LocalDigestWithDemand(now, ownActivity),
 		MemberHashes:    s.fleet.MemberHashes(),
 		DemandAgeMillis: s.fleet.DemandAges(now),
+		Packing:         s.fleet.Packing(),
 	}
 	for _, region := range s.edge.regions {
 		if region == self.Region {
 			continue
 		}
 		if delegates := s.fleet.Delegates(now, region); len(delegates) > 0 {
-			round.exchangeWith = append(round.exchangeWith, delegates[min(position, len(delegates)-1)])
+			round.exchanges = append(round.exchanges, s.newExchange(delegates[min(position, len(delegates)-1)], exchange))
 		}
 	}
 	return round
@@ -169,6 +190,10 @@
 
 // applyReportReply applies the reply of a delegate of the region to a report.
 func (s *state) applyReportReply(now time.Time, report fleet.Report, reply fleet.Reply) {
+	reply, ok := s.unpackReply(reply)
+	if !ok {
+		return
+	}
 	for _, digest := range reply.Digests {
 		own := fleet.Activity{}
 		if digest.Region == s.edge.settings.Region {
@@ -183,12 +208,19 @@
 
 // sendExchange sends this region's digest to a delegate of another region and applies the
 // digests of its reply.
-func (e *Edge) sendExchange(ctx context.Context, delegate fleet.Member, exchange fleet.Exchange) {
-	e.sendMessage(ctx, delegate, fleet.TypeExchange, exchange, e.state.applyExchangeReply)
+func (e *Edge) sendExchange(ctx context.Context, outgoing outgoingExchange) {
+	e.sendMessage(ctx, outgoing.to, fleet.TypeExchange, outgoing.exchange, func(now time.Time, reply fleet.Reply) {
+		e.state.applyExchangeReply(now, outgoing, reply)
+	})
 }
 
 // applyExchangeReply applies the reply of a delegate of another region to an exchange.
-func (s *state) applyExchangeReply(now time.Time, reply fleet.Reply) {
+func (s *state) applyExchangeReply(now time.Time, outgoing outgoingExchange, reply fleet.Reply) {
+	s.fleet.RecordExchanged(outgoing.to, outgoing.membersHash, reply)
+	reply, ok := s.unpackReply(reply)
+	if !ok {
+		return
+	}
 	for _, digest := range reply.Digests {
 		if digest.Region != s.edge.settings.Region {
 			s.applyDigest(now, digest, fleet.Activity{})
@@ -229,6 +261,16 @@
 	}
 }
 
+// unpackReply returns an unpacked reply. It returns false if the reply cannot be read.
+func (s *state) unpackReply(reply fleet.Reply) (fleet.Reply, bool) {
+	unpacked, err := s.fleet.UnpackReply(reply)
+	if err != nil {
+		s.edge.log.Warn().Err(err).Msg("reply is passed over")
+		return fleet.Reply{}, false
+	}
+	return unpacked, true
+}
+
 // recordPeerFailure records that an instance did not reply.
 func (s *state) recordPeerFailure(now time.Time, instance string) {
 	s.fleet.RecordFailure(now, instance)
@@ -282,7 +324,18 @@
 	}
 	own := s.activity(now)
 	totals := s.fleet.Totals(now, report.Status.Member.Zone, own.WorkspaceDemand)
-	return fleet.Reply{Digests: s.fleet.DigestsForMember(now, own, report), Totals: &totals}
+	reply := fleet.Reply{Digests: s.fleet.DigestsForMember(now, own, report), Totals: &totals}
+	return s.packReply(reply, report.Packing)
+}
+
+// packReply returns the reply as its receiver accepts it.
+func (s *state) packReply(reply fleet.Reply, accepts fleet.Packing) fleet.Reply {
+	packed, err := s.fleet.PackReply(reply, accepts)
+	if err != nil {
+		s.edge.log.Warn().Err(err).Msg("reply is sent unpacked")
+		return reply
+	}
+	return packed
 }
 
 // handleExchange handles an exchange from a delegate of another region.
@@ -297,9 +350,16 @@
 // handleExchange applies an exchange from a delegate of another region and returns the
 // digests that its sender lacks.
 func (s *state) handleExchange(now time.Time, exchange fleet.Exchange) fleet.Reply {
+	exchange, err := s.fleet.UnpackExchange(exchange)
+	if err != nil {
+		s.edge.log.Warn().Err(err).Msg("exchange is passed over")
+		return fleet.Reply{}
+	}
 	s.applyDigest(now, exchange.Digest, fleet.Activity{})
 	s.fleet.ApplyRegionDemand(now, exchange.Digest)
-	return fleet.Reply{Digests: s.fleet.DigestsForDelegate(now, s.activity(now), exchange)}
+	reply := fleet.Reply{Digests: s.fleet.DigestsForDelegate(now, s.activity(now), exchange)}
+	reply.Packing = s.fleet.Packing()
+	return s.packReply(reply, exchange.Packing)
 }
 
 // newReply returns the reply to a message. On the control loop it calls handle, which
--- a/internal/edge/quota_simulation_test.go
+++ b/internal/edge/quota_simulation_test.go
@@ -121,16 +121,16 @@
 			s.fleet.RecordFailure(sim.now, delegate.Instance)
 		}
 	}
-	if len(round.exchangeWith) == 0 || sim.now.Before(sim.nextExchangeAt[i]) {
+	if len(round.exchanges) == 0 || sim.now.Before(sim.nextExchangeAt[i]) {
 		return
 	}
 	sim.nextExchangeAt[i] = sim.now.Add(exchangeInterval)
-	for _, delegate := range round.exchangeWith {
-		if receiver := sim.index(delegate.Instance); sim.reaches(i, receiver) {
-			s.fleet.RecordReply(delegate.Instance)
-			s.applyExchangeReply(sim.now, sim.instances[receiver].state.handleExchange(sim.now, round.exchange))
+	for _, exchange := range round.exchanges {
+		if receiver := sim.index(exchange.to.Instance); sim.reaches(i, receiver) {
+			s.fleet.RecordReply(exchange.to.Instance)
+			s.applyExchangeReply(sim.now, exchange, sim.instances[receiver].state.handleExchange(sim.now, exchange.exchange))
 		} else {
-			s.fleet.RecordFailure(sim.now, delegate.Instance)
+			s.fleet.RecordFailure(sim.now, exchange.to.Instance)
 		}
 	}
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -194,8 +194,14 @@
 
 // publishTable publishes the endpoint table for the goroutines that serve requests.
 func (s *state) publishTable(time.Time) {
-	s.edge.table.Store(s.registry.Table())
+	table := s.registry.Table()
+	s.edge.table.Store(table)
 	s.tableChanged = false
+	keys := make([]fleet.EndpointKey, 0, len(table.Endpoints()))
+	for id := range table.Endpoints() {
+		keys = append(keys, fleet.KeyOf(id))
+	}
+	s.fleet.SetEndpoints(keys)
 }
 
 func (s *state) tickNow() { s.tick(time.Now()) }
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -158,14 +159,22 @@
 	for _, row := range workspaces.demands() {
 		totals.Workspaces = append(totals.Workspaces, WorkspaceTotal{
 			Workspace:    row.Workspace,
-			Zone:         float32(demand.zone[row.Workspace]),
-			Region:       float32(demand.region[row.Workspace]),
-			OtherRegions: float32(demand.otherRegions[row.Workspace]),
+			Zone:         roundRate(demand.zone[row.Workspace]),
+			Region:       roundRate(demand.region[row.Workspace]),
+			OtherRegions: roundRate(demand.otherRegions[row.Workspace]),
 		})
 	}
 	return totals
 }
 
+// roundRate rounds a rate to 8 significant binary digits, an error of at most 0.2%. The
+// other bytes of the number are then 0 and compress well.
+func roundRate(rate float64) float32 {
+	const droppedBits = 16
+	bits := math.Float32bits(float32(rate)) + 1<<(droppedBits-1)
+	return math.Float32frombits(bits >> droppedBits << droppedBits)
+}
+
 // peerDemand returns the demand on all other instances, with that on the given zone of
 // this region counted separately. A delegate sums up the reports that it received and the
 // demand that the delegates of other regions sent; other instances use the totals of a
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -54,6 +54,10 @@
 	// reply or report; failingSince is the time of the first failure.
 	consecutiveFailures int
 	failingSince        time.Time
+	// packing is how the instance accepts exchanges, according to its last reply to one.
+	// membersHash is the hash of this region's members in that exchange.
+	packing     Packing
+	membersHash uint64
 }
 
 func (p *peer) isLive(now time.Time) bool {
@@ -84,6 +88,9 @@
 	// delegateDemand is the demand on all other instances according to the totals of a
 	// delegate of this region; nil before the first totals.
 	delegateDemand *peerDemand
+	// endpointLists are the lists of endpoints that this instance knew lately, the present
+	// one first.
+	endpointLists []endpointList
 }
 
 // New returns a view that contains only its own instance.
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -131,6 +131,8 @@
 	// OmitDigests asks for a reply without digests and totals, because another delegate
 	// sends them.
 	OmitDigests bool `msgpack:"b,omitempty"`
+	// Packing is how the sender accepts the reply.
+	Packing Packing `msgpack:"p"`
 }
 
 // Digest lists the members of a region and their combined activity.
@@ -163,6 +165,11 @@
 	StoreAgeMillis int64    `msgpack:"s"`
 	Digests        []Digest `msgpack:"d"`
 	Totals         *Totals  `msgpack:"t,omitempty"`
+	// Packed holds the digests and totals in place of Digests and Totals, see
+	// View.PackReply.
+	Packed []byte `msgpack:"k,omitempty"`
+	// Packing is how the replying instance accepts further messages.
+	Packing Packing `msgpack:"p"`
 }
 
 // Exchange carries the digest of a delegate's region to a delegate of another region. The
@@ -173,6 +180,10 @@
 	MemberHashes map[string]uint64 `msgpack:"h,omitempty"`
 	// DemandAgeMillis is the age of the demand that the sender has of each other region.
 	DemandAgeMillis map[string]int64 `msgpack:"a,omitempty"`
+	// Packed holds the digest in place of Digest, see View.PackExchange.
+	Packed []byte `msgpack:"k,omitempty"`
+	// Packing is how the sender accepts the reply.
+	Packing Packing `msgpack:"p"`
 }
 
 // Borrow asks the holder of a workspace's quota pool in a zone to admit one request.
