--- a/cmd/lovage-soak/main.go
+++ b/cmd/lovage-soak/main.go
@@ -18,6 +18,7 @@
 // arguments holds the command-line arguments.
 type arguments struct {
 	Program   string        `required:"" placeholder:"FILE" help:"Path of lovage-edge."`
+	Previous  string        `placeholder:"FILE" help:"Path of an earlier build of lovage-edge that runs beside the program."`
 	Folder    string        `default:"soak" help:"Folder for settings files and log files."`
 	Seed      uint64        `default:"1" help:"First seed."`
 	Seeds     int           `default:"1" help:"Number of seeds."`
@@ -46,7 +47,7 @@
 			return 1
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
-			Program: args.Program, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
+			Program: args.Program, Previous: args.Previous, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
 			Callers: args.Callers, Cuts: args.Cuts, Drills: args.Drills,
 			Duration: args.Duration, Recovery: args.Recovery,
 		})
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"lovagescale/internal/fleet"
@@ -24,6 +26,51 @@
 	// Follows is set if this instance follows the store itself.
 	Follows   bool                    `json:"follows_store"`
 	Endpoints []placement.Description `json:"endpoints"`
+	// Traffic is what this instance has sent to others and got as replies since its start.
+	Traffic []PeerTraffic `json:"peer_traffic"`
+}
+
+// PeerTraffic is the traffic of one message type with the peers beyond one border.
+type PeerTraffic struct {
+	Type          string `json:"type"`
+	Border        string `json:"border"`
+	Calls         int64  `json:"calls"`
+	SentBytes     int64  `json:"sent_bytes"`
+	ReceivedBytes int64  `json:"received_bytes"`
+}
+
+// Borders between this instance and a peer.
+const (
+	borderNone    = "none" // same availability zone
+	borderZone    = "zone" // same region
+	borderRegion  = "region"
+	borderUnknown = "unknown" // seeds and peers that are gone
+)
+
+// peerTraffic returns the traffic with other instances, ordered by type and border.
+func (e *Edge) peerTraffic(peers []fleet.Member) []PeerTraffic {
+	borders := make(map[string]string, len(peers))
+	for _, peer := range peers {
+		borders[peer.Link] = e.borderTo(peer)
+	}
+	var traffic []PeerTraffic
+	for key, t := range e.peers.Traffic(func(peer string) string { return cmp.Or(borders[peer], borderUnknown) }) {
+		traffic = append(traffic, PeerTraffic{Type: key.Type, Border: key.Group, Calls: t.Calls, SentBytes: t.SentBytes, ReceivedBytes: t.ReceivedBytes})
+	}
+	slices.SortFunc(traffic, func(a, b PeerTraffic) int {
+		return cmp.Or(cmp.Compare(a.Type, b.Type), cmp.Compare(a.Border, b.Border))
+	})
+	return traffic
+}
+
+func (e *Edge) borderTo(peer fleet.Member) string {
+	switch {
+	case peer.Region != e.settings.Region:
+		return borderRegion
+	case peer.Zone != e.settings.Zone:
+		return borderZone
+	}
+	return borderNone
 }
 
 // dump returns the state for the operators' port.
@@ -42,6 +89,7 @@
 			d.Endpoints = append(d.Endpoints, endpoint.Describe(now))
 		}
 	})
+	d.Traffic = e.peerTraffic(d.Peers)
 	if c := e.catalog.Load(); c != nil {
 		d.Version = c.Version
 	}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -12,6 +13,7 @@
 	"github.com/kataras/iris/v12"
 	"github.com/rcrowley/go-metrics"
 
+	"lovagescale/internal/fleet"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/refusal"
 )
@@ -92,6 +94,7 @@
 	app.Get(pathMetrics, func(ctx iris.Context) {
 		ctx.ContentType("text/plain")
 		e.updateGauges(time.Now())
+		e.updateTrafficGauges(ctx.Request().Context())
 		if err := writeMetrics(ctx.ResponseWriter(), e.registry); err != nil {
 			e.log.Debug().Err(err).Msg("client disconnected while it read the metrics")
 		}
@@ -121,6 +124,20 @@
 	set("edge.in_flight", inFlight)
 }
 
+// updateTrafficGauges sets the gauges of the traffic with other instances.
+func (e *Edge) updateTrafficGauges(ctx context.Context) {
+	var peers []fleet.Member
+	if err := e.loop.Call(ctx, func() { peers = e.state.fleet.Peers() }); err != nil {
+		return // the instance is stopping
+	}
+	for _, t := range e.peerTraffic(peers) {
+		prefix := fmt.Sprintf("edge.peer.%s.%s.", t.Type, t.Border)
+		metrics.GetOrRegisterGauge(prefix+"calls", e.registry).Update(t.Calls)
+		metrics.GetOrRegisterGauge(prefix+"sent_bytes", e.registry).Update(t.SentBytes)
+		metrics.GetOrRegisterGauge(prefix+"received_bytes", e.registry).Update(t.ReceivedBytes)
+	}
+}
+
 // writeMetrics writes all series ordered by name.
 func writeMetrics(out io.Writer, registry metrics.Registry) error {
 	var lines []string
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -34,6 +34,7 @@
 type Client struct {
 	peer         string
 	stallTimeout time.Duration
+	traffic      trafficTable
 
 	mu      sync.Mutex
 	session *session
@@ -103,6 +104,7 @@
 	if err := s.conn.Send(envelope, time.Now().Add(writeTimeout)); err != nil {
 		return c.handleSendError(s, err)
 	}
+	c.traffic.record(messageType, Traffic{Calls: 1, SentBytes: int64(len(envelope.Body))})
 	select {
 	case <-ctx.Done():
 		if s.stalled(time.Now(), c.stallTimeout) {
@@ -110,6 +112,7 @@
 		}
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: ctx.Err()}
 	case r := <-resultCh:
+		c.traffic.record(messageType, Traffic{ReceivedBytes: int64(len(r.envelope.Body))})
 		return c.decodeReply(r, reply)
 	}
 }
