Compress the changes of the mirror that instances pull from each other

Cause: after each configuration every instance pulls it from its delegate, as JSON text. With 195 instances that was the largest part of the bytes between zones once digests were packed.

Change: a pull asks for a packed delta; a build that does not gets a plain one.

A configuration of 140 workspaces packs to under a quarter (TestPulledConfigurationsAreSmall).

--- a/internal/edge/store_follower.go
+++ b/internal/edge/store_follower.go
@@ -164,9 +164,14 @@
 func (e *Edge) pull(ctx context.Context, client *link.Client) error {
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
 	defer cancel()
-	var delta mirror.Delta
+	var reply fleet.PullReply
 	position := e.position.Load()
-	if err := client.Call(ctx, fleet.TypePull, fleet.Pull{Era: position.Era, After: position.Revision}, &delta); err != nil {
+	pull := fleet.Pull{Era: position.Era, After: position.Revision, AcceptsPacked: true}
+	if err := client.Call(ctx, fleet.TypePull, pull, &reply); err != nil {
+		return err
+	}
+	delta, err := reply.Unpack()
+	if err != nil {
 		return err
 	}
 	changed, err := e.applyDelta(ctx, delta, []string{client.Peer()})
@@ -185,8 +190,10 @@
 		return nil, err
 	}
 	var delta mirror.Delta
-	err := e.loop.Call(ctx, func() { delta = e.state.mirror.DeltaSince(store.Position{Era: pull.Era, Revision: pull.After}) })
-	return delta, err
+	if err := e.loop.Call(ctx, func() { delta = e.state.mirror.DeltaSince(store.Position{Era: pull.Era, Revision: pull.After}) }); err != nil {
+		return nil, err
+	}
+	return fleet.PackDelta(delta, pull)
 }
 
 func sleep(ctx context.Context, wait time.Duration) {
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/cespare/xxhash/v2"
 
+	"lovagescale/internal/mirror"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/store"
 )
@@ -208,10 +209,18 @@
 }
 
 // Pull asks another instance for the changes in its mirror of the store after a position.
-// The reply is a mirror.Delta.
+// The reply is a PullReply.
 type Pull struct {
 	Era   uint64 `msgpack:"e,omitempty"`
 	After uint64 `msgpack:"a"`
+	// AcceptsPacked asks for a packed reply.
+	AcceptsPacked bool `msgpack:"p,omitempty"`
+}
+
+// PullReply is the reply to a Pull: the delta, or the packed one in its place.
+type PullReply struct {
+	mirror.Delta
+	Packed []byte `msgpack:"k,omitempty"`
 }
 
 // Confirm asks another instance what it knows beyond a copy from which the store came back.
--- a/internal/fleet/packing.go
+++ b/internal/fleet/packing.go
@@ -11,6 +11,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"lovagescale/internal/mirror"
 )
 
 // Digests are the largest part of the traffic between instances. They are packed: the
@@ -19,7 +21,7 @@
 // messages gets plain ones.
 
 // maxUnpackedBytes bounds the size of an unpacked message.
-const maxUnpackedBytes = 8 << 20
+const maxUnpackedBytes = 32 << 20
 
 // maxEndpointLists is the number of lists of endpoints that are kept. A reply may refer to
 // a list that has changed since the report.
@@ -256,6 +258,28 @@
 	return content, nil
 }
 
+// PackDelta returns the reply to a pull as its sender accepts it. A configuration is most of
+// a delta, and every instance pulls each one.
+func PackDelta(delta mirror.Delta, pull Pull) (PullReply, error) {
+	if !pull.AcceptsPacked {
+		return PullReply{Delta: delta}, nil
+	}
+	packed, err := compress(delta)
+	return PullReply{Packed: packed}, err
+}
+
+// Unpack returns the delta of a reply. On failure it returns an *UnpackError.
+func (r *PullReply) Unpack() (mirror.Delta, error) {
+	if len(r.Packed) == 0 {
+		return r.Delta, nil
+	}
+	var delta mirror.Delta
+	if err := decompress(r.Packed, &delta); err != nil {
+		return mirror.Delta{}, &UnpackError{Cause: err}
+	}
+	return delta, nil
+}
+
 // compressors are reused, because each one holds large tables.
 var compressors = sync.Pool{New: func() any {
 	w, _ := flate.NewWriter(io.Discard, flate.BestSpeed) // fails only at an unknown level
--- a/internal/fleet/packing_test.go
+++ b/internal/fleet/packing_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,9 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"lovagescale/internal/mirror"
+	"lovagescale/internal/store"
 )
 
 // deployment describes a fleet for the sizes of its messages.
@@ -214,3 +218,30 @@
 		v.DigestsForMember(now, Activity{}, report)
 	}
 }
+
+// An old build neither asks for a packed delta nor understands one.
+func TestPulledConfigurationsAreSmall(t *testing.T) {
+	g := NewWithT(t)
+	var configuration bytes.Buffer
+	for n := range 140 {
+		fmt.Fprintf(&configuration, `{"entry-kind":"tenants","metadata":{"name":"work%d"},"spec":{"api-keys":["key-%x"],"rate-per-s":%d}},`, n, KeyOf(fmt.Sprint(n)), n)
+	}
+	delta := mirror.Delta{Era: 1, Revision: 9, Entries: []store.Entry{{Key: "configuration", Value: configuration.Bytes(), Revision: 8}}, Removed: map[string]uint64{"gone": 7}}
+	plain, err := PackDelta(delta, Pull{})
+	g.Expect(err).NotTo(HaveOccurred())
+	var old mirror.Delta
+	g.Expect(msgpack.Unmarshal(encoded(plain), &old)).To(Succeed())
+	g.Expect(old).To(Equal(delta), "as an old build decodes it")
+	var fromOld PullReply
+	g.Expect(msgpack.Unmarshal(encoded(delta), &fromOld)).To(Succeed())
+	g.Expect(fromOld.Unpack()).To(Equal(delta), "as an old build sends it")
+
+	packed, err := PackDelta(delta, Pull{AcceptsPacked: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(size(packed)).To(BeNumerically("<", size(plain)/4))
+	g.Expect(packed.Unpack()).To(Equal(delta))
+	packed.Packed[len(packed.Packed)/2] ^= 0xff
+	_, err = packed.Unpack()
+	var unpackErr *UnpackError
+	g.Expect(err).To(BeAssignableToTypeOf(unpackErr))
+}
