--- a/internal/edge/registration.go
+++ b/internal/edge/registration.go
@@ -6,16 +6,18 @@
 
 	"github.com/pkg/errors"
 
+	"lovagescale/internal/fleet"
 	"lovagescale/internal/store"
 )
 
 // Times of an instance's registration in the store.
 const (
 	// registrationTTL is how long a registration stays in the store after its last
-	// renewal.
-	registrationTTL = 6 * time.Second
+	// renewal. It is not longer than fleet.ForgottenAfter, so that it does not delay the
+	// moment when an instance that died is forgotten.
+	registrationTTL = fleet.ForgottenAfter
 	// renewInterval is the interval of the renewals.
-	renewInterval = 2 * time.Second
+	renewInterval = 3500 * time.Millisecond
 	// registrationRetryPause is the pause after a failed call to the store.
 	registrationRetryPause = time.Second
 	// endRegistrationTimeout bounds the call that ends the registration at a planned
