Let requests wait for the shares of a starting instance

Change: shares are divided as soon as others know of the instance; in the first 1.5 s after its start a request short of a token tries again within its objective (0.5 s at most). Tokens are counted as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -61,9 +61,11 @@
 // Edge is the process of one instance.
 type Edge struct {
 	settings Settings
-	ports    Ports
-	log      zerolog.Logger
-	registry metrics.Registry
+	// startedAt is when the instance started.
+	startedAt time.Time
+	ports     Ports
+	log       zerolog.Logger
+	registry  metrics.Registry
 	// regions are the regions of all zones, sorted.
 	regions []string
 
@@ -113,6 +115,7 @@
 func New(s Settings, ports Ports, log zerolog.Logger) *Edge {
 	e := &Edge{
 		settings:        s,
+		startedAt:       time.Now(),
 		ports:           ports,
 		log:             log.With().Str("instance", s.Instance).Logger(),
 		registry:        metrics.NewRegistry(),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -249,7 +249,7 @@
 	}
 	err = e.loop.Call(ctx, func() {
 		now := time.Now()
-		e.state.fleet.RecordReply(to.Instance)
+		e.state.divideOnceAcknowledged(now, func() { e.state.fleet.RecordReply(to.Instance) })
 		e.state.recordStoreAnswer(now, now.Add(-time.Duration(reply.StoreAgeMillis)*time.Millisecond))
 		apply(now, reply)
 	})
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -193,6 +193,50 @@
 	if q.workspace.Rate <= 0 {
 		return 0, true
 	}
+	for {
+		retryAfter, admitted := e.tryAdmit(ctx, q)
+		now := time.Now()
+		wait := startupWait(now.Sub(e.startedAt), now.Sub(q.started), maxQuotaWait(q.route), retryAfter)
+		if admitted || wait <= 0 || ctx.Err() != nil {
+			return retryAfter, admitted
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// Times in which requests wait for a share of a quota instead of being refused.
+const (
+	// startupTime is how long after its start an instance may still lack its shares: it
+	// has to be known to others first, and pools begin empty.
+	startupTime = 1500 * time.Millisecond
+	// longestQuotaWait bounds how long a request waits.
+	longestQuotaWait = 500 * time.Millisecond
+	// minQuotaPoll and maxQuotaPoll bound the time between two tries.
+	minQuotaPoll = 20 * time.Millisecond
+	maxQuotaPoll = 100 * time.Millisecond
+)
+
+// maxQuotaWait returns how long a request of the route can wait and still be answered in
+// time.
+func maxQuotaWait(route *catalog.Route) time.Duration {
+	return min(route.Objective, route.Timeout/4, longestQuotaWait)
+}
+
+// startupWait returns how long a request that was not admitted waits before the next try,
+// or 0 if it is refused. age is the time since the instance's start, waited that since the
+// request's arrival. After a restart of all instances, requests within the rate would
+// otherwise be refused until shares have been divided anew.
+func startupWait(age, waited, longest, retryAfter time.Duration) time.Duration {
+	wait := min(max(retryAfter, minQuotaPoll), maxQuotaPoll)
+	if age >= startupTime || waited+wait > longest {
+		return 0
+	}
+	return wait
+}
+
+// tryAdmit asks once for a loan for a request. If it gets none, it returns false and the
+// time after which to try again.
+func (e *Edge) tryAdmit(ctx context.Context, q *request) (time.Duration, bool) {
 	now := time.Now()
 	if left := e.pools.remainingPause(now, q.workspace.Name); left > 0 {
 		return left, false
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -109,7 +109,7 @@
 		delete(s.pendingRemovals, resource.ID)
 		s.tableChanged = true
 	case fleet.Member:
-		s.fleet.ApplyRegistration(now, resource)
+		s.divideOnceAcknowledged(now, func() { s.fleet.ApplyRegistration(now, resource) })
 	case Evacuation:
 		s.evacuate(resource.Zone)
 		s.edge.log.Info().Str("zone", resource.Zone).Uint64("revision", entry.Revision).Msg("zone is evacuated")
@@ -291,6 +291,16 @@
 	})
 }
 
+// divideOnceAcknowledged applies news of the fleet. If they show that others know of this
+// instance, it gets its shares at once instead of at the next tick.
+func (s *state) divideOnceAcknowledged(now time.Time, apply func()) {
+	known := s.fleet.Acknowledged()
+	apply()
+	if !known && s.fleet.Acknowledged() {
+		s.divideQuotas(now)
+	}
+}
+
 // peerDemandDelayFraction is the fraction of the delay of an instance's own demand by
 // which the reported demand of the others is delayed, since that is old already. Without
 // it, a demand that rises everywhere at once would show at the others first, and every
