--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -116,6 +117,45 @@
 		Expect(connections).To(HaveLen(2))
 	})
 
+	// An endpoint sends an answer twice; the second copy arrives when the connection already
+	// carries the next request.
+	It("passes over a late second copy of an answer on a connection that is in use again", func() {
+		answerTo := func(id, body string) string {
+			return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nId: " + id + "\r\n\r\n" + body
+		}
+		address, connections := serveAnswers(false, answerTo("r1", "first"), answerTo("r1", "first")+answerTo("r2", "other"))
+		dialect := &upstream.Dialect{RequestIDHeader: "Id", TimeoutHeader: "Timeout", EchoRequired: true, SkipMismatched: true}
+		pool := upstream.NewDialectPool(address, dialect, time.Minute, 1, 0)
+		for _, want := range []struct{ id, body string }{{"r1", "first"}, {"r2", "other"}} {
+			answer, err := pool.Exchange(context.Background(), &upstream.Request{ID: want.id, Method: "GET", Target: "/"})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(answer.Body)).To(Equal(want.body))
+		}
+		Expect(connections).To(HaveLen(1), "the connection is in use again")
+	})
+
+	It("does not use a connection again on which a second copy of an answer has arrived", func() {
+		copySent := make(chan struct{}, 2)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, completeAnswer)
+			time.Sleep(20 * time.Millisecond) // so that the copy comes in a segment of its own
+			_, _ = io.WriteString(conn, completeAnswer)
+			copySent <- struct{}{}
+		}))
+		DeferCleanup(server.Close)
+		pool := upstream.NewPool(server.Listener.Addr().String(), 1, 0)
+		for range 2 { // the copy is an answer to the second request too, as far as its identifier tells
+			_, err := pool.Exchange(context.Background(), request("GET"))
+			Expect(err).NotTo(HaveOccurred())
+			Eventually(copySent, "10s").Should(Receive())
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+
 	It("ends the exchange with an error when its context is canceled", func() {
 		address, connections := serveAnswers(false)
 		pool := upstream.NewPool(address, 1, 0)
