--- a/internal/fleet/packing_test.go
+++ b/internal/fleet/packing_test.go
@@ -224,7 +224,7 @@
 	g := NewWithT(t)
 	var configuration bytes.Buffer
 	for n := range 140 {
-		fmt.Fprintf(&configuration, `{"entry-kind":"tenants","metadata":{"name":"work%d"},"spec":{"api-keys":["key-%x"],"rate-per-s":%d}},`, n, KeyOf(fmt.Sprint(n)), n)
+		fmt.Fprintf(&configuration, `{"entry-kind":"tenants","metadata":{"name":"work%d"},"spec":{"keys":["key-%x"],"rate-per-s":%d}},`, n, KeyOf(fmt.Sprint(n)), n)
 	}
 	delta := mirror.Delta{Era: 1, Revision: 9, Entries: []store.Entry{{Key: "configuration", Value: configuration.Bytes(), Revision: 8}}, Removed: map[string]uint64{"gone": 7}}
 	plain, err := PackDelta(delta, Pull{})
