--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -250,6 +250,7 @@
 	return e.table.Load().PausedFor(time.Now(), q.upstream, q.region) + e.retrySpread(q)
 }
 
+// retrySpread returns a random time of about the upstream's service time.
 func (e *Edge) retrySpread(q *request) time.Duration {
 	serviceTime := e.stats.serviceTime(q.upstream)
 	wait := time.Duration((0.5 + rand.Float64()) * float64(serviceTime))
