--- a/internal/command/dump.go
+++ b/internal/command/dump.go
@@ -20,6 +20,14 @@
 // Unwrap returns the cause.
 func (e *DumpError) Unwrap() error { return e.Cause }
 
+// AnswerStatusError reports an answer of a process with a status other than 200.
+type AnswerStatusError struct{ Status int }
+
+// Error implements the error interface.
+func (e *AnswerStatusError) Error() string {
+	return fmt.Sprintf("the process answered with status %d", e.Status)
+}
+
 // Dump is "lovagectl dump".
 type Dump struct {
 	Address string `arg:"" help:"Operator address of the process."`
@@ -33,6 +41,9 @@
 		return &DumpError{Address: d.Address, Cause: err}
 	}
 	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return &DumpError{Address: d.Address, Cause: &AnswerStatusError{Status: answer.StatusCode}}
+	}
 	if _, err := io.Copy(e.Out, answer.Body); err != nil {
 		return &DumpError{Address: d.Address, Cause: err}
 	}
