--- a/internal/fleet/packing_test.go
+++ b/internal/fleet/packing_test.go
@@ -245,3 +245,34 @@
 	var unpackErr *UnpackError
 	g.Expect(err).To(BeAssignableToTypeOf(unpackErr))
 }
+
+// TestSizesByLaw logs the sizes of messages by the size of the fleet (go test -v). Packed
+// ones are under a third at every size.
+func TestSizesByLaw(t *testing.T) {
+	now := time.UnixMilli(1_764_800_000_000)
+	for _, d := range []deployment{
+		{regions: 3, zonesPerRegion: 2, instancesPerZone: 5, endpoints: 70, workspaces: 30, upstreams: 2, busy: 8},
+		{regions: 3, zonesPerRegion: 3, instancesPerZone: 11, endpoints: 360, workspaces: 80, upstreams: 2, busy: 12},
+		{regions: 3, zonesPerRegion: 3, instancesPerZone: 33, endpoints: 1100, workspaces: 200, upstreams: 2, busy: 12},
+		{regions: 48, zonesPerRegion: 3, instancesPerZone: 16, endpoints: 12000, workspaces: 100, upstreams: 20, busy: 12},
+	} {
+		reply, v := d.reply(now)
+		packed, err := v.PackReply(reply, v.Packing())
+		if err != nil {
+			t.Fatal(err)
+		}
+		exchange := Exchange{Digest: v.LocalDigestWithDemand(now, Activity{})}
+		to := d.member(1, 0, 0)
+		v.RecordExchanged(to, exchange.Digest.MembersHash, Reply{Packing: v.Packing()})
+		packedExchange, err := v.PackExchange(to, exchange)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if size(packed) > size(reply)/3 || size(packedExchange) > size(exchange)/3 {
+			t.Errorf("packed reply has %d of %d bytes, exchange %d of %d", size(packed), size(reply), size(packedExchange), size(exchange))
+		}
+		n := d.regions * d.zonesPerRegion * d.instancesPerZone
+		t.Logf("%d instances, %d regions, %d endpoints, %d workspaces: reply %d -> %d bytes, exchange %d -> %d",
+			n, d.regions, d.endpoints, d.workspaces, size(reply), size(packed), size(exchange), size(packedExchange))
+	}
+}
