--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -182,7 +182,7 @@
 	linkServer.Handle(fleet.TypeExchange, e.handleExchange)
 	linkServer.Handle(fleet.TypePull, e.handlePull)
 	linkServer.Handle(fleet.TypeBorrow, e.handleBorrow)
-	linkServer.Handle(fleet.TypeConfirm, e.handleConfirm)
+	linkServer.Handle(fleet.TypeStateQuery, e.handleStateQuery)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
--- a/internal/edge/store_copy.go
+++ b/internal/edge/store_copy.go
@@ -26,19 +26,19 @@
 // they may have acknowledged more than it did; one that has just started knows nothing.
 
 const (
-	// confirmTimeout bounds the time in which peers are asked.
-	confirmTimeout = 600 * time.Millisecond
-	// maxConfirmingPeers bounds the peers that are asked.
-	maxConfirmingPeers = 4
+	// stateQueryTimeout bounds the time in which peers are asked.
+	stateQueryTimeout = 600 * time.Millisecond
+	// maxQueriedPeers bounds the peers that are asked.
+	maxQueriedPeers = 4
 )
 
 // applyDelta applies a delta of the mirror that came from the store or from a peer. If it
 // begins a new era, the peers at the given link addresses and those that the delta names
 // are asked first what they know beyond the store's copy.
 func (e *Edge) applyDelta(ctx context.Context, delta mirror.Delta, peers []string) (changed int, err error) {
-	var replies []fleet.ConfirmReply
+	var replies []fleet.StateReply
 	if delta.Full && delta.Era > e.position.Load().Era {
-		replies = e.askPeersBeyondCopy(ctx, delta.Entries, peers)
+		replies = e.queryPeerStates(ctx, delta.Entries, peers)
 	}
 	err = e.loop.Call(ctx, func() { changed = e.state.applyDelta(time.Now(), delta, replies) })
 	return changed, err
@@ -46,7 +46,7 @@
 
 // applyDelta merges a delta into the mirror, after what peers know beyond it, and returns
 // the number of keys that changed.
-func (s *state) applyDelta(now time.Time, delta mirror.Delta, replies []fleet.ConfirmReply) int {
+func (s *state) applyDelta(now time.Time, delta mirror.Delta, replies []fleet.StateReply) int {
 	previous := s.mirror.Position()
 	changed := s.mirror.Merge(delta)
 	if s.mirror.Position().Era == previous.Era {
@@ -57,7 +57,7 @@
 		s.beginEra(now, previous)
 	}
 	for _, reply := range replies {
-		s.applyConfirmReply(now, reply)
+		s.applyStateReply(now, reply)
 	}
 	s.copied = true
 	s.applyChanges(now, changed)
@@ -128,27 +128,22 @@
 	}
 }
 
-// askPeersBeyondCopy asks peers what they know beyond the entries of a copy and returns the
-// replies that come within confirmTimeout.
-func (e *Edge) askPeersBeyondCopy(ctx context.Context, entries []store.Entry, peers []string) []fleet.ConfirmReply {
-	confirm, registered := e.decodeCopy(entries)
-	peers = slices.Concat(peers, *e.seeds.Load(), registered)
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// queryPeerStates asks peers what they know beyond the entries of a copy and returns the
+// replies that come within stateQueryTimeout.
+func (e *Edge) queryPeerStates(ctx context.Context, entries []store.Entry, peers []string) []fleet.StateReply {
+	query, registered := e.decodeCopy(entries)
+	queried := e.peersToQuery(slices.Concat(peers, *e.seeds.Load(), registered))
+	ctx, cancel := context.WithTimeout(ctx, stateQueryTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	var replies []fleet.ConfirmReply
+	var replies []fleet.StateReply
 	var group sync.WaitGroup
-	asked := make(map[string]bool)
-	for _, peer := range peers {
-		if peer == e.settings.Link || asked[peer] || len(asked) == maxConfirmingPeers {
-			continue
-		}
-		asked[peer] = true
+	for _, peer := range queried {
 		group.Go(func() {
 			client := link.NewClient(peer)
 			defer client.Close()
-			var reply fleet.ConfirmReply
-			if err := client.Call(ctx, fleet.TypeConfirm, confirm, &reply); err != nil {
+			var reply fleet.StateReply
+			if err := client.Call(ctx, fleet.TypeStateQuery, query, &reply); err != nil {
 				e.log.Info().Err(err).Str("peer", peer).Msg("peer does not tell what it knows beyond the copy")
 				return
 			}
@@ -158,13 +153,25 @@
 		})
 	}
 	group.Wait()
-	e.log.Info().Int("peers", len(asked)).Int("replies", len(replies)).Msg("peers were asked what they know beyond the copy")
+	e.log.Info().Int("peers", len(queried)).Int("replies", len(replies)).Msg("peers were asked what they know beyond the copy")
 	return replies
 }
 
-// decodeCopy returns the question about the endpoints among the entries, and the link
+// peersToQuery returns the first maxQueriedPeers other instances among the link addresses,
+// each once.
+func (e *Edge) peersToQuery(addresses []string) []string {
+	var peers []string
+	for _, address := range addresses {
+		if address != e.settings.Link && !slices.Contains(peers, address) {
+			peers = append(peers, address)
+		}
+	}
+	return peers[:min(len(peers), maxQueriedPeers)]
+}
+
+// decodeCopy returns the query for the endpoints among the entries, and the link
 // addresses of the registered instances.
-func (e *Edge) decodeCopy(entries []store.Entry) (confirm fleet.Confirm, registered []string) {
+func (e *Edge) decodeCopy(entries []store.Entry) (query fleet.StateQuery, registered []string) {
 	for _, entry := range entries {
 		resource, err := e.ports.Entries.Decode(entry)
 		if err != nil {
@@ -172,29 +179,29 @@
 		}
 		switch resource := resource.(type) {
 		case placement.Record:
-			confirm.Endpoints = append(confirm.Endpoints, fleet.EndpointRecord{
+			query.Endpoints = append(query.Endpoints, fleet.EndpointRecord{
 				Endpoint: resource.ID, StartMillis: resource.StartMillis, Sequence: resource.Sequence})
 		case fleet.Member:
 			registered = append(registered, resource.Link)
 		}
 	}
-	return confirm, registered
+	return query, registered
 }
 
-// handleConfirm tells a peer what this instance knows beyond a copy of the store.
-func (e *Edge) handleConfirm(ctx context.Context, request wire.Envelope) (any, error) {
-	var confirm fleet.Confirm
-	if err := request.Decode(&confirm); err != nil {
+// handleStateQuery tells a peer what this instance knows beyond a copy of the store.
+func (e *Edge) handleStateQuery(ctx context.Context, request wire.Envelope) (any, error) {
+	var query fleet.StateQuery
+	if err := request.Decode(&query); err != nil {
 		return nil, err
 	}
-	var reply fleet.ConfirmReply
-	err := e.loop.Call(ctx, func() { reply = e.state.confirmReply(confirm) })
+	var reply fleet.StateReply
+	err := e.loop.Call(ctx, func() { reply = e.state.stateReply(query) })
 	return reply, err
 }
 
-func (s *state) confirmReply(confirm fleet.Confirm) fleet.ConfirmReply {
-	reply := fleet.ConfirmReply{Configuration: s.catalogEntry, EvacuatedZones: s.registry.Evacuated()}
-	for _, e := range confirm.Endpoints {
+func (s *state) stateReply(query fleet.StateQuery) fleet.StateReply {
+	reply := fleet.StateReply{Configuration: s.catalogEntry, EvacuatedZones: s.registry.Evacuated()}
+	for _, e := range query.Endpoints {
 		if last, departed := s.registry.Departed(e.Endpoint, e.StartMillis, e.Sequence); departed {
 			reply.Departed = append(reply.Departed, fleet.EndpointRecord{
 				Endpoint: last.ID, StartMillis: last.StartMillis, Sequence: last.Sequence})
@@ -203,10 +210,10 @@
 	return reply
 }
 
-// applyConfirmReply applies what a peer knows beyond a copy of the store. Evacuations that
+// applyStateReply applies what a peer knows beyond a copy of the store. Evacuations that
 // the copy lacks count for reregistrationTime.
-func (s *state) applyConfirmReply(now time.Time, reply fleet.ConfirmReply) {
-	s.applyConfirmedCatalog(now, reply.Configuration)
+func (s *state) applyStateReply(now time.Time, reply fleet.StateReply) {
+	s.applyPeerCatalog(now, reply.Configuration)
 	for _, e := range reply.Departed {
 		s.registry.Depart(e.Endpoint, e.StartMillis, e.Sequence)
 		delete(s.pendingRemovals, e.Endpoint)
@@ -221,7 +228,7 @@
 	}
 }
 
-func (s *state) applyConfirmedCatalog(now time.Time, entry store.Entry) {
+func (s *state) applyPeerCatalog(now time.Time, entry store.Entry) {
 	if entry.Key == "" {
 		return
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -10,11 +10,11 @@
 
 // Types of the messages between instances.
 const (
-	TypeReport   = "fleet.report"
-	TypeExchange = "fleet.exchange"
-	TypePull     = "fleet.pull"
-	TypeBorrow   = "fleet.borrow"
-	TypeConfirm  = "fleet.confirm"
+	TypeReport     = "fleet.report"
+	TypeExchange   = "fleet.exchange"
+	TypePull       = "fleet.pull"
+	TypeBorrow     = "fleet.borrow"
+	TypeStateQuery = "fleet.state_query"
 )
 
 // State says whether callers may be sent to an instance.
@@ -223,9 +223,9 @@
 	Packed []byte `msgpack:"k,omitempty"`
 }
 
-// Confirm asks another instance what it knows beyond a copy from which the store came back.
+// StateQuery asks another instance what it knows beyond a copy from which the store came back.
 // Endpoints are those of the copy.
-type Confirm struct {
+type StateQuery struct {
 	Endpoints []EndpointRecord `msgpack:"u,omitempty"`
 }
 
@@ -240,8 +240,8 @@
 	Sequence uint64
 }
 
-// ConfirmReply is the reply to a Confirm.
-type ConfirmReply struct {
+// StateReply is the reply to a StateQuery.
+type StateReply struct {
 	// Configuration is the entry of the configuration in force; it has no key if there is
 	// none.
 	Configuration store.Entry `msgpack:"c"`
