--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -37,6 +37,7 @@
 	departure   departure
 	// pausedUntil is the time until which the endpoint wants no requests of this instance.
 	pausedUntil time.Time
+	limit       namedLimit
 }
 
 // departure is what this instance knows of an endpoint's leaving.
@@ -235,17 +236,25 @@
 	Leaving        bool    `json:"leaving"`
 	// PauseMillis is how much longer the endpoint wants no requests of this instance.
 	PauseMillis int64 `json:"pause_ms"`
+	// LimitPerSecond is the rate that the endpoint takes from all instances together;
+	// absent without a limit.
+	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
 }
 
 // Describe returns the endpoint's state for the dump.
 func (e *Endpoint) Describe(now time.Time) Description {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Description{
+	d := Description{
 		ID: e.ID, Upstream: e.Upstream, Address: e.Address, Zone: e.Zone, Slots: e.Slots,
 		InFlight: e.InFlight(), OthersInFlight: int(e.othersInFlight.Load()),
 		LatencyRatio: e.health.latencyRatio, FailureRate: e.health.failureRate,
 		Usable: !e.absent(now) && e.health.status(now, e.InFlight()) == healthy, Cold: e.coldLimiter.isActive(now),
 		Leaving: e.departure != staying, PauseMillis: max(e.pausedUntil.Sub(now), 0).Milliseconds(),
 	}
+	if e.limit.named {
+		perSecond := e.limit.perSecond
+		d.LimitPerSecond = &perSecond
+	}
+	return d
 }
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -39,6 +39,10 @@
 	// or 0. With a value that cannot be used it also returns an error that names the
 	// value; the pause is then the one to keep instead.
 	Pause func(status int, header http.Header) (time.Duration, error)
+	// Limit returns the requests per second that the endpoint takes from all instances
+	// together according to an answer, and whether the answer names such a limit. With a
+	// value that cannot be used it returns no limit and an error that names the value.
+	Limit func(header http.Header) (perSecond float64, named bool, err error)
 }
 
 // defaultDialect uses the Lovage-* headers that the package comment describes.
@@ -50,6 +54,7 @@
 	},
 	Leaving: func(header http.Header) bool { return header.Get(HeaderDraining) == "true" },
 	Pause:   func(int, http.Header) (time.Duration, error) { return 0, nil },
+	Limit:   func(http.Header) (float64, bool, error) { return 0, false, nil },
 }
 
 // requiresEcho reports whether the answer must echo the request's identifier.
