Add failing tests: an endpoint's named limit over all instances

The tests play the fleet's messages with up to 66 instances, restarts included, and count as the users' rule does.

--- /dev/null
+++ b/internal/edge/limit_simulation_test.go
@@ -0,0 +1,197 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lovagescale/internal/placement"
+	"lovagescale/internal/upstream"
+)
+
+// limitSimulation lets the instances of a fleet send requests to one endpoint that names a
+// limit in its answers. Fleet messages are those of quotaSimulation.
+type limitSimulation struct {
+	*quotaSimulation
+	// limit is what the endpoint's answers name, or 0 if they name none.
+	limit float64
+	// namedAt is when an answer first named the limit.
+	namedAt time.Time
+	// toldAt is when an instance first passed on an answer that names the limit, by index.
+	toldAt []time.Time
+	// excusedUntil is the time until which a fault excuses an instance, by index.
+	excusedUntil []time.Time
+	arrivals     []limitArrival
+	pending      []pendingAnswer
+}
+
+type limitArrival struct {
+	at   time.Time
+	from int
+}
+
+type pendingAnswer struct {
+	at       time.Time
+	instance *Edge
+	from     int
+	endpoint *placement.Endpoint
+	limit    float64
+}
+
+const (
+	limitedUpstream = "files"
+	// limitServiceTime is how long the endpoint takes for an answer.
+	limitServiceTime = 150 * time.Millisecond
+)
+
+func newLimitSimulation(seed uint64, regions, zones, perZone int) *limitSimulation {
+	sim := &limitSimulation{quotaSimulation: newQuotaSimulation(seed, regions, zones, perZone, 1000)}
+	n := len(sim.instances)
+	sim.toldAt, sim.excusedUntil = make([]time.Time, n), make([]time.Time, n)
+	for i := range n {
+		sim.register(i)
+	}
+	return sim
+}
+
+// register makes the endpoint known to an instance.
+func (sim *limitSimulation) register(i int) {
+	s := sim.instances[i].state
+	s.registry = placement.NewRegistry(s.edge.settings.Zones, func(placement.Record) *upstream.Pool {
+		return upstream.NewPool("127.0.0.1:1", 1, 0)
+	})
+	record := placement.Record{ID: "e", StartMillis: 1, Upstream: limitedUpstream, Address: "127.0.0.1:1", Zone: "r0-z0", Slots: 1000}
+	s.registry.Register(sim.now, record, placement.ColdPolicy{})
+	s.publishTable(sim.now)
+	s.tick(sim.now)
+}
+
+// restart restarts an instance, which excuses it as long as a restart excuses machines.
+func (sim *limitSimulation) restart(i int) {
+	sim.start(i)
+	sim.register(i)
+	sim.excusedUntil[i] = sim.now.Add(contactTime)
+	sim.toldAt[i] = time.Time{}
+}
+
+// contactTime is the bound contact-s of the users' rules.
+const contactTime = 4 * time.Second
+
+// run simulates a time with the given demand, in requests per second over all instances.
+func (sim *limitSimulation) run(duration time.Duration, demand float64) {
+	weights := make([]float64, len(sim.instances)) // no demand on the quota
+	for range int(duration / simStep) {
+		sim.step(0, weights)
+		sim.deliverAnswers()
+		expected := demand * simStep.Seconds()
+		for n := int(expected + sim.random.Float64()); n > 0; n-- {
+			sim.send(sim.random.IntN(len(sim.instances)))
+		}
+	}
+}
+
+func (sim *limitSimulation) send(from int) {
+	e := sim.instances[from]
+	endpoint, err := e.table.Load().Choose(sim.now, placement.Request{Upstream: limitedUpstream, Region: "r0", MaxUtilization: 1})
+	if err != nil {
+		return
+	}
+	sim.arrivals = append(sim.arrivals, limitArrival{sim.now, from})
+	sim.pending = append(sim.pending, pendingAnswer{sim.now.Add(limitServiceTime), e, from, endpoint, sim.limit})
+}
+
+func (sim *limitSimulation) deliverAnswers() {
+	for len(sim.pending) > 0 && !sim.pending[0].at.After(sim.now) {
+		answer := sim.pending[0]
+		sim.pending = sim.pending[1:]
+		answer.endpoint.SetNamedLimit(sim.now, answer.limit, answer.limit > 0)
+		answer.instance.table.Load().End(sim.now, answer.endpoint, placement.Answered, 1)
+		if answer.limit > 0 && sim.toldAt[answer.from].IsZero() && sim.instances[answer.from] == answer.instance {
+			sim.toldAt[answer.from] = sim.now
+		}
+		if answer.limit > 0 && sim.namedAt.IsZero() {
+			sim.namedAt = sim.now
+		}
+	}
+}
+
+// The times of the users' rule on named limits.
+const (
+	limitWindow = 4 * time.Second
+	toldFor     = 500 * time.Millisecond
+)
+
+// worstWindow returns the most arrivals in a window from contactTime after the endpoint
+// first named its limit. Arrivals from instances that were told too lately or are excused
+// do not count.
+func (sim *limitSimulation) worstWindow() int {
+	begin := sim.namedAt.Add(contactTime)
+	var counted []time.Time
+	worst := 0
+	for _, a := range sim.arrivals {
+		told := sim.toldAt[a.from]
+		if a.at.Before(begin) || told.IsZero() || a.at.Before(told.Add(toldFor)) || a.at.Before(sim.excusedUntil[a.from]) {
+			continue
+		}
+		counted = append(counted, a.at)
+		for a.at.Sub(counted[0]) >= limitWindow {
+			counted = counted[1:]
+		}
+		worst = max(worst, len(counted))
+	}
+	return worst
+}
+
+// Guards against an endpoint that names a limit and gets that many requests from each
+// instance, or more: the limit holds over all instances together.
+func TestFuzzNamedLimitHoldsOverTheFleet(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		limit := rapid.Float64Range(0.2, 30).Draw(rt, "limit")
+		sim := newLimitSimulation(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 3).Draw(rt, "regions"),
+			rapid.IntRange(1, 2).Draw(rt, "zones"), rapid.IntRange(1, 11).Draw(rt, "instances a zone"))
+		demand := limit * rapid.Float64Range(0.5, 20).Draw(rt, "demand")
+		sim.run(3*time.Second, demand)
+		sim.limit = limit
+		for range rapid.IntRange(1, 4).Draw(rt, "spans") {
+			sim.run(time.Duration(rapid.IntRange(500, 6000).Draw(rt, "ms"))*time.Millisecond, demand)
+			if rapid.Bool().Draw(rt, "restart") {
+				sim.restart(rapid.IntRange(0, len(sim.instances)-1).Draw(rt, "instance"))
+			}
+		}
+		sim.run(10*time.Second, demand)
+		if sim.namedAt.IsZero() {
+			return
+		}
+		allowed := 1.5*limit*limitWindow.Seconds() + 5
+		if worst := sim.worstWindow(); float64(worst) > allowed {
+			rt.Fatalf("an endpoint with a limit of %.1f a second got %d requests in %v from %d instances; allowed %.0f",
+				limit, worst, limitWindow, len(sim.instances), allowed)
+		}
+	})
+}
+
+// Guards against an endpoint whose limit leaves it without requests: it gets what it takes
+// while it names the limit, and all of its requests once it names none.
+func TestNamedLimitIsUsedAndEnds(t *testing.T) {
+	for _, perZone := range []int{1, 4, 11} {
+		t.Run(fmt.Sprint(perZone, " instances a zone"), func(t *testing.T) {
+			sim := newLimitSimulation(7, 3, 2, perZone)
+			sim.limit = 8
+			sim.run(8*time.Second, 400)
+			before := len(sim.arrivals)
+			sim.run(8*time.Second, 400)
+			if limited := len(sim.arrivals) - before; limited < 24 || limited > 64 {
+				t.Fatalf("%d requests came in 8 s at a limit of 8 a second", limited)
+			}
+			sim.limit = 0
+			sim.run(15*time.Second, 400)
+			before = len(sim.arrivals)
+			sim.run(time.Second, 400)
+			if after := len(sim.arrivals) - before; after < 380 {
+				t.Fatalf("%d of 400 requests came after the limit had ended", after)
+			}
+		})
+	}
+}
