Keep the limit that an endpoint names over all instances

The class: a limit over the fleet that each instance keeps for itself, or not at all. Reading it alone would not do: 8 instances with 4.7 each are 150 in 4 s, and even shares with one request saved up are 66 more at once in a region of 66.

Change: an instance tells the others of a limit with its reports, as it does of an endpoint that leaves. Max(1, 2 x limit) instances of the endpoint's region, by rendezvous hashing, share the limit; the others send it nothing. With one request saved up each, 4 s hold at most 6 x limit. There is no call between instances for a request. A limit counts for 10 s (or three requests' time) after the last answer that named it, and ends with an answer of normal work that names none; reports of it are passed over for 5 s then, since they may be older. What the limit leaves of the slots counts as room of the region, and the endpoint counts for no utilization. Answers of another endpoint at the address (421) no longer count as statements of the one that was meant. A limit survives the removal and return of its endpoint's entry.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -120,7 +120,9 @@
 		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
 			endpoint.SetReportedLoad(now, running+waiting)
 		}
-		e.applyStatements(now, q, endpoint, answer)
+	}
+	if answer != nil && result != placement.Misdirected { // such an answer is of another endpoint
+		e.applyStatements(now, q, endpoint, answer, result)
 	}
 	e.table.Load().End(now, endpoint, result, latencyRatio)
 	if result == placement.Lost {
@@ -135,7 +137,7 @@
 
 // applyStatements applies what an endpoint states in its answer about further requests:
 // that it is leaving, for how long it wants none, or how many it takes.
-func (e *Edge) applyStatements(now time.Time, q *request, endpoint *placement.Endpoint, answer *upstream.Answer) {
+func (e *Edge) applyStatements(now time.Time, q *request, endpoint *placement.Endpoint, answer *upstream.Answer, result placement.Result) {
 	if e.ports.Upstreams.Leaving(answer.Header) && endpoint.SetLeaving() {
 		e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Msg("endpoint is leaving and gets no further requests")
 	}
@@ -147,26 +149,7 @@
 		endpoint.Pause(now.Add(pause))
 		e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Dur("pause", pause).Msg("endpoint wants no requests")
 	}
-	e.applyLimit(now, q, endpoint, answer)
-}
-
-// applyLimit applies the rate limit that an endpoint names in its answer, or that it
-// names none.
-func (e *Edge) applyLimit(now time.Time, q *request, endpoint *placement.Endpoint, answer *upstream.Answer) {
-	perSecond, named, err := e.ports.Upstreams.Limit(answer.Header)
-	if err != nil {
-		e.log.Warn().Err(err).Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Msg("endpoint's statement cannot be used")
-		return
-	}
-	if !endpoint.SetNamedLimit(now, perSecond, named) {
-		return
-	}
-	event := e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID)
-	if named {
-		event.Float64("limit_per_second", perSecond).Msg("endpoint names a limit")
-	} else {
-		event.Msg("endpoint names no limit any more")
-	}
+	e.applyLimit(now, q, endpoint, answer, result)
 }
 
 // classify returns the result of an attempt.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -168,7 +168,9 @@
 		UpstreamAnswers: s.edge.stats.upstreamAnswers(),
 		Strikes:         s.edge.quarantine.activeStrikes(now),
 	}
-	for id, endpoint := range s.edge.table.Load().Endpoints() {
+	endpoints := s.edge.table.Load().Endpoints()
+	activity.Limits = endpointLimits(now, endpoints)
+	for id, endpoint := range endpoints {
 		if n := endpoint.InFlight(); n > 0 {
 			activity.EndpointLoads = append(activity.EndpointLoads, fleet.EndpointLoad{Endpoint: fleet.KeyOf(id), InFlight: n})
 		}
@@ -293,16 +295,22 @@
 // region, own is this instance's part of it.
 func (s *state) applyDigest(now time.Time, digest fleet.Digest, own fleet.Activity) {
 	s.fleet.ApplyDigest(now, digest, own)
+	if !digest.IsCurrent() {
+		digest.Activity.Limits = nil // may have ended since
+	}
 	s.applyWarnings(now, digest.Activity)
 }
 
-// applyWarnings applies what other instances found out about requests that crash endpoints
-// and about endpoints that are leaving.
+// applyWarnings applies what other instances found out about requests that crash endpoints,
+// about endpoints that are leaving and about limits that endpoints name.
 func (s *state) applyWarnings(now time.Time, activity fleet.Activity) {
 	s.edge.quarantine.addStrikes(now, activity.Strikes)
 	for _, endpoint := range activity.Leaving {
 		s.registry.SetLeaving(endpoint.Endpoint, endpoint.StartMillis)
 	}
+	for _, limit := range activity.Limits {
+		s.registry.ApplyReportedLimit(now, limit.Endpoint, limit.StartMillis, float64(limit.PerSecond))
+	}
 }
 
 // handleReport handles a report from an instance of the region.
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -9,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lovagescale/internal/allowance"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
@@ -155,19 +152,7 @@
 // holderCandidates returns the instances of a zone that are asked for a workspace's pool,
 // the holder first.
 func (p *quotaPools) holderCandidates(zone, workspace string) []fleet.Member {
-	var candidates []fleet.Member
-	var scores []uint64
-	for _, member := range (*p.holders.Load())[zone] {
-		score := xxhash.Sum64String(member.Instance + "\x00" + workspace)
-		position, _ := slices.BinarySearchFunc(scores, score, func(a, b uint64) int { return cmp.Compare(b, a) })
-		if position == maxHolderCandidates {
-			continue
-		}
-		candidates = slices.Insert(candidates, position, member)
-		scores = slices.Insert(scores, position, score)
-		candidates, scores = candidates[:min(len(candidates), maxHolderCandidates)], scores[:min(len(scores), maxHolderCandidates)]
-	}
-	return candidates
+	return fleet.Preferred((*p.holders.Load())[zone], workspace, maxHolderCandidates)
 }
 
 // remainingPause returns how much longer no loan is asked for on behalf of the workspace.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -185,6 +185,7 @@
 	s.edge.retryBudget.SetInstances(s.fleet.Size())
 	s.updateFleetState()
 	s.updateOthersInFlight()
+	s.divideEndpointLimits(now)
 	s.edge.workspaceDemand.Tick(elapsed)
 	s.ownDemand.Add(now, s.edge.workspaceDemand.Rates())
 	s.zoneDemand.Add(now, s.peerActivity.ZoneDemand)
@@ -285,7 +286,7 @@
 	}
 	for _, name := range table.Upstreams() {
 		serviceSeconds := s.edge.stats.serviceTime(name).Seconds()
-		capacity := table.Capacity(now, name)
+		capacity := table.Capacity(now, name, s.edge.stats.serviceTime(name))
 		available := placement.AvailableCapacity(capacity, slotsFor(pinned[name], serviceSeconds))
 		demand := slotsFor(unpinned[name], serviceSeconds)
 		assumed := placement.AssumedDemand(s.edge.regions, available)
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -277,6 +277,13 @@
 	upstreamAnswers map[string]UpstreamAnswers
 	strikes         map[uint64]quarantine.Strike
 	leaving         map[LeavingEndpoint]bool
+	limits          map[endpointRun]float32
+}
+
+// endpointRun identifies a run of an endpoint.
+type endpointRun struct {
+	endpoint    string
+	startMillis int64
 }
 
 func newActivitySum() *activitySum {
@@ -286,6 +293,7 @@
 		upstreamAnswers: make(map[string]UpstreamAnswers),
 		strikes:         make(map[uint64]quarantine.Strike),
 		leaving:         make(map[LeavingEndpoint]bool),
+		limits:          make(map[endpointRun]float32),
 	}
 }
 
@@ -309,6 +317,12 @@
 	for _, endpoint := range a.Leaving {
 		s.leaving[endpoint] = true
 	}
+	for _, limit := range a.Limits {
+		run := endpointRun{limit.Endpoint, limit.StartMillis}
+		if known, found := s.limits[run]; !found || limit.PerSecond < known {
+			s.limits[run] = limit.PerSecond
+		}
+	}
 }
 
 func (s *activitySum) activity() Activity {
@@ -328,6 +342,9 @@
 	for endpoint := range s.leaving {
 		a.Leaving = append(a.Leaving, endpoint)
 	}
+	for run, perSecond := range s.limits {
+		a.Limits = append(a.Limits, EndpointLimit{Endpoint: run.endpoint, StartMillis: run.startMillis, PerSecond: perSecond})
+	}
 	return a
 }
 
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -109,6 +109,19 @@
 	WorkspaceDemand []WorkspaceDemand `msgpack:"w,omitempty"`
 	// Leaving are the endpoints that stated in an answer that they are leaving.
 	Leaving []LeavingEndpoint `msgpack:"l,omitempty"`
+	// Limits are the limits that endpoints name in their answers.
+	Limits []EndpointLimit `msgpack:"m,omitempty"`
+}
+
+// EndpointLimit is the limit that a run of an endpoint names for all instances together.
+type EndpointLimit struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack struct{} `msgpack:",as_array"`
+	Endpoint string
+	// StartMillis is the start of the run in Unix milliseconds.
+	StartMillis int64
+	// PerSecond is the limit in requests per second.
+	PerSecond float32
 }
 
 // LeavingEndpoint is a run of an endpoint that is leaving.
@@ -154,6 +167,9 @@
 	DemandStale bool `msgpack:"o,omitempty"`
 }
 
+// IsCurrent reports whether what the digest tells of endpoints still counts.
+func (d *Digest) IsCurrent() bool { return d.AgeMillis <= digestLifetime.Milliseconds() }
+
 // Reply is the reply to a Report and to an Exchange. To a Report it holds the digests of
 // all regions and the totals, unless the report asks to omit them; to an Exchange it
 // holds the digests that the sender lacks.
--- a/internal/model/simulation.go
+++ b/internal/model/simulation.go
@@ -149,7 +149,7 @@
 			}
 			i.table.Endpoint(e.id).SetOthersInFlight(others)
 		}
-		capacity := i.table.Capacity(s.wallTime(), upstreamName)
+		capacity := i.table.Capacity(s.wallTime(), upstreamName, 0)
 		const step = 0.15 * 0.6 / 2
 		i.balancer.MoveToward(upstreamName, placement.Plan(regionName(i.region), demand, capacity), capacity, step*s.deployment.ReportInterval.Seconds())
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -158,21 +158,6 @@
 	return e.health.status(now, int(e.inFlight.Load())), e.coldLimiter.isActive(now)
 }
 
-// coldPermitAvailable reports whether the cold endpoint may get a request now.
-func (e *Endpoint) coldPermitAvailable(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.coldLimiter.permitAvailable(now)
-}
-
-// takeColdPermit takes the permit for a request to the cold endpoint. It returns false if
-// none is available yet.
-func (e *Endpoint) takeColdPermit(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.coldLimiter.takePermit(now)
-}
-
 // SetCold makes the endpoint cold until the given time. While it is cold it gets one
 // request from this instance per interval.
 func (e *Endpoint) SetCold(now, until time.Time, interval time.Duration) {
@@ -252,7 +237,7 @@
 		Usable: !e.absent(now) && e.health.status(now, e.InFlight()) == healthy, Cold: e.coldLimiter.isActive(now),
 		Leaving: e.departure != staying, PauseMillis: max(e.pausedUntil.Sub(now), 0).Milliseconds(),
 	}
-	if e.limit.named {
+	if e.limit.isActive(now) {
 		perSecond := e.limit.perSecond
 		d.LimitPerSecond = &perSecond
 	}
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -146,10 +146,4 @@
 
 func (l *coldLimiter) permitAvailable(now time.Time) bool { return !now.Before(l.nextPermit) }
 
-func (l *coldLimiter) takePermit(now time.Time) bool {
-	if !l.permitAvailable(now) {
-		return false
-	}
-	l.nextPermit = now.Add(l.interval)
-	return true
-}
+func (l *coldLimiter) takePermit(now time.Time) { l.nextPermit = now.Add(l.interval) }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -60,9 +60,9 @@
 	It("excludes draining endpoints, evacuated zones and removed endpoints", func() {
 		r := registryOf(1)
 		r.Register(start, record("far", "n2"), coldPolicy)
-		Expect(r.Table().Capacity(start, "files")).To(Equal(map[string]float64{"north": 8}))
+		Expect(r.Table().Capacity(start, "files", time.Second)).To(Equal(map[string]float64{"north": 8}))
 		r.Evacuate("n2")
-		Expect(r.Table().Capacity(start, "files")).To(Equal(map[string]float64{"north": 4}))
+		Expect(r.Table().Capacity(start, "files", time.Second)).To(Equal(map[string]float64{"north": 4}))
 		draining := record("e0", "n1")
 		draining.Draining = true
 		draining.Sequence = 1
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -26,6 +26,8 @@
 	// departure is what was known of the run's leaving when its endpoint was removed or
 	// replaced.
 	departure departure
+	// limit is the limit that the run named then.
+	limit namedLimit
 	// removed is set once the endpoint's entry is gone, or another instance knew it to be
 	// draining or gone.
 	removed bool
@@ -64,12 +66,10 @@
 	known, found := r.endpoints[record.ID]
 	if !found || !known.sameLifetime(record) {
 		r.Remove(record.ID)
-		departure := staying
+		known = newEndpoint(record, r.zoneRegions[record.Zone], r.newPool(record))
 		if seen && latest.StartMillis == record.StartMillis {
-			departure = r.latest[record.ID].departure
+			known.departure, known.limit = r.latest[record.ID].departure, r.latest[record.ID].limit
 		}
-		known = newEndpoint(record, r.zoneRegions[record.Zone], r.newPool(record))
-		known.raiseDeparture(departure)
 		r.endpoints[record.ID] = known
 	}
 	r.storeLatest(lastRun{Record: record, departure: known.knownDeparture(), removed: false})
@@ -102,7 +102,7 @@
 	known.Pool.SetRetired(true)
 	delete(r.endpoints, id)
 	last := r.latest[id]
-	last.departure, last.removed = known.knownDeparture(), true
+	last.departure, last.limit, last.removed = known.knownDeparture(), known.limitState(), true
 	r.latest[id] = last
 }
 
@@ -125,11 +125,11 @@
 		return
 	}
 	r.Remove(id)
-	departure := staying
+	run := lastRun{Record: last, removed: true}
 	if known := r.latest[id]; known.StartMillis == startMillis {
-		departure = known.departure
+		run.departure, run.limit = known.departure, known.limit
 	}
-	r.storeLatest(lastRun{Record: last, departure: departure, removed: true})
+	r.storeLatest(run)
 }
 
 // Departed reports whether the endpoint is known to be draining or gone according to a
@@ -152,6 +152,14 @@
 	}
 }
 
+// ApplyReportedLimit records that a run of an endpoint named a limit to another instance,
+// in requests per second from all instances together.
+func (r *Registry) ApplyReportedLimit(now time.Time, id string, startMillis int64, perSecond float64) {
+	if known, found := r.endpoints[id]; found && known.StartMillis == startMillis {
+		known.applyReportedLimit(now, perSecond)
+	}
+}
+
 // Evacuate stops sending requests to the endpoints of a zone.
 func (r *Registry) Evacuate(zone string) { r.evacuated[zone] = true }
 
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -44,13 +44,14 @@
 func (t *Table) Endpoints() map[string]*Endpoint { return t.byID }
 
 // Capacity returns the slots of the upstream's endpoints that are healthy and not cold,
-// by region.
-func (t *Table) Capacity(now time.Time, upstream string) map[string]float64 {
+// by region. Of an endpoint that names a limit it counts the slots that the limit leaves in
+// use if a request takes serviceTime.
+func (t *Table) Capacity(now time.Time, upstream string, serviceTime time.Duration) map[string]float64 {
 	slots := make(map[string]float64)
 	for region, endpoints := range t.upstreams[upstream] {
 		for _, e := range endpoints {
 			if status, cold := e.status(now); status == healthy && !cold {
-				slots[region] += float64(e.Slots)
+				slots[region] += e.usableSlots(now, serviceTime)
 			}
 		}
 	}
@@ -112,8 +113,8 @@
 	Region   string
 	// Registered is the number of endpoints in the region. Usable is the number of those
 	// that may get requests now, ColdWaiting the number of cold ones without a permit for
-	// the request.
-	Registered, Usable, ColdWaiting int
+	// the request, LimitWaiting that of those whose limit allows none now.
+	Registered, Usable, ColdWaiting, LimitWaiting int
 	// PreferredUtilization is the utilization of the preferred endpoint, MaxUtilization
 	// the utilization below which it takes the request.
 	PreferredUtilization, MaxUtilization float64
@@ -121,27 +122,38 @@
 
 // Error implements the error interface.
 func (e *NoRoomError) Error() string {
-	return fmt.Sprintf("upstream %q has no room in region %q: %d of %d endpoints are usable, %d cold ones have no permit; the preferred endpoint's utilization is %.2f, the limit %.2f",
-		e.Upstream, e.Region, e.Usable, e.Registered, e.ColdWaiting, e.PreferredUtilization, e.MaxUtilization)
+	return fmt.Sprintf("upstream %q has no room in region %q: %d of %d endpoints are usable, %d cold ones have no permit, %d have reached their limit; the preferred endpoint's utilization is %.2f, the limit %.2f",
+		e.Upstream, e.Region, e.Usable, e.Registered, e.ColdWaiting, e.LimitWaiting, e.PreferredUtilization, e.MaxUtilization)
 }
 
 // Choose returns an endpoint and counts the request on it, or returns a *NoRoomError. The
 // caller must call End for the endpoint.
 func (t *Table) Choose(now time.Time, request Request) (*Endpoint, error) {
 	endpoints := t.upstreams[request.Upstream][request.Region]
+	for {
+		s := newSelection(now, request, endpoints)
+		best := s.best()
+		if best == nil {
+			return nil, &NoRoomError{Upstream: request.Upstream, Region: request.Region, Registered: len(endpoints),
+				Usable: s.usable, ColdWaiting: s.coldWaiting, LimitWaiting: s.limitWaiting,
+				PreferredUtilization: s.preferred.utilization, MaxUtilization: request.MaxUtilization}
+		}
+		if best.takePermit(now) { // another request may have taken the last permit
+			best.beginRequest(now)
+			return best, nil
+		}
+	}
+}
+
+// newSelection compares the endpoints for a request.
+func newSelection(now time.Time, request Request, endpoints []*Endpoint) selection {
 	s := selection{now: now, request: request, leastLoaded: leastLoadedCandidate{utilization: math.Inf(1)}}
 	s.degradedAllowed = mostAreDegraded(now, endpoints)
 	s.spillDisabled = meanUtilization(now, endpoints) >= MaxRegionUtilizationForSpill
 	for _, e := range endpoints {
 		s.consider(e)
 	}
-	best, cold := s.best()
-	if best == nil || (cold && !best.takeColdPermit(now)) {
-		return nil, &NoRoomError{Upstream: request.Upstream, Region: request.Region, Registered: len(endpoints),
-			Usable: s.usable, ColdWaiting: s.coldWaiting, PreferredUtilization: s.preferred.utilization, MaxUtilization: request.MaxUtilization}
-	}
-	best.beginRequest(now)
-	return best, nil
+	return s
 }
 
 // PausedFor returns the time until the first endpoint of an upstream in a region may get
@@ -170,13 +182,16 @@
 }
 
 // meanUtilization returns the utilization of all endpoints together. Those whose slots are
-// out of use do not count.
+// out of use, or which name a limit, do not count.
 func meanUtilization(now time.Time, endpoints []*Endpoint) float64 {
 	inFlight, slots := 0, 0
 	for _, e := range endpoints {
 		if pause, stays := e.remainingPause(now); pause > 0 || !stays {
 			continue
 		}
+		if _, limited := e.Limit(now); limited {
+			continue
+		}
 		inFlight += e.totalInFlight(now)
 		slots += e.Slots
 	}
@@ -200,12 +215,11 @@
 	endpoint    *Endpoint
 	rank        uint64
 	utilization float64
-	cold        bool
 }
 
-func (c *rankedCandidate) offer(e *Endpoint, rank uint64, utilization float64, cold bool) {
+func (c *rankedCandidate) offer(e *Endpoint, rank uint64, utilization float64) {
 	if c.endpoint == nil || rank > c.rank {
-		*c = rankedCandidate{e, rank, utilization, cold}
+		*c = rankedCandidate{e, rank, utilization}
 	}
 }
 
@@ -213,7 +227,6 @@
 type leastLoadedCandidate struct {
 	endpoint    *Endpoint
 	utilization float64
-	cold        bool
 }
 
 // selection compares the endpoints for one request.
@@ -230,9 +243,10 @@
 	spill       rankedCandidate
 	leastLoaded leastLoadedCandidate
 	// usable counts the endpoints that were compared, coldWaiting the cold ones without a
-	// permit.
-	usable      int
-	coldWaiting int
+	// permit, limitWaiting those whose limit allows no request now.
+	usable       int
+	coldWaiting  int
+	limitWaiting int
 }
 
 func (s *selection) consider(e *Endpoint) {
@@ -240,22 +254,27 @@
 	if status == unavailable || (status == degraded && !s.degradedAllowed) || s.tried(e) {
 		return
 	}
-	if cold && (!s.request.Local || !e.coldPermitAvailable(s.now)) {
+	permitted := e.permitAvailable(s.now)
+	if cold && (!s.request.Local || !permitted) {
 		s.coldWaiting++
 		return
 	}
+	if !permitted {
+		s.limitWaiting++
+		return
+	}
 	s.usable++
 	utilization := float64(e.totalInFlight(s.now)) / float64(e.Slots)
 	if utilization < s.leastLoaded.utilization {
-		s.leastLoaded = leastLoadedCandidate{e, utilization, cold}
+		s.leastLoaded = leastLoadedCandidate{e, utilization}
 	}
 	if s.request.AffinityKey == 0 {
 		return
 	}
 	rank := rendezvousRank(s.request.AffinityKey, e.hash)
-	s.preferred.offer(e, rank, utilization, cold)
+	s.preferred.offer(e, rank, utilization)
 	if utilization < MaxEndpointUtilizationForSpill && !s.spillDisabled {
-		s.spill.offer(e, rank, utilization, cold)
+		s.spill.offer(e, rank, utilization)
 	}
 }
 
@@ -268,18 +287,18 @@
 	return false
 }
 
-// best returns the chosen endpoint, or nil, and whether it is cold.
-func (s *selection) best() (*Endpoint, bool) {
+// best returns the chosen endpoint, or nil.
+func (s *selection) best() *Endpoint {
 	if s.preferred.endpoint != nil && s.preferred.utilization < s.request.MaxUtilization {
-		return s.preferred.endpoint, s.preferred.cold
+		return s.preferred.endpoint
 	}
 	if s.request.AffinityKey != 0 {
-		return s.spill.endpoint, s.spill.cold
+		return s.spill.endpoint
 	}
 	if s.leastLoaded.utilization < math.Max(s.request.MaxUtilization, 1) {
-		return s.leastLoaded.endpoint, s.leastLoaded.cold
+		return s.leastLoaded.endpoint
 	}
-	return nil, false
+	return nil
 }
 
 // AffinityKey returns the affinity key of the object with the given name on a route of an
