Log and dump that an instance reaches no endpoint at all

Change: a tracker of what requests show. When several endpoints fail within a second, or requests get no answer for a second, the instance opens connections to a few endpoints; two rounds without one mean that it is cut off, until a round connects. It is logged and dumped; nothing is decided by it yet. Connections to endpoints go through a port, so that a test can cut one instance of several off.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -112,6 +112,7 @@
 	now := time.Now()
 	result := e.classify(ctx, answer, err)
 	e.counters.recordAttempt(result)
+	e.recordReach(now, endpoint, result)
 	latencyRatio := 0.0
 	if result == placement.Answered {
 		latencyRatio = e.stats.recordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -24,8 +24,10 @@
 	// Quotas are this instance's shares of the workspaces' quotas.
 	Quotas map[string]float64 `json:"quota_shares"`
 	// Follows is set if this instance follows the store itself.
-	Follows   bool                    `json:"follows_store"`
-	Endpoints []placement.Description `json:"endpoints"`
+	Follows bool `json:"follows_store"`
+	// Unreachable is set if this instance reaches no endpoint.
+	Unreachable bool                    `json:"reaches_no_endpoint"`
+	Endpoints   []placement.Description `json:"endpoints"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	"lovagescale/internal/operator"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
+	"lovagescale/internal/reachability"
 	"lovagescale/internal/store"
 	"lovagescale/internal/upstream"
 )
@@ -107,12 +108,16 @@
 	balancer        *placement.RegionBalancer
 	stats           *trafficStats
 	quarantine      *quarantineTable
+	reach           *reachability.Tracker
 	bodyMemory      bodyMemory
 	counters        counters
 }
 
 // New returns an instance that is not yet listening.
 func New(s Settings, ports Ports, log zerolog.Logger) *Edge {
+	if ports.DialEndpoint == nil {
+		ports.DialEndpoint = upstream.Dial
+	}
 	e := &Edge{
 		settings:        s,
 		startedAt:       time.Now(),
@@ -129,6 +134,7 @@
 		balancer:        placement.NewRegionBalancer(s.Region),
 		stats:           newTrafficStats(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
+		reach:           reachability.NewTracker(time.Now()),
 		eraBegun:        make(chan struct{}, 1),
 	}
 	e.bounds.Store(&s.Bounds)
@@ -162,7 +168,8 @@
 	if c := e.catalog.Load(); c != nil && c.Upstreams[record.Upstream].MaxConnections > 0 {
 		limit = max(c.Upstreams[record.Upstream].MaxConnections/int(e.instanceCount.Load()), 1)
 	}
-	return upstream.NewDialectPool(record.Address, e.ports.Upstreams, endpointIdleTimeout, maxIdlePerEndpoint, limit)
+	return upstream.NewDialectPool(record.Address, e.ports.Upstreams, endpointIdleTimeout, maxIdlePerEndpoint, limit).
+		WithDialer(e.ports.DialEndpoint)
 }
 
 // Run serves until ctx ends, then drains the callers' connections.
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -19,6 +19,8 @@
 	Callers   CallerDialect
 	Upstreams *upstream.Dialect
 	Lookups   LookupDialect
+	// DialEndpoint opens a connection to an endpoint; nil stands for upstream.Dial.
+	DialEndpoint upstream.DialFunc
 	// PathReadiness is the path of the platform's readiness checks.
 	PathReadiness string
 }
--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -79,8 +78,7 @@
 	time.AfterFunc(crashCheckDelay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
-		var dialer net.Dialer
-		conn, err := dialer.DialContext(ctx, "tcp", endpoint.Address)
+		conn, err := e.ports.DialEndpoint(ctx, endpoint.Address)
 		if err == nil {
 			_ = conn.Close()
 			return
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -184,7 +184,7 @@
 	s.edge.instanceCount.Store(int64(s.fleet.Size()))
 	s.edge.retryBudget.SetInstances(s.fleet.Size())
 	s.updateFleetState()
-	s.updateOthersInFlight()
+	s.updateEndpoints(now)
 	s.divideEndpointLimits(now)
 	s.edge.workspaceDemand.Tick(elapsed)
 	s.ownDemand.Add(now, s.edge.workspaceDemand.Rates())
@@ -208,12 +208,15 @@
 	}
 }
 
-// updateOthersInFlight sets the number of the other instances' in-flight requests at each
-// endpoint.
-func (s *state) updateOthersInFlight() {
+// updateEndpoints sets the number of the other instances' in-flight requests at each
+// endpoint, and checks whether this instance's own ones get answers.
+func (s *state) updateEndpoints(now time.Time) {
+	inFlight := 0
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
 		endpoint.SetOthersInFlight(s.peerActivity.EndpointLoads[fleet.KeyOf(id)])
+		inFlight += endpoint.InFlight()
 	}
+	s.edge.checkReach(now, inFlight)
 }
 
 // divideQuotas sets the shares of the quotas that this instance holds for its zone. Its
--- /dev/null
+++ b/internal/reachability/tracker.go
@@ -0,0 +1,138 @@
+// Package reachability tells whether an instance reaches any endpoint at all. Endpoints
+// that fail are the concern of package placement; this package notices that the instance
+// itself is cut off from all of them.
+//
+// Requests that fail at several endpoints, or that get no answer for a time, only raise a
+// suspicion. Then the instance opens connections to a few endpoints. If none can be opened
+// in roundsUntilCut rounds in a row, the instance counts as cut off, until one can. An
+// answer alone does not end that: connections that were open before may live on while new
+// ones are refused.
+//
+// Failure modes: an instance whose few probes all meet endpoints that are down counts as
+// cut off until the next round. If all endpoints are down, every instance counts as cut
+// off.
+package reachability
+
+import (
+	"sync"
+	"time"
+)
+
+// Limits of a suspicion.
+const (
+	// failureLifetime is how long a failed request at an endpoint counts.
+	failureLifetime = time.Second
+	// suspiciousEndpoints is the number of endpoints with failures from which the instance
+	// may be cut off.
+	suspiciousEndpoints = 3
+	// silenceThreshold is the time without an answer to any request in flight from which
+	// the instance may be cut off.
+	silenceThreshold = time.Second
+)
+
+// Times of the probe rounds.
+const (
+	// probeInterval is the time between rounds while the instance is suspected.
+	probeInterval = 250 * time.Millisecond
+	// cutProbeInterval is the time between rounds while the instance is cut off.
+	cutProbeInterval = 500 * time.Millisecond
+)
+
+// roundsUntilCut is the number of rounds in a row without a connection after which the
+// instance counts as cut off.
+const roundsUntilCut = 2
+
+// Tracker holds what requests and probes show. It is safe for concurrent use.
+type Tracker struct {
+	mu sync.Mutex
+	// failedAt is the time of the last failed request, by endpoint.
+	failedAt map[string]time.Time
+	// lastSignAt is the time of the last answer or successful probe.
+	lastSignAt   time.Time
+	lastRoundAt  time.Time
+	failedRounds int
+}
+
+// NewTracker returns the tracker of an instance that starts now.
+func NewTracker(now time.Time) *Tracker {
+	return &Tracker{failedAt: make(map[string]time.Time), lastSignAt: now}
+}
+
+// RecordAnswer records an answer of an endpoint.
+func (t *Tracker) RecordAnswer(now time.Time, endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastSignAt = now
+	delete(t.failedAt, endpoint)
+}
+
+// RecordFailure records a request that an endpoint did not answer.
+func (t *Tracker) RecordFailure(now time.Time, endpoint string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failedAt[endpoint] = now
+}
+
+// HasFailed reports whether a request failed at the endpoint lately.
+func (t *Tracker) HasFailed(now time.Time, endpoint string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, found := t.failedAt[endpoint]
+	return found && now.Sub(at) < failureLifetime
+}
+
+// ProbeDue reports whether a round of probes is due, and counts it as begun. inFlight is
+// the number of requests that wait for an answer, endpoints the number of known endpoints.
+func (t *Tracker) ProbeDue(now time.Time, inFlight, endpoints int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	interval := probeInterval
+	if t.isCut() {
+		interval = cutProbeInterval
+	}
+	if endpoints == 0 || now.Sub(t.lastRoundAt) < interval {
+		return false
+	}
+	if !t.isCut() && !t.isSuspicious(now, inFlight, endpoints) {
+		return false
+	}
+	t.lastRoundAt = now
+	return true
+}
+
+// isSuspicious reports whether requests show that the instance may be cut off. The caller
+// must hold the lock.
+func (t *Tracker) isSuspicious(now time.Time, inFlight, endpoints int) bool {
+	for endpoint, at := range t.failedAt {
+		if now.Sub(at) >= failureLifetime {
+			delete(t.failedAt, endpoint)
+		}
+	}
+	silent := inFlight > 0 && now.Sub(t.lastSignAt) >= silenceThreshold
+	return t.failedRounds > 0 || silent || len(t.failedAt) >= min(suspiciousEndpoints, endpoints)
+}
+
+// RecordRound records a round of probes, of which one connected or none did, and reports
+// whether it changed Cut.
+func (t *Tracker) RecordRound(now time.Time, connected bool) (changed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	wasCut := t.isCut()
+	if connected {
+		t.failedRounds = 0
+		t.lastSignAt = now
+		clear(t.failedAt)
+	} else {
+		t.failedRounds++
+	}
+	return t.isCut() != wasCut
+}
+
+// Cut reports whether the instance reaches no endpoint.
+func (t *Tracker) Cut() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isCut()
+}
+
+func (t *Tracker) isCut() bool { return t.failedRounds >= roundsUntilCut }
--- /dev/null
+++ b/internal/reachability/tracker_test.go
@@ -0,0 +1,79 @@
+package reachability
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestReachability(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "reachability")
+}
+
+var _ = Describe("Tracker", func() {
+	start := time.UnixMilli(1_000_000)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	var tracker *Tracker
+
+	BeforeEach(func() { tracker = NewTracker(start) })
+
+	failAt := func(d time.Duration, endpoints int) {
+		for i := range endpoints {
+			tracker.RecordFailure(at(d), fmt.Sprint("e", i))
+		}
+	}
+
+	It("asks for no probes while requests are answered or none is made", func() {
+		for d := time.Duration(0); d < 5*time.Second; d += 100 * time.Millisecond {
+			Expect(tracker.ProbeDue(at(d), 0, 10)).To(BeFalse())
+		}
+		tracker.RecordAnswer(at(5*time.Second), "e0")
+		Expect(tracker.ProbeDue(at(5500*time.Millisecond), 3, 10)).To(BeFalse())
+	})
+
+	It("suspects a cut when several endpoints fail at once, not when one does", func() {
+		failAt(time.Millisecond, suspiciousEndpoints-1)
+		Expect(tracker.ProbeDue(at(2*time.Millisecond), 1, 10)).To(BeFalse())
+		failAt(3*time.Millisecond, suspiciousEndpoints)
+		Expect(tracker.ProbeDue(at(4*time.Millisecond), 1, 10)).To(BeTrue())
+	})
+
+	It("suspects a cut when the only endpoint fails", func() {
+		failAt(time.Millisecond, 1)
+		Expect(tracker.ProbeDue(at(2*time.Millisecond), 0, 1)).To(BeTrue())
+	})
+
+	It("suspects a cut when requests in flight get no answer", func() {
+		Expect(tracker.ProbeDue(at(silenceThreshold), 1, 10)).To(BeTrue())
+	})
+
+	It("is cut off after two rounds without a connection, until one connects", func() {
+		failAt(0, suspiciousEndpoints)
+		Expect(tracker.ProbeDue(at(0), 1, 10)).To(BeTrue())
+		Expect(tracker.RecordRound(at(0), false)).To(BeFalse())
+		Expect(tracker.ProbeDue(at(probeInterval), 0, 10)).To(BeTrue(), "a failed round is suspicious by itself")
+		Expect(tracker.RecordRound(at(probeInterval), false)).To(BeTrue())
+		Expect(tracker.Cut()).To(BeTrue())
+
+		tracker.RecordAnswer(at(time.Second), "e0")
+		Expect(tracker.Cut()).To(BeTrue(), "an old connection may live on")
+		Expect(tracker.ProbeDue(at(time.Second), 0, 10)).To(BeTrue())
+		Expect(tracker.RecordRound(at(time.Second), true)).To(BeTrue())
+		Expect(tracker.Cut()).To(BeFalse())
+		Expect(tracker.ProbeDue(at(2*time.Second), 0, 10)).To(BeFalse())
+	})
+
+	It("is not cut off while a probe connects, whatever fails", func() {
+		for d := time.Duration(0); d < 10*time.Second; d += probeInterval {
+			failAt(d, 9)
+			if tracker.ProbeDue(at(d), 5, 10) {
+				tracker.RecordRound(at(d), true)
+			}
+			Expect(tracker.Cut()).To(BeFalse())
+		}
+	})
+})
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,10 +25,20 @@
 	return fmt.Sprintf("all %d connections are in use", e.Limit)
 }
 
+// DialFunc opens a TCP connection to an address by the deadline of ctx.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
+// Dial opens a TCP connection to an endpoint within the time that a Pool allows for it.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 // Pool holds the connections to one endpoint and bounds their number.
 type Pool struct {
 	address string
 	dialect *Dialect
+	dial    DialFunc
 	// idleTime is how long a connection may stay idle and still be reused.
 	idleTime time.Duration
 
@@ -53,13 +63,20 @@
 // maxIdle idle connections and has at most limit connections open; a limit of 0
 // means no limit.
 func NewPool(address string, maxIdle, limit int) *Pool {
-	return &Pool{address: address, dialect: defaultDialect, idleTime: defaultIdleTime, maxIdle: maxIdle, limit: limit}
+	return &Pool{address: address, dialect: defaultDialect, dial: Dial, idleTime: defaultIdleTime, maxIdle: maxIdle, limit: limit}
 }
 
 // NewDialectPool returns a pool for an endpoint of the given dialect. It reuses
 // connections that were idle for at most idleTime; the limits are those of NewPool.
 func NewDialectPool(address string, dialect *Dialect, idleTime time.Duration, maxIdle, limit int) *Pool {
-	return &Pool{address: address, dialect: dialect, idleTime: idleTime, maxIdle: maxIdle, limit: limit}
+	return &Pool{address: address, dialect: dialect, dial: Dial, idleTime: idleTime, maxIdle: maxIdle, limit: limit}
+}
+
+// WithDialer makes the pool open its connections with dial and returns the pool. It must be
+// called before the pool is used.
+func (p *Pool) WithDialer(dial DialFunc) *Pool {
+	p.dial = dial
+	return p
 }
 
 // SetLimits replaces the limits. They apply to connections that are opened or
@@ -117,8 +134,7 @@
 	if err := p.reserve(); err != nil {
 		return nil, err
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.dial(ctx, p.address)
 	if err != nil {
 		p.decrementOpen()
 		return nil, err
