Tell the peer of a link when a request is not waited for any more

Cause: a call whose caller has left ends at the client only; the peer's handler works on until its deadline. Requests that instances pass on to each other must end at the endpoint when the caller leaves.

Change: the client sends a cancellation with the request's identifier when the context of a call ends, and the server ends the context of that handler. An older server answers it with an error that nobody waits for.

--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -20,6 +20,8 @@
 const (
 	dialTimeout  = 500 * time.Millisecond
 	writeTimeout = time.Second
+	// cancelTimeout bounds the sending of a cancellation.
+	cancelTimeout = 100 * time.Millisecond
 	// idleTimeout is how long a connection may receive nothing before it is closed.
 	idleTimeout = 30 * time.Second
 	// stallTimeout is how long a connection may deliver no reply before a request
@@ -107,6 +109,7 @@
 	c.traffic.record(messageType, Traffic{Calls: 1, SentBytes: int64(len(envelope.Body))})
 	select {
 	case <-ctx.Done():
+		s.sendCancel(id)
 		if s.stalled(time.Now(), c.stallTimeout) {
 			c.detach(s)
 		}
@@ -128,6 +131,18 @@
 	return &UnreachableError{Peer: c.peer, Sent: true, Cause: err}
 }
 
+// sendCancel tells the peer that the request is not waited for any more. A peer that does
+// not get it only works in vain.
+func (s *session) sendCancel(id uint64) {
+	envelope, err := wire.Encode(typeCancel, id, cancelBody{})
+	if err != nil {
+		return
+	}
+	if err := s.conn.Send(envelope, time.Now().Add(cancelTimeout)); err != nil {
+		s.close(err)
+	}
+}
+
 func (c *Client) decodeReply(r result, reply any) error {
 	if r.err != nil {
 		return &UnreachableError{Peer: c.peer, Sent: true, Cause: r.err}
--- a/internal/link/doc.go
+++ b/internal/link/doc.go
@@ -4,7 +4,8 @@
 // A Client keeps one connection to a peer, opens it on demand and matches
 // replies to requests by identifier. At most MaxPending requests wait for a
 // reply at once; any further request fails immediately, which is the link's
-// backpressure. A lost connection fails all waiting requests with
+// backpressure. When the context of a request ends, the client tells the server, which ends
+// the context of its handler. A lost connection fails all waiting requests with
 // *UnreachableError, whose Sent field tells whether the peer may have received
 // the request.
 //
--- a/internal/link/messages.go
+++ b/internal/link/messages.go
@@ -6,8 +6,14 @@
 const (
 	typeReply = "reply"
 	typeError = "error"
+	// typeCancel tells that the client no longer waits for the reply to the request with
+	// the envelope's identifier. It has no reply.
+	typeCancel = "cancel"
 )
 
+// cancelBody is the body of a cancellation.
+type cancelBody struct{}
+
 // errorBody is the body of an error reply.
 type errorBody struct {
 	Code   string `msgpack:"c"`
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -102,22 +102,59 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
 	pendingTokens := make(chan struct{}, MaxPending)
+	running := newRunningRequests()
 	for {
 		envelope, err := conn.Receive(time.Now().Add(idleTimeout))
 		if err != nil {
 			s.recordMalformedFrame(ctx, conn, err)
 			return
 		}
+		if envelope.Type == typeCancel {
+			running.cancel(envelope.ID)
+			continue
+		}
 		pendingTokens <- struct{}{}
+		requestCtx := running.add(ctx, envelope.ID)
 		requests.Go(func() {
 			defer func() { <-pendingTokens }()
-			if !s.serveRequest(ctx, conn, envelope) {
+			defer running.cancel(envelope.ID)
+			if !s.serveRequest(requestCtx, conn, envelope) {
 				cancel()
 			}
 		})
 	}
 }
 
+// runningRequests are the requests of one connection that are being handled. It is safe
+// for concurrent use.
+type runningRequests struct {
+	mu      sync.Mutex
+	cancels map[uint64]context.CancelFunc
+}
+
+func newRunningRequests() *runningRequests {
+	return &runningRequests{cancels: make(map[uint64]context.CancelFunc)}
+}
+
+// add returns the context of a request, which ends with cancel.
+func (r *runningRequests) add(ctx context.Context, id uint64) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cancels[id] = cancel
+	return ctx
+}
+
+// cancel ends the context of a request and forgets the request.
+func (r *runningRequests) cancel(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cancel, found := r.cancels[id]; found {
+		cancel()
+		delete(r.cancels, id)
+	}
+}
+
 // recordMalformedFrame counts and logs an error that Receive returned because of the
 // frame. The end of the connection (io.EOF), a network error and the end of ctx are
 // not recorded.
