Run the requests of an instance that reaches no endpoint through other instances

What callers saw: of two instances that were partitioned from all endpoints for 13 s, 0 of 457 and 6 of 199 first requests were served, 2710 of 2735 of the others. They got 503 no-capacity in 3 to 130 ms, with '0 of 10 endpoints are usable'.

Cause: an instance ejects each endpoint that it does not reach and refuses what finds none; it took its own partition for the failure of every endpoint, and nothing passed a request on to an instance that reaches them. The class: a fault of one's own that is read as a fault of all others. Ruled out: requests that wait for their deadline on connections that hang (they were refused at once from 8 s on).

Change: once probes show that it reaches none, the instance hands its requests over to others that do, the nearest first, with the time, the attempts and the workspace that they have left; the receiver never hands them over again. One that was not received, or that the receiver did not take, goes to the next instance; one that may run goes nowhere else. The caller's close ends the work. Requests with allowed regions go only to instances there. Instances state with their reports that they reach no endpoint: they are asked for no handovers and no limits, and look-ups leave them out while others of the region remain. A planned stop waits for handed-over requests as for its own. When the partition ends, what it taught of endpoints is forgotten. In between, a request that has run nowhere waits for the probes in progress before it is refused.

--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -31,7 +31,7 @@
 	}
 	took := time.Since(q.started)
 	e.counters.recordAnswer(q, answer.Status, took)
-	if answer.Status < http.StatusInternalServerError && len(attempts) == 1 && e.counters.answers.Count()%answersPerLogLine != 0 {
+	if answer.Status < http.StatusInternalServerError && len(attempts) <= 1 && e.counters.answers.Count()%answersPerLogLine != 0 {
 		return
 	}
 	e.addRequestFields(e.log.Info(), q, attempts).Int("status", answer.Status).Dur("took", took).Msg("request was answered")
@@ -59,6 +59,9 @@
 	if q.route != nil {
 		event = event.Str("route", q.route.Name).Str("upstream", q.upstream).Str("region", q.region)
 	}
+	if q.runsAt != "" {
+		event = event.Str("handed_over_to", q.runsAt)
+	}
 	if q.cause != nil {
 		event = event.AnErr("cause", q.cause)
 	}
--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -36,6 +36,17 @@
 	result   placement.Result
 }
 
+// run runs a caller's request: through another instance if this one reaches no endpoint,
+// or with attempts of its own.
+func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
+	if e.reach.Cut() {
+		if answer, refused, taken := e.handOver(ctx, q, q.maxAttempts); taken {
+			return answer, nil, refused
+		}
+	}
+	return e.runAttempts(ctx, q)
+}
+
 // runAttempts sends the request to an endpoint, and retries at others where that is safe
 // and the limits allow it. It returns a complete answer or a refusal. An answer that
 // reports a failure is returned if no retry gives a better one.
@@ -57,6 +68,9 @@
 			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
 		if err != nil {
+			if answer, refused, taken := e.handOverUnsent(ctx, q, attempts, reached); taken {
+				return answer, attempts, refused
+			}
 			return nil, attempts, e.noRoomRefusal(q, attempts, err)
 		}
 		answer, result := e.attempt(ctx, q, endpoint)
@@ -71,15 +85,49 @@
 			failedAnswer = answer
 		}
 		if e.mayRetry(q, attempts, reached) && (result == placement.Unreachable || e.retryBudget.TakeRetry(q.upstream)) {
+			if answer, refused, taken := e.retryElsewhere(ctx, q, attempts, reached, failedAnswer); taken {
+				return answer, attempts, refused
+			}
 			continue
 		}
 		if failedAnswer != nil {
 			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
+		if answer, refused, taken := e.handOverUnsent(ctx, q, attempts, reached); taken {
+			return answer, attempts, refused
+		}
 		return nil, attempts, e.failureRefusal(ctx, q, attempts)
 	}
 }
 
+// handOverUnsent hands a request over that found no endpoint here and has not run, if this
+// instance reaches none. taken is false if no instance took it.
+func (e *Edge) handOverUnsent(ctx context.Context, q *request, attempts []attempt, reached int) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
+	if q.handedOver || anyMayHaveRun(attempts) || reached >= q.maxAttempts || !e.awaitProbes(ctx) {
+		return nil, nil, false
+	}
+	return e.handOver(ctx, q, q.maxAttempts-reached)
+}
+
+// retryElsewhere retries a request through another instance if this one reaches no
+// endpoint. taken is false if none took it. failedAnswer is the answer of an earlier
+// attempt that reports a failure, or nil.
+func (e *Edge) retryElsewhere(ctx context.Context, q *request, attempts []attempt, reached int, failedAnswer *upstream.Answer) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
+	if !e.reach.Cut() {
+		return nil, nil, false
+	}
+	answer, refused, taken = e.handOver(ctx, q, q.maxAttempts-reached)
+	switch {
+	case !taken || refused == nil:
+		return answer, nil, taken
+	case failedAnswer != nil:
+		return failedAnswer, nil, true
+	case anyMayHaveRun(attempts):
+		return nil, refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "the endpoint gave no answer"), true
+	}
+	return nil, refused, true
+}
+
 // endpointAnswer returns an endpoint's answer for the caller. An action's answer whose
 // status promises that the request did not run is replaced, because the endpoint did not
 // state that.
@@ -197,7 +245,7 @@
 	if mayHaveRun(last) && q.route.Kind != catalog.Idempotent {
 		return false
 	}
-	if reached >= q.route.MaxAttempts || len(attempts) >= maxTotalAttempts {
+	if reached >= q.maxAttempts || len(attempts) >= maxTotalAttempts {
 		return false
 	}
 	return time.Until(q.deadline) > minTimeForRetry
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -106,12 +106,16 @@
 	case errors.As(err, &tooLarge):
 		return nil, bodyTooLarge(limit)
 	case errors.As(err, &noMemory):
-		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
-			"no memory for the body").WithRetryAfter(jitter(unavailableRetryAfter))
+		return nil, noBodyMemory()
 	}
 	return nil, refusal.New(http.StatusBadRequest, refusal.BodyIncomplete, refusal.NotRun, "body was cut short")
 }
 
+func noBodyMemory() *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
+		"no memory for the body").WithRetryAfter(jitter(unavailableRetryAfter))
+}
+
 func bodyTooLarge(limit int64) *refusal.Refusal {
 	return refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, refusal.NotRun,
 		fmt.Sprintf("body is above the limit of %d bytes", limit))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -100,6 +100,10 @@
 	leaving  atomic.Bool
 
 	peers *link.Peers
+	// handoverPeers are links of their own, so that large bodies delay no reports.
+	handoverPeers     *link.Peers
+	handoverTargets   atomic.Pointer[[][]fleet.Member]
+	handoversInFlight atomic.Int64
 
 	workspaceDemand *allowance.DemandMeter
 	pools           *quotaPools
@@ -109,8 +113,10 @@
 	stats           *trafficStats
 	quarantine      *quarantineTable
 	reach           *reachability.Tracker
-	bodyMemory      bodyMemory
-	counters        counters
+	// probesDone is closed when the last probes of endpoints have ended.
+	probesDone atomic.Pointer[chan struct{}]
+	bodyMemory bodyMemory
+	counters   counters
 }
 
 // New returns an instance that is not yet listening.
@@ -127,6 +133,7 @@
 		regions:         regionsOf(s.Zones),
 		loop:            control.NewLoop("edge"),
 		peers:           link.NewPeers(),
+		handoverPeers:   link.NewPeers(),
 		workspaceDemand: allowance.NewDemandMeter(),
 		pools:           newQuotaPools(s.Instance, s.Zone, s.Bounds.QuotaWindow),
 		retryBudget:     allowance.NewRetryBudget(s.Bounds.retryOptions()),
@@ -153,6 +160,7 @@
 	}
 	e.table.Store(placement.NewTable())
 	e.callerAddresses.Store(&map[string][]string{})
+	e.handoverTargets.Store(&[][]fleet.Member{})
 	e.instanceCount.Store(1)
 	return e
 }
@@ -190,6 +198,7 @@
 	linkServer.Handle(fleet.TypePull, e.handlePull)
 	linkServer.Handle(fleet.TypeBorrow, e.handleBorrow)
 	linkServer.Handle(fleet.TypeStateQuery, e.handleStateQuery)
+	linkServer.Handle(fleet.TypeHandover, e.handleHandover)
 
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -33,22 +33,25 @@
 	requests, answers, lookups                 metrics.Counter
 	storeCalls, storeFailures, messageFailures metrics.Counter
 	loans, timedOutConns                       metrics.Counter
+	handovers, handoverFailures                metrics.Counter
 	latency                                    metrics.Timer
 }
 
 func newCounters(registry metrics.Registry) counters {
 	return counters{
-		registry:        registry,
-		seriesCount:     new(atomic.Int64),
-		requests:        metrics.GetOrRegisterCounter("edge.requests", registry),
-		answers:         metrics.GetOrRegisterCounter("edge.answered", registry),
-		lookups:         metrics.GetOrRegisterCounter("edge.lookups", registry),
-		storeCalls:      metrics.GetOrRegisterCounter("edge.store.calls", registry),
-		storeFailures:   metrics.GetOrRegisterCounter("edge.store.failures", registry),
-		messageFailures: metrics.GetOrRegisterCounter("edge.peer.failures", registry),
-		loans:           metrics.GetOrRegisterCounter("edge.quota.loans", registry),
-		timedOutConns:   metrics.GetOrRegisterCounter("edge.callers.quiet_closed", registry),
-		latency:         metrics.GetOrRegisterTimer("edge.latency", registry),
+		registry:         registry,
+		seriesCount:      new(atomic.Int64),
+		requests:         metrics.GetOrRegisterCounter("edge.requests", registry),
+		answers:          metrics.GetOrRegisterCounter("edge.answered", registry),
+		lookups:          metrics.GetOrRegisterCounter("edge.lookups", registry),
+		storeCalls:       metrics.GetOrRegisterCounter("edge.store.calls", registry),
+		storeFailures:    metrics.GetOrRegisterCounter("edge.store.failures", registry),
+		messageFailures:  metrics.GetOrRegisterCounter("edge.peer.failures", registry),
+		loans:            metrics.GetOrRegisterCounter("edge.quota.loans", registry),
+		handovers:        metrics.GetOrRegisterCounter("edge.handovers", registry),
+		handoverFailures: metrics.GetOrRegisterCounter("edge.handovers.not_taken", registry),
+		timedOutConns:    metrics.GetOrRegisterCounter("edge.callers.quiet_closed", registry),
+		latency:          metrics.GetOrRegisterTimer("edge.latency", registry),
 	}
 }
 
@@ -76,6 +79,15 @@
 	metrics.GetOrRegisterCounter("edge.tries."+result.String(), c.registry).Inc(1)
 }
 
+// recordHandover counts a request that another instance took or did not take.
+func (c *counters) recordHandover(taken bool) {
+	if taken {
+		c.handovers.Inc(1)
+	} else {
+		c.handoverFailures.Inc(1)
+	}
+}
+
 // countSeries counts an event in a series of its own as long as there are fewer than
 // maxSeries.
 func (c *counters) countSeries(prefix, name, detail string) {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -100,7 +100,7 @@
 		round.interval = reportInterval
 	}
 	round.report = fleet.Report{
-		Status:       fleet.Status{Member: self, State: s.fleet.State()},
+		Status:       s.fleet.Status(),
 		Activity:     ownActivity,
 		MemberHashes: s.fleet.MemberHashes(),
 		UsedRegions:  s.regionsInUse(),
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -18,12 +18,12 @@
 // recordReach records what an attempt shows of this instance's connection to endpoints.
 func (e *Edge) recordReach(now time.Time, endpoint *placement.Endpoint, result placement.Result) {
 	switch result {
-	case placement.Unreachable, placement.Lost, placement.Expired:
+	case placement.Unreachable, placement.Lost:
 		e.reach.RecordFailure(now, endpoint.ID)
 		e.checkReach(now, 0)
-	case placement.Abandoned, placement.Crowded:
+	case placement.Expired, placement.Abandoned, placement.Crowded:
 	default:
-		e.reach.RecordAnswer(now, endpoint.ID)
+		e.reach.RecordAnswer(now)
 	}
 }
 
@@ -34,16 +34,51 @@
 	if !e.reach.ProbeDue(now, inFlight, len(endpoints)) {
 		return
 	}
+	done := make(chan struct{})
+	e.probesDone.Store(&done)
 	go func() {
-		if e.reach.RecordRound(time.Now(), e.probeEndpoints(endpoints)) {
-			e.logReach()
+		defer close(done)
+		for !e.recordProbes(endpoints) {
 		}
 	}()
 }
 
-func (e *Edge) logReach() {
-	if e.reach.Cut() {
-		e.log.Warn().Msg("instance reaches no endpoint")
+// recordProbes makes a round of probes and reports whether it settles if this instance
+// reaches endpoints.
+func (e *Edge) recordProbes(endpoints map[string]*placement.Endpoint) bool {
+	connected := e.probeEndpoints(endpoints)
+	if e.reach.RecordRound(time.Now(), connected) {
+		e.applyReach(endpoints)
+	}
+	return connected || e.reach.Cut()
+}
+
+// awaitProbes waits until the probes in progress settle if this instance reaches
+// endpoints, and reports whether it reaches none.
+func (e *Edge) awaitProbes(ctx context.Context) bool {
+	if done := e.probesDone.Load(); done != nil {
+		select {
+		case <-*done:
+		case <-ctx.Done():
+		}
+	}
+	return e.reach.Cut()
+}
+
+// applyReach applies that this instance has become cut off from all endpoints, or is no
+// longer.
+func (e *Edge) applyReach(endpoints map[string]*placement.Endpoint) {
+	e.loop.TryPost(e.state.tickNow) // tells the others
+	cut := e.reach.Cut()
+	for _, endpoint := range endpoints {
+		if cut {
+			endpoint.Pool.Close() // connections from before the partition may hang
+		} else {
+			endpoint.ForgetOutage(time.Now())
+		}
+	}
+	if cut {
+		e.log.Warn().Msg("instance reaches no endpoint; other instances run its requests")
 	} else {
 		e.log.Info().Msg("instance reaches endpoints again")
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -41,6 +41,12 @@
 	// fingerprint is the same for equal requests.
 	fingerprint quarantine.Fingerprint
 	outgoing    upstream.Request
+	// maxAttempts is the number of endpoints to which the request may be sent.
+	maxAttempts int
+	// handedOver is set if another instance handed the request over to this one.
+	handedOver bool
+	// runsAt is the instance to which this one handed the request over, or "".
+	runsAt string
 	// reservedBytes is the memory reserved for the body.
 	reservedBytes int64
 }
@@ -67,7 +73,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	answer, attempts, refused := e.runAttempts(ctx, q)
+	answer, attempts, refused := e.run(ctx, q)
 	if refused != nil {
 		e.writeRefusal(w, q, attempts, refused)
 		return
@@ -103,16 +109,23 @@
 	header.RemoveHopByHop(r.Header)
 	e.ports.Callers.RewriteHeader(r.Header, q.workspaceName())
 	q.outgoing = upstream.Request{ID: q.caller.ID, Method: r.Method, Host: r.Host, Target: targetOf(r), Header: r.Header, Body: body}
+	return q, e.prepare(q)
+}
+
+// prepare does what a request needs before an endpoint is chosen, once its route and the
+// request to send are known.
+func (e *Edge) prepare(q *request) *refusal.Refusal {
+	q.maxAttempts = q.route.MaxAttempts
 	q.fingerprint = quarantine.FingerprintOf(&call.Call{Workspace: q.workspaceName(), Service: q.route.Name, Request: q.outgoing})
 	if left := e.quarantine.remainingTime(q.started, q.fingerprint); left > 0 {
-		return q, refusal.New(http.StatusServiceUnavailable, refusal.Quarantined, refusal.NotRun,
+		return refusal.New(http.StatusServiceUnavailable, refusal.Quarantined, refusal.NotRun,
 			"request has cost several endpoints their connections").WithRetryAfter(left)
 	}
 	q.upstream = e.splitter.Next(q.route)
 	if q.route.Sticky {
 		q.affinityKey = placement.AffinityKey(q.upstream, q.route.Name, q.caller.ObjectName)
 	}
-	return q, nil
+	return nil
 }
 
 // identify finds the route of a request and the workspace of its key.
@@ -151,8 +164,10 @@
 }
 
 // pathOf returns the path as the caller sent it.
-func pathOf(r *http.Request) string {
-	path, _, _ := strings.Cut(targetOf(r), "?")
+func pathOf(r *http.Request) string { return pathOfTarget(targetOf(r)) }
+
+func pathOfTarget(target string) string {
+	path, _, _ := strings.Cut(target, "?")
 	return path
 }
 
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -54,8 +54,8 @@
 // drainPollInterval is the interval of the checks of the connections during a drain.
 const drainPollInterval = 50 * time.Millisecond
 
-// drain stops accepting connections and waits until ctx ends for the requests in flight.
-// It returns the number of connections that are still open. It does not use the server's
+// drain stops accepting connections and waits until ctx ends for the requests in flight,
+// also those of other instances. It returns the number of those that are not done. It does not use the server's
 // own Shutdown, which closes a connection as idle even if its request was just read.
 func (e *Edge) drain(ctx context.Context, conns *callerConns) int {
 	if err := conns.Close(); err != nil {
@@ -63,7 +63,7 @@
 	}
 	sleep(ctx, drainPollInterval) // so that connections accepted just now are counted too
 	for {
-		open := conns.expireIdle(time.Now())
+		open := conns.expireIdle(time.Now()) + int(e.handoversInFlight.Load())
 		if open == 0 || ctx.Err() != nil {
 			return open
 		}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -194,6 +194,8 @@
 	s.divideQuotas(now)
 	s.rebalanceRegions(now, elapsed)
 	s.publishCallerAddresses(now)
+	targets := s.fleet.HandoverTargets(now)
+	s.edge.handoverTargets.Store(&targets)
 	if s.tableChanged {
 		s.publishTable(now)
 	}
@@ -206,6 +208,7 @@
 	case s.edge.catalog.Load() != nil:
 		s.fleet.SetState(fleet.Ready)
 	}
+	s.fleet.SetNoEndpoint(s.edge.reach.Cut())
 }
 
 // updateEndpoints sets the number of the other instances' in-flight requests at each
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -175,7 +175,7 @@
 			continue
 		}
 		silence := time.Duration(digest.OverdueMillis[status.Member.Instance]) * time.Millisecond
-		p.status.State = status.State
+		p.status = status
 		p.lastSeenAt = later(p.reportedAt, madeAt.Add(-silence))
 	}
 }
@@ -357,6 +357,9 @@
 		_, _ = hash.WriteString(m.Member.Instance) // never fails
 		binary.BigEndian.PutUint64(number[:], uint64(m.Member.Incarnation))
 		number[8] = byte(m.State)
+		if m.NoEndpoint {
+			number[8] |= 1 << 7
+		}
 		_, _ = hash.Write(number[:]) // never fails
 	}
 	return hash.Sum64() | 1
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -105,6 +105,12 @@
 // SetState changes this instance's own state.
 func (v *View) SetState(state State) { v.self.State = state }
 
+// SetNoEndpoint sets whether this instance reaches no endpoint.
+func (v *View) SetNoEndpoint(unreachable bool) { v.self.NoEndpoint = unreachable }
+
+// Status returns this instance's own status.
+func (v *View) Status() Status { return v.self }
+
 // State returns this instance's own state.
 func (v *View) State() State { return v.self.State }
 
@@ -159,7 +165,7 @@
 	p.lastSeenAt = now
 	p.reportedAt = now
 	p.consecutiveFailures = 0
-	p.status.State = report.Status.State
+	p.status = report.Status
 	p.activity = report.Activity
 	return true
 }
@@ -306,16 +312,26 @@
 // ordered by name.
 func (v *View) AcceptingMembers(now time.Time) []Member {
 	var members []Member
+	for _, status := range v.acceptingStatuses(now) {
+		members = append(members, status.Member)
+	}
+	return members
+}
+
+// acceptingStatuses returns the statuses of the instances that accept callers, ordered by
+// name.
+func (v *View) acceptingStatuses(now time.Time) []Status {
+	var statuses []Status
 	if v.self.State == Ready {
-		members = append(members, v.self.Member)
+		statuses = append(statuses, v.self)
 	}
 	for _, p := range v.peers {
 		if p.status.State == Ready && p.isLive(now) {
-			members = append(members, p.status.Member)
+			statuses = append(statuses, p.status)
 		}
 	}
-	sortMembers(members)
-	return members
+	slices.SortFunc(statuses, func(a, b Status) int { return cmp.Compare(a.Member.Instance, b.Member.Instance) })
+	return statuses
 }
 
 // Size returns the number of instances that may be running: this one and those that are
@@ -349,22 +365,26 @@
 
 // CallerAddresses returns the addresses to which a caller of the region may connect, at
 // most limit. They are those of the region's instances that accept callers, or of all
-// instances if the region has none.
+// instances if the region has none. Instances that reach no endpoint are left out if others
+// remain.
 func (v *View) CallerAddresses(now time.Time, region string, limit int) []string {
-	accepting := v.AcceptingMembers(now)
-	addresses := callerAddresses(accepting, func(m Member) bool { return m.Region == region })
-	if len(addresses) == 0 {
-		addresses = callerAddresses(accepting, func(Member) bool { return true })
+	accepting := v.acceptingStatuses(now)
+	local := slices.DeleteFunc(slices.Clone(accepting), func(s Status) bool { return s.Member.Region != region })
+	if len(local) == 0 {
+		local = accepting
+	}
+	addresses := []string{}
+	for _, status := range preferReaching(local) {
+		addresses = append(addresses, status.Member.Callers)
 	}
 	return addresses[:min(len(addresses), limit)]
 }
 
-func callerAddresses(members []Member, matches func(Member) bool) []string {
-	addresses := []string{}
-	for _, member := range members {
-		if matches(member) {
-			addresses = append(addresses, member.Callers)
-		}
+// preferReaching returns the members that reach endpoints, or all if none does.
+func preferReaching(statuses []Status) []Status {
+	reaching := slices.DeleteFunc(slices.Clone(statuses), func(s Status) bool { return s.NoEndpoint })
+	if len(reaching) == 0 {
+		return statuses
 	}
-	return addresses
+	return reaching
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -59,6 +59,8 @@
 type Status struct {
 	Member Member `msgpack:"m"`
 	State  State  `msgpack:"s"`
+	// NoEndpoint is set if the member reaches no endpoint.
+	NoEndpoint bool `msgpack:"e,omitempty"`
 }
 
 // EndpointKey identifies an endpoint in messages. It is a hash of the endpoint's
--- a/internal/fleet/rendezvous.go
+++ b/internal/fleet/rendezvous.go
@@ -27,12 +27,19 @@
 }
 
 // LimitSenders returns the instances that share the limit of an endpoint in a region, at
-// most n. They accept callers and are of that region, or of any if the region has none.
+// most n. They accept callers, reach endpoints if any does, and are of that region, or of
+// any if the region has none.
 func (v *View) LimitSenders(now time.Time, region, endpoint string, n int) []Member {
-	accepting := v.AcceptingMembers(now)
-	local := slices.DeleteFunc(slices.Clone(accepting), func(m Member) bool { return m.Region != region })
+	accepting := preferReaching(v.acceptingStatuses(now))
+	var local, all []Member
+	for _, status := range accepting {
+		all = append(all, status.Member)
+		if status.Member.Region == region {
+			local = append(local, status.Member)
+		}
+	}
 	if len(local) == 0 {
-		local = accepting
+		local = all
 	}
 	return Preferred(local, endpoint, n)
 }
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -166,6 +166,14 @@
 	e.coldLimiter.start(now, until, interval)
 }
 
+// ForgetOutage forgets that the endpoint did not answer, because this instance reached no
+// endpoint at all.
+func (e *Endpoint) ForgetOutage(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.health = health{latencyRatio: e.health.latencyRatio, waitingSince: now}
+}
+
 // Result is the outcome of an attempt at an endpoint.
 type Result uint8
 
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -20,8 +20,9 @@
 
 // Limits of a suspicion.
 const (
-	// failureLifetime is how long a failed request at an endpoint counts.
-	failureLifetime = time.Second
+	// failureLifetime is how long a failed request at an endpoint counts. It is longer than
+	// endpoints stay ejected, since those get no requests.
+	failureLifetime = 5 * time.Second
 	// suspiciousEndpoints is the number of endpoints with failures from which the instance
 	// may be cut off.
 	suspiciousEndpoints = 3
@@ -30,11 +31,11 @@
 	silenceThreshold = time.Second
 )
 
-// Times of the probe rounds.
+// Times of probes.
 const (
-	// probeInterval is the time between rounds while the instance is suspected.
-	probeInterval = 250 * time.Millisecond
-	// cutProbeInterval is the time between rounds while the instance is cut off.
+	// probeInterval is the time between probes while the instance is suspected.
+	probeInterval = time.Second
+	// cutProbeInterval is that while it is cut off.
 	cutProbeInterval = 500 * time.Millisecond
 )
 
@@ -49,7 +50,7 @@
 	failedAt map[string]time.Time
 	// lastSignAt is the time of the last answer or successful probe.
 	lastSignAt   time.Time
-	lastRoundAt  time.Time
+	lastProbesAt time.Time
 	failedRounds int
 }
 
@@ -58,12 +59,12 @@
 	return &Tracker{failedAt: make(map[string]time.Time), lastSignAt: now}
 }
 
-// RecordAnswer records an answer of an endpoint.
-func (t *Tracker) RecordAnswer(now time.Time, endpoint string) {
+// RecordAnswer records an answer of an endpoint. Failures of the endpoint still count: the
+// answer may have come on a connection that lives on while new ones are refused.
+func (t *Tracker) RecordAnswer(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.lastSignAt = now
-	delete(t.failedAt, endpoint)
 }
 
 // RecordFailure records a request that an endpoint did not answer.
@@ -81,7 +82,8 @@
 	return found && now.Sub(at) < failureLifetime
 }
 
-// ProbeDue reports whether a round of probes is due, and counts it as begun. inFlight is
+// ProbeDue reports whether rounds of probes are due, and counts them as begun. Rounds then
+// follow each other until one connects or the instance counts as cut off. inFlight is
 // the number of requests that wait for an answer, endpoints the number of known endpoints.
 func (t *Tracker) ProbeDue(now time.Time, inFlight, endpoints int) bool {
 	t.mu.Lock()
@@ -90,13 +92,13 @@
 	if t.isCut() {
 		interval = cutProbeInterval
 	}
-	if endpoints == 0 || now.Sub(t.lastRoundAt) < interval {
+	if endpoints == 0 || now.Sub(t.lastProbesAt) < interval {
 		return false
 	}
 	if !t.isCut() && !t.isSuspicious(now, inFlight, endpoints) {
 		return false
 	}
-	t.lastRoundAt = now
+	t.lastProbesAt = now
 	return true
 }
 
@@ -109,7 +111,7 @@
 		}
 	}
 	silent := inFlight > 0 && now.Sub(t.lastSignAt) >= silenceThreshold
-	return t.failedRounds > 0 || silent || len(t.failedAt) >= min(suspiciousEndpoints, endpoints)
+	return silent || len(t.failedAt) >= min(suspiciousEndpoints, endpoints)
 }
 
 // RecordRound records a round of probes, of which one connected or none did, and reports
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -31,7 +31,7 @@
 		for d := time.Duration(0); d < 5*time.Second; d += 100 * time.Millisecond {
 			Expect(tracker.ProbeDue(at(d), 0, 10)).To(BeFalse())
 		}
-		tracker.RecordAnswer(at(5*time.Second), "e0")
+		tracker.RecordAnswer(at(5 * time.Second))
 		Expect(tracker.ProbeDue(at(5500*time.Millisecond), 3, 10)).To(BeFalse())
 	})
 
@@ -42,6 +42,21 @@
 		Expect(tracker.ProbeDue(at(4*time.Millisecond), 1, 10)).To(BeTrue())
 	})
 
+	It("suspects a cut when endpoints fail one after the other and are ejected meanwhile", func() {
+		for i := range suspiciousEndpoints {
+			tracker.RecordFailure(at(time.Duration(i)*1500*time.Millisecond), fmt.Sprint("e", i))
+		}
+		Expect(tracker.ProbeDue(at(3100*time.Millisecond), 0, 10)).To(BeTrue())
+	})
+
+	It("suspects a cut when endpoints answer on old connections and refuse new ones", func() {
+		for i := range suspiciousEndpoints {
+			tracker.RecordFailure(at(time.Duration(i)*100*time.Millisecond), fmt.Sprint("e", i))
+			tracker.RecordAnswer(at(time.Duration(i)*100*time.Millisecond + 50*time.Millisecond))
+		}
+		Expect(tracker.ProbeDue(at(400*time.Millisecond), 1, 10)).To(BeTrue())
+	})
+
 	It("suspects a cut when the only endpoint fails", func() {
 		failAt(time.Millisecond, 1)
 		Expect(tracker.ProbeDue(at(2*time.Millisecond), 0, 1)).To(BeTrue())
@@ -55,11 +70,11 @@
 		failAt(0, suspiciousEndpoints)
 		Expect(tracker.ProbeDue(at(0), 1, 10)).To(BeTrue())
 		Expect(tracker.RecordRound(at(0), false)).To(BeFalse())
-		Expect(tracker.ProbeDue(at(probeInterval), 0, 10)).To(BeTrue(), "a failed round is suspicious by itself")
-		Expect(tracker.RecordRound(at(probeInterval), false)).To(BeTrue())
+		Expect(tracker.Cut()).To(BeFalse())
+		Expect(tracker.RecordRound(at(time.Millisecond), false)).To(BeTrue())
 		Expect(tracker.Cut()).To(BeTrue())
 
-		tracker.RecordAnswer(at(time.Second), "e0")
+		tracker.RecordAnswer(at(time.Second))
 		Expect(tracker.Cut()).To(BeTrue(), "an old connection may live on")
 		Expect(tracker.ProbeDue(at(time.Second), 0, 10)).To(BeTrue())
 		Expect(tracker.RecordRound(at(time.Second), true)).To(BeTrue())
