Bound the heads of endpoints' answers, and read no more of a body than its bound

What was seen: endless status lines, header lines or headers took 0.6 to 3.5 GB of a process in 1.5 s, until the request's deadline.

Cause: the HTTP library's ReadResponse bounds neither a line nor their number. Beside it, one more of the class: an answer whose body is above the bound, or has no length where one is needed, was closed with Body.Close, which reads what is left of it, without end. It took no memory, but the request waited for its deadline.

A body that is not used is left unread, since its connection is closed.

Chunk lengths, trailers and interim answers were bounded already.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -198,11 +198,14 @@
 // readAnswer reads one final answer. With a *MismatchError, reusable tells whether
 // another answer may follow on the connection.
 func readAnswer(c *connection, dialect *Dialect, request *Request) (answer *Answer, reusable bool, phase Phase, err error) {
+	c.head.beginHead()
 	response, err := readFinalAnswer(c.reader, &http.Request{Method: request.Method})
+	c.head.endHead()
 	if err != nil {
 		return nil, false, PhaseRead, err
 	}
-	defer response.Body.Close()
+	// The body is not closed: Close would read what is left of it, which may have no end. On
+	// failure the connection is closed.
 	if !dialect.AllowUndelimited && !isDelimited(response, request.Method) {
 		return nil, false, PhaseVerify, &UndelimitedError{Status: response.StatusCode}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -52,8 +52,10 @@
 
 // connection is one open connection of a pool.
 type connection struct {
-	conn   net.Conn
+	conn net.Conn
+	// reader reads from head, which reads from conn.
 	reader *bufio.Reader
+	head   *headLimiter
 	reused bool
 	// idleDeadline is the time from which the idle connection is not reused.
 	idleDeadline time.Time
@@ -139,7 +141,8 @@
 		p.decrementOpen()
 		return nil, err
 	}
-	return &connection{conn: conn, reader: bufio.NewReader(conn)}, nil
+	head := &headLimiter{conn: conn}
+	return &connection{conn: conn, head: head, reader: bufio.NewReader(head)}, nil
 }
 
 // popIdle removes and returns the idle connection that was released last, or returns
