Count no strikes of requests that an instance loses because it is cut off itself

What callers would have seen: a request that is sent again and again (a look-up of one object) was refused by every instance for 10 min as one that crashes endpoints, after one instance had been partitioned from all endpoints.

The check whether an endpoint crashed opens a connection to it; an instance that is cut off can open none to any endpoint, so each request that it lost got a strike, and three endpoints make a quarantine that is told to all.

Change: a strike counts only if a probe has connected to another endpoint since.

--- a/internal/edge/quarantine.go
+++ b/internal/edge/quarantine.go
@@ -17,7 +17,7 @@
 // Times of the check whether an endpoint crashed.
 const (
 	crashCheckDelay   = 60 * time.Millisecond
-	crashCheckTimeout = 300 * time.Millisecond
+	crashCheckTimeout = time.Second
 )
 
 // maxReportedStrikes bounds the strikes that an instance reports at a time.
@@ -71,16 +71,16 @@
 
 // checkForCrash checks whether the endpoint that dropped a request's connection has
 // crashed, and counts a strike if so. An endpoint that still accepts connections has only
-// lost the answer.
+// lost the answer, and an instance that reaches no endpoint has lost it itself.
 func (e *Edge) checkForCrash(q *request, endpoint *placement.Endpoint) {
 	fingerprint := q.fingerprint
 	id := q.caller.ID
+	lostAt := time.Now()
 	time.AfterFunc(crashCheckDelay, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
-		conn, err := e.ports.DialEndpoint(ctx, endpoint.Address)
-		if err == nil {
-			_ = conn.Close()
+		err := e.dialOnce(ctx, endpoint)
+		if err == nil || !e.reachesOthers(ctx, endpoint, lostAt) {
 			return
 		}
 		e.quarantine.addStrike(time.Now(), newStrike(fingerprint, endpoint.ID))
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -30,10 +30,14 @@
 // checkReach begins a round of probes if this instance may be cut off from all endpoints.
 // inFlight is the number of requests that wait for an answer.
 func (e *Edge) checkReach(now time.Time, inFlight int) {
-	endpoints := e.table.Load().Endpoints()
-	if !e.reach.ProbeDue(now, inFlight, len(endpoints)) {
-		return
+	if endpoints := e.table.Load().Endpoints(); e.reach.ProbeDue(now, inFlight, len(endpoints)) {
+		e.startProbes(endpoints)
 	}
+}
+
+// startProbes begins rounds of probes, which end when they settle if this instance reaches
+// endpoints.
+func (e *Edge) startProbes(endpoints map[string]*placement.Endpoint) {
 	done := make(chan struct{})
 	e.probesDone.Store(&done)
 	go func() {
@@ -43,6 +47,16 @@
 	}()
 }
 
+// reachesOthers reports whether this instance reaches endpoints, of which one has just
+// failed. It relies on probes that connected since the given time, or makes some.
+func (e *Edge) reachesOthers(ctx context.Context, failed *placement.Endpoint, since time.Time) bool {
+	e.reach.RecordFailure(time.Now(), failed.ID) // so that others are probed
+	if !e.awaitProbes(ctx) && !e.reach.ConnectedSince(since) {
+		e.startProbes(e.table.Load().Endpoints())
+	}
+	return !e.awaitProbes(ctx)
+}
+
 // recordProbes makes a round of probes and reports whether it settles if this instance
 // reaches endpoints.
 func (e *Edge) recordProbes(endpoints map[string]*placement.Endpoint) bool {
@@ -93,13 +107,7 @@
 	results := make(chan bool, probesPerRound)
 	probed := e.probeCandidates(endpoints)
 	for _, endpoint := range probed {
-		go func() {
-			conn, err := e.ports.DialEndpoint(ctx, endpoint.Address)
-			if err == nil {
-				_ = conn.Close()
-			}
-			results <- err == nil
-		}()
+		go func() { results <- e.dialOnce(ctx, endpoint) == nil }()
 	}
 	for range probed {
 		if <-results {
@@ -109,6 +117,15 @@
 	return false
 }
 
+// dialOnce opens and closes a connection to an endpoint.
+func (e *Edge) dialOnce(ctx context.Context, endpoint *placement.Endpoint) error {
+	conn, err := e.ports.DialEndpoint(ctx, endpoint.Address)
+	if err != nil {
+		return err
+	}
+	return conn.Close()
+}
+
 func (e *Edge) probeCandidates(endpoints map[string]*placement.Endpoint) []*placement.Endpoint {
 	now := time.Now()
 	var sound, failed []*placement.Endpoint
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -51,7 +51,9 @@
 	// lastSignAt is the time of the last answer or successful probe.
 	lastSignAt   time.Time
 	lastProbesAt time.Time
-	failedRounds int
+	// lastConnectionAt is the time of the last probe that connected.
+	lastConnectionAt time.Time
+	failedRounds     int
 }
 
 // NewTracker returns the tracker of an instance that starts now.
@@ -123,6 +125,7 @@
 	if connected {
 		t.failedRounds = 0
 		t.lastSignAt = now
+		t.lastConnectionAt = now
 		clear(t.failedAt)
 	} else {
 		t.failedRounds++
@@ -130,6 +133,13 @@
 	return t.isCut() != wasCut
 }
 
+// ConnectedSince reports whether a probe has connected since the given time.
+func (t *Tracker) ConnectedSince(at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastConnectionAt.After(at)
+}
+
 // Cut reports whether the instance reaches no endpoint.
 func (t *Tracker) Cut() bool {
 	t.mu.Lock()
