Let a few instances of a region share the rate of a cold endpoint

The instances of a region divided a cold endpoint's rate evenly, and each may have one request saved up. In a region of 29, the interval of each is 1.9 s at 15 requests a second, and all their permits become available at the same moment: 29 requests in a second where 28 are allowed (1.5 x rate + 5).

Change: as for named limits, max(1, rate/2) instances of the endpoint's region, by rendezvous hashing over all that are registered, share the rate. A second then holds at most 1.5 x rate. In regions of up to rate/2 instances nothing changes. Shares of silent instances stay unused, for named limits too: they may be alive behind a partition. What spaces requests is one type, pacer, for both.

--- a/internal/edge/endpoint_limits.go
+++ b/internal/edge/endpoint_limits.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"lovagescale/internal/fleet"
@@ -41,17 +42,32 @@
 		if !named {
 			continue
 		}
-		senders := s.fleet.LimitSenders(now, endpoint.Region, id, placement.LimitSenders(perSecond))
+		senders, shares := s.fleet.LimitSenders(now, endpoint.Region, id, placement.LimitSenders(perSecond))
 		interval := time.Duration(0)
-		for _, sender := range senders {
-			if sender == self {
-				interval = placement.LimitInterval(perSecond, len(senders))
-			}
+		if slices.Contains(senders, self) {
+			interval = placement.LimitInterval(perSecond, shares)
 		}
 		endpoint.SetLimitInterval(now, interval)
 	}
 }
 
+// coldPolicy returns how this instance treats a cold endpoint of an upstream in a zone. A
+// few instances of the endpoint's region share the upstream's ColdRate and the others send
+// the endpoint nothing.
+func (s *state) coldPolicy(id, upstreamName, zone string) placement.ColdPolicy {
+	c := s.edge.catalog.Load()
+	if c == nil || c.Upstreams[upstreamName].ColdRate <= 0 {
+		return placement.ColdPolicy{Interval: time.Second}
+	}
+	settings := c.Upstreams[upstreamName]
+	policy := placement.ColdPolicy{Duration: settings.ColdDuration}
+	senders := s.fleet.ColdSenders(s.edge.settings.Zones[zone], id, placement.ColdSenders(settings.ColdRate))
+	if slices.Contains(senders, s.fleet.Self()) {
+		policy.Interval = time.Duration(float64(len(senders)) / settings.ColdRate * float64(time.Second))
+	}
+	return policy
+}
+
 // endpointLimits returns the limits that other instances must learn from this one.
 func endpointLimits(now time.Time, endpoints map[string]*placement.Endpoint) []fleet.EndpointLimit {
 	var limits []fleet.EndpointLimit
--- a/internal/edge/limit_simulation_test.go
+++ b/internal/edge/limit_simulation_test.go
@@ -7,6 +7,7 @@
 
 	"pgregory.net/rapid"
 
+	"lovagescale/internal/catalog"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/upstream"
 )
@@ -62,12 +63,28 @@
 	s.registry = placement.NewRegistry(s.edge.settings.Zones, func(placement.Record) *upstream.Pool {
 		return upstream.NewPool("127.0.0.1:1", 1, 0)
 	})
-	record := placement.Record{ID: "e", StartMillis: 1, Upstream: limitedUpstream, Address: "127.0.0.1:1", Zone: "r0-z0", Slots: 1000}
-	s.registry.Register(sim.now, record, placement.ColdPolicy{})
+	s.register(sim.now, limitedEndpoint)
 	s.publishTable(sim.now)
 	s.tick(sim.now)
 }
 
+var limitedEndpoint = placement.Record{ID: "e", StartMillis: 1, Upstream: limitedUpstream, Address: "127.0.0.1:1", Zone: "r0-z0", Slots: 1000}
+
+// makeCold lets the instances learn of each other and makes the endpoint cold.
+func (sim *limitSimulation) makeCold(rate float64) {
+	c := catalog.New(2, nil, []catalog.Upstream{{Name: limitedUpstream, ColdRate: rate, ColdDuration: time.Minute}}, nil, catalog.Limits{})
+	for _, e := range sim.instances {
+		e.catalog.Store(c)
+	}
+	sim.run(3*time.Second, 0)
+	cold := limitedEndpoint
+	cold.Sequence++
+	cold.ColdLeft = time.Minute
+	for _, e := range sim.instances {
+		e.state.register(sim.now, cold)
+	}
+}
+
 // restart restarts an instance, which excuses it as long as a restart excuses machines.
 func (sim *limitSimulation) restart(i int) {
 	sim.start(i)
@@ -94,7 +111,7 @@
 
 func (sim *limitSimulation) send(from int) {
 	e := sim.instances[from]
-	endpoint, err := e.table.Load().Choose(sim.now, placement.Request{Upstream: limitedUpstream, Region: "r0", MaxUtilization: 1})
+	endpoint, err := e.table.Load().Choose(sim.now, placement.Request{Upstream: limitedUpstream, Region: "r0", Local: e.settings.Region == "r0", MaxUtilization: 1})
 	if err != nil {
 		return
 	}
@@ -195,3 +212,27 @@
 		})
 	}
 }
+
+// Guards against cold endpoints that get a request from each instance of a large region at
+// the same time: each had one saved up.
+func TestFuzzColdRateHoldsOverLargeRegions(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rate := rapid.Float64Range(3, 40).Draw(rt, "rate")
+		sim := newLimitSimulation(rapid.Uint64().Draw(rt, "seed"), rapid.IntRange(1, 2).Draw(rt, "regions"),
+			rapid.IntRange(1, 2).Draw(rt, "zones"), rapid.IntRange(1, 33).Draw(rt, "instances a zone"))
+		sim.makeCold(rate)
+		sim.run(4*time.Second, rate*rapid.Float64Range(0.5, 40).Draw(rt, "demand"))
+		worst, first := 0, 0
+		for i, a := range sim.arrivals {
+			for a.at.Sub(sim.arrivals[first].at) >= time.Second {
+				first++
+			}
+			worst = max(worst, i-first+1)
+		}
+		const slack = 5
+		if allowed := 1.5*rate + slack; float64(worst) > allowed {
+			rt.Fatalf("a cold endpoint that takes %.1f requests a second got %d in a second from %d instances; allowed %.0f",
+				rate, worst, len(sim.instances), allowed)
+		}
+	})
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -141,19 +141,6 @@
 		Msg("configuration is in force")
 }
 
-// coldPolicy returns how this instance treats cold endpoints of an upstream. Only
-// instances of the endpoint's region use cold endpoints; they divide the upstream's
-// ColdRate among themselves.
-func (s *state) coldPolicy(upstreamName string) placement.ColdPolicy {
-	c := s.edge.catalog.Load()
-	if c == nil || c.Upstreams[upstreamName].ColdRate <= 0 {
-		return placement.ColdPolicy{Interval: time.Second}
-	}
-	settings := c.Upstreams[upstreamName]
-	share := settings.ColdRate / float64(s.fleet.RegionSize(s.edge.settings.Region))
-	return placement.ColdPolicy{Duration: settings.ColdDuration, Interval: time.Duration(float64(time.Second) / share)}
-}
-
 // publishTable publishes the endpoint table for the goroutines that serve requests.
 func (s *state) publishTable(time.Time) {
 	table := s.registry.Table()
--- a/internal/edge/store_copy.go
+++ b/internal/edge/store_copy.go
@@ -81,7 +81,7 @@
 
 // register applies the record of an endpoint and reports whether it did.
 func (s *state) register(now time.Time, record placement.Record) bool {
-	policy := s.coldPolicy(record.Upstream)
+	policy := s.coldPolicy(record.ID, record.Upstream, record.Zone)
 	if s.copied {
 		return s.registry.RegisterCopy(now, record, policy)
 	}
@@ -113,7 +113,9 @@
 }
 
 func (s *state) restore(now time.Time, zone string) {
-	s.registry.Restore(now, zone, s.coldPolicy)
+	s.registry.Restore(now, zone, func(e *placement.Endpoint) placement.ColdPolicy {
+		return s.coldPolicy(e.ID, e.Upstream, e.Zone)
+	})
 	s.tableChanged = true
 	s.edge.log.Info().Str("zone", zone).Msg("zone is taken back")
 }
--- a/internal/fleet/rendezvous.go
+++ b/internal/fleet/rendezvous.go
@@ -27,9 +27,10 @@
 }
 
 // LimitSenders returns the instances that share the limit of an endpoint in a region, at
-// most n. They accept callers, reach endpoints if any does, and are of that region, or of
-// any if the region has none.
-func (v *View) LimitSenders(now time.Time, region, endpoint string, n int) []Member {
+// most n, and the number of shares. They accept callers, reach endpoints if any does, and
+// are of that region, or of any if the region has none. Shares of instances that are only
+// silent stay unused: they may be alive behind a partition.
+func (v *View) LimitSenders(now time.Time, region, endpoint string, n int) (senders []Member, shares int) {
 	accepting := preferReaching(v.acceptingStatuses(now))
 	var local, all []Member
 	for _, status := range accepting {
@@ -41,5 +42,21 @@
 	if len(local) == 0 {
 		local = all
 	}
-	return Preferred(local, endpoint, n)
+	senders = Preferred(local, endpoint, n)
+	return senders, max(len(senders), min(n, v.RegionSize(region)))
+}
+
+// ColdSenders returns the instances that share the rate of a cold endpoint in a region, at
+// most n. They are of that region; silent ones count too.
+func (v *View) ColdSenders(region, endpoint string, n int) []Member {
+	var members []Member
+	if v.self.Member.Region == region {
+		members = append(members, v.self.Member)
+	}
+	for _, p := range v.peers {
+		if p.status.Member.Region == region {
+			members = append(members, p.status.Member)
+		}
+	}
+	return Preferred(members, endpoint, n)
 }
--- a/internal/placement/health.go
+++ b/internal/placement/health.go
@@ -125,11 +125,23 @@
 	return h.lastEjection
 }
 
+// pacer spaces the requests of this instance to an endpoint. At most one request is saved
+// up. If the interval is 0, it permits none.
+type pacer struct {
+	interval   time.Duration
+	nextPermit time.Time
+}
+
+func (p *pacer) permitAvailable(now time.Time) bool {
+	return p.interval > 0 && !now.Before(p.nextPermit)
+}
+
+func (p *pacer) takePermit(now time.Time) { p.nextPermit = now.Add(p.interval) }
+
 // coldLimiter limits the rate of requests to a cold endpoint.
 type coldLimiter struct {
-	until      time.Time
-	nextPermit time.Time
-	interval   time.Duration
+	pacer
+	until time.Time
 }
 
 func (l *coldLimiter) isActive(now time.Time) bool { return now.Before(l.until) }
@@ -143,7 +155,3 @@
 		l.nextPermit = now.Add(interval)
 	}
 }
-
-func (l *coldLimiter) permitAvailable(now time.Time) bool { return !now.Before(l.nextPermit) }
-
-func (l *coldLimiter) takePermit(now time.Time) { l.nextPermit = now.Add(l.interval) }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -31,6 +31,14 @@
 	return max(int(sendersPerRate*perSecond), 1)
 }
 
+// ColdSenders returns how many instances may send requests to a cold endpoint that takes
+// the given requests per second. Each of them may have one request saved up, so that a
+// second holds at most ColdSenders + perSecond requests.
+func ColdSenders(perSecond float64) int {
+	const sendersPerRate = 0.5
+	return max(int(sendersPerRate*perSecond), 1)
+}
+
 // LimitInterval returns the time between two requests of each of several instances that
 // share a limit.
 func LimitInterval(perSecond float64, senders int) time.Duration {
@@ -40,16 +48,14 @@
 // namedLimit is the limit that an endpoint names in its answers for all instances
 // together, and this instance's part of it.
 type namedLimit struct {
+	// The interval of the pacer is 0 while others share the limit.
+	pacer
 	// perSecond is the limit in requests per second. It counts until the time until.
 	perSecond float64
 	until     time.Time
 	// heardAt is the time of the last answer to this instance that named the limit,
 	// absentAt that of the last one that named none.
 	heardAt, absentAt time.Time
-	// interval is the time between two requests of this instance. If it is 0, others share
-	// the limit and this instance sends none.
-	interval   time.Duration
-	nextPermit time.Time
 }
 
 func (l *namedLimit) isActive(now time.Time) bool { return now.Before(l.until) }
@@ -67,13 +73,6 @@
 	l.until = until
 }
 
-// permitAvailable reports whether this instance may send a request now.
-func (l *namedLimit) permitAvailable(now time.Time) bool {
-	return l.interval > 0 && !now.Before(l.nextPermit)
-}
-
-func (l *namedLimit) takePermit(now time.Time) { l.nextPermit = now.Add(l.interval) }
-
 // SetNamedLimit records the limit that the endpoint named in an answer to this instance,
 // in requests per second from all instances together, or that it named none. It reports
 // whether that changed.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -102,7 +102,7 @@
 	It("treats the endpoints of a restored zone as cold", func() {
 		r := registryOf(1)
 		r.Evacuate("n1")
-		r.Restore(start, "n1", func(string) placement.ColdPolicy { return coldPolicy })
+		r.Restore(start, "n1", func(*placement.Endpoint) placement.ColdPolicy { return coldPolicy })
 		Expect(choose(r.Table(), start, request(0))).To(BeEmpty())
 		Expect(choose(r.Table(), start.Add(coldPolicy.Interval), request(0))).To(Equal("e0"))
 		Expect(choose(r.Table(), start.Add(coldPolicy.Interval), request(0))).To(BeEmpty())
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -47,11 +47,12 @@
 	}
 }
 
-// ColdPolicy says how this instance treats the cold endpoints of an upstream.
+// ColdPolicy says how this instance treats a cold endpoint.
 type ColdPolicy struct {
 	// Duration is how long an endpoint stays cold.
 	Duration time.Duration
-	// Interval is the time between two requests of this instance to a cold endpoint.
+	// Interval is the time between two requests of this instance to the endpoint. If it is
+	// 0, this instance sends none.
 	Interval time.Duration
 }
 
@@ -164,14 +165,14 @@
 func (r *Registry) Evacuate(zone string) { r.evacuated[zone] = true }
 
 // Restore ends the evacuation of a zone. Its endpoints count as cold at first.
-func (r *Registry) Restore(now time.Time, zone string, policy func(upstream string) ColdPolicy) {
+func (r *Registry) Restore(now time.Time, zone string, policy func(*Endpoint) ColdPolicy) {
 	if !r.evacuated[zone] {
 		return
 	}
 	delete(r.evacuated, zone)
 	for _, e := range r.endpoints {
 		if e.Zone == zone {
-			coldPolicy := policy(e.Upstream)
+			coldPolicy := policy(e)
 			e.SetCold(now, now.Add(coldPolicy.Duration), coldPolicy.Interval)
 		}
 	}
