Cut instances off from all endpoints in the soak

The soak gets a kind of fault: one instance, or several one after the other, reach no endpoint for 1 to 5 s, so that requests are handed over while instances are killed, stopped, paused and cut off from each other. Its guarantees stay the same. A build with the tag faults opens connections to endpoints through the fault injection; other builds are unchanged.

--- a/cmd/lovage-soak/main.go
+++ b/cmd/lovage-soak/main.go
@@ -17,18 +17,19 @@
 
 // arguments holds the command-line arguments.
 type arguments struct {
-	Program   string        `required:"" placeholder:"FILE" help:"Path of lovage-edge."`
-	Previous  string        `placeholder:"FILE" help:"Path of an earlier build of lovage-edge that runs beside the program."`
-	Folder    string        `default:"soak" help:"Folder for settings files and log files."`
-	Seed      uint64        `default:"1" help:"First seed."`
-	Seeds     int           `default:"1" help:"Number of seeds."`
-	Instances int           `default:"4" help:"Number of instances."`
-	Endpoints int           `default:"6" help:"Number of endpoints."`
-	Callers   int           `default:"8" help:"Number of callers."`
-	Cuts      bool          `help:"Cut instances off from each other; lovage-edge must be built with -tags faults."`
-	Drills    bool          `help:"Let the store come back from a copy."`
-	Duration  time.Duration `default:"8s" help:"Time during which faults are injected."`
-	Recovery  time.Duration `default:"10s" help:"Time within which the fleet must serve again after the faults."`
+	Program      string        `required:"" placeholder:"FILE" help:"Path of lovage-edge."`
+	Previous     string        `placeholder:"FILE" help:"Path of an earlier build of lovage-edge that runs beside the program."`
+	Folder       string        `default:"soak" help:"Folder for settings files and log files."`
+	Seed         uint64        `default:"1" help:"First seed."`
+	Seeds        int           `default:"1" help:"Number of seeds."`
+	Instances    int           `default:"4" help:"Number of instances."`
+	Endpoints    int           `default:"6" help:"Number of endpoints."`
+	Callers      int           `default:"8" help:"Number of callers."`
+	Cuts         bool          `help:"Cut instances off from each other; lovage-edge must be built with -tags faults."`
+	EndpointCuts bool          `help:"Cut instances off from all endpoints; lovage-edge must be built with -tags faults."`
+	Drills       bool          `help:"Let the store come back from a copy."`
+	Duration     time.Duration `default:"8s" help:"Time during which faults are injected."`
+	Recovery     time.Duration `default:"10s" help:"Time within which the fleet must serve again after the faults."`
 }
 
 func main() {
@@ -48,7 +49,7 @@
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
 			Program: args.Program, Previous: args.Previous, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
-			Callers: args.Callers, Cuts: args.Cuts, Drills: args.Drills,
+			Callers: args.Callers, Cuts: args.Cuts, EndpointCuts: args.EndpointCuts, Drills: args.Drills,
 			Duration: args.Duration, Recovery: args.Recovery,
 		})
 		if err != nil {
--- a/internal/dialer/faults_on.go
+++ b/internal/dialer/faults_on.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // Network is the body of PUT /faults/network.
@@ -113,6 +114,15 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *faultConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return conn.SyscallConn()
+}
+
 // Close implements net.Conn.
 func (c *faultConn) Close() error {
 	mu.Lock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -28,12 +28,6 @@
 // DialFunc opens a TCP connection to an address by the deadline of ctx.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
-// Dial opens a TCP connection to an endpoint within the time that a Pool allows for it.
-func Dial(ctx context.Context, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	return dialer.DialContext(ctx, "tcp", address)
-}
-
 // Pool holds the connections to one endpoint and bounds their number.
 type Pool struct {
 	address string
