Refuse at once while it is settled that an instance reaches no endpoint

Cause: a request that no other instance takes waited for the probes in progress, up to 300 ms of each 500 ms of a silent partition, though they could only say that nothing has changed. Change: requests wait only while it is open whether the instance is cut off.

--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -67,9 +67,12 @@
 	return connected || e.reach.Cut()
 }
 
-// awaitProbes waits until the probes in progress settle if this instance reaches
-// endpoints, and reports whether it reaches none.
+// awaitProbes reports whether this instance reaches no endpoint. Unless that is settled
+// already, it waits for the probes in progress.
 func (e *Edge) awaitProbes(ctx context.Context) bool {
+	if e.reach.Cut() {
+		return true
+	}
 	if done := e.probesDone.Load(); done != nil {
 		select {
 		case <-*done:
