--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -54,9 +54,9 @@
 	allowedRegions, restricted := catalog.AllowedRegionsOf(q.route, q.workspace)
 	q.region = e.balancer.Next(q.upstream, q.affinityKey, allowedRegions, restricted)
 	if restricted {
-		e.stats.recordArrival(q.upstream, q.region)
+		e.stats.RecordArrival(q.upstream, q.region)
 	} else {
-		e.stats.recordArrival(q.upstream, "")
+		e.stats.RecordArrival(q.upstream, "")
 	}
 	e.retryBudget.RecordFirstAttempt(q.upstream)
 	var attempts []attempt
@@ -163,7 +163,7 @@
 	e.recordReach(now, endpoint, result)
 	latencyRatio := 0.0
 	if result == placement.Answered {
-		latencyRatio = e.stats.recordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
+		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
 	}
 	if answer != nil {
 		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
@@ -304,7 +304,7 @@
 
 // retrySpread returns a random time of about the upstream's service time.
 func (e *Edge) retrySpread(q *request) time.Duration {
-	serviceTime := e.stats.serviceTime(q.upstream)
+	serviceTime := e.stats.ServiceTime(q.upstream)
 	wait := time.Duration((0.5 + rand.Float64()) * float64(serviceTime))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
@@ -314,8 +314,8 @@
 func (e *Edge) maxUtilization(q *request) float64 {
 	return placement.MaxUtilization(placement.RequestProfile{
 		Objective:    q.route.Objective,
-		ResponseTime: e.stats.responseTime(q.upstream, q.route.Name, q.region),
-		ServiceTime:  e.stats.serviceTime(q.upstream),
+		ResponseTime: e.stats.ResponseTime(q.upstream, q.route.Name, q.region),
+		ServiceTime:  e.stats.ServiceTime(q.upstream),
 		Urgency:      q.catalog.Urgency(q.route, q.workspace),
 	})
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,6 +37,7 @@
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/reachability"
 	"lovagescale/internal/store"
+	"lovagescale/internal/trafficstats"
 	"lovagescale/internal/upstream"
 )
 
@@ -110,7 +111,7 @@
 	retryBudget     *allowance.RetryBudget
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
-	stats           *trafficStats
+	stats           *trafficstats.Stats
 	quarantine      *quarantineTable
 	reach           *reachability.Tracker
 	// probesDone is closed when the last probes of endpoints have ended.
@@ -139,7 +140,7 @@
 		retryBudget:     allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
-		stats:           newTrafficStats(),
+		stats:           trafficstats.New(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
 		reach:           reachability.NewTracker(time.Now()),
 		eraBegun:        make(chan struct{}, 1),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -163,9 +163,9 @@
 // activity returns the activity of this instance.
 func (s *state) activity(now time.Time) fleet.Activity {
 	activity := fleet.Activity{
-		UpstreamDemand:  s.edge.stats.upstreamDemand(),
+		UpstreamDemand:  s.edge.stats.UpstreamDemand(),
 		WorkspaceDemand: workspaceDemands(s.edge.workspaceDemand.Rates()),
-		UpstreamAnswers: s.edge.stats.upstreamAnswers(),
+		UpstreamAnswers: s.edge.stats.UpstreamAnswers(),
 		Strikes:         s.edge.quarantine.activeStrikes(now),
 	}
 	endpoints := s.edge.table.Load().Endpoints()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -167,7 +167,7 @@
 	s.fleet.Expire(now)
 	s.publishFollowerElection(now)
 	s.peerActivity = s.fleet.PeerActivity(now)
-	s.edge.stats.updateServiceTimes(s.peerActivity.UpstreamAnswers)
+	s.edge.stats.UpdateServiceTimes(s.peerActivity.UpstreamAnswers)
 	s.edge.instanceCount.Store(int64(s.fleet.Size()))
 	s.edge.retryBudget.SetInstances(s.fleet.Size())
 	s.updateFleetState()
@@ -269,7 +269,7 @@
 
 // rebalanceRegions moves the region shares of this region's requests towards the plan.
 func (s *state) rebalanceRegions(now time.Time, elapsed time.Duration) {
-	s.edge.stats.tick(elapsed)
+	s.edge.stats.Tick(elapsed)
 	table := s.edge.table.Load()
 	unpinned, pinned := s.demandByRegion()
 	ownRegion := s.edge.settings.Region
@@ -278,8 +278,8 @@
 		Return:  elapsed.Seconds() / fullReturnTime.Seconds(),
 	}
 	for _, name := range table.Upstreams() {
-		serviceSeconds := s.edge.stats.serviceTime(name).Seconds()
-		capacity := table.Capacity(now, name, s.edge.stats.serviceTime(name))
+		serviceSeconds := s.edge.stats.ServiceTime(name).Seconds()
+		capacity := table.Capacity(now, name, s.edge.stats.ServiceTime(name))
 		available := placement.AvailableCapacity(capacity, slotsFor(pinned[name], serviceSeconds))
 		demand := slotsFor(unpinned[name], serviceSeconds)
 		assumed := placement.AssumedDemand(s.edge.regions, available)
@@ -331,7 +331,7 @@
 			}
 		}
 	}
-	add(s.edge.settings.Region, s.edge.stats.upstreamDemand())
+	add(s.edge.settings.Region, s.edge.stats.UpstreamDemand())
 	for region, demand := range s.peerActivity.UpstreamDemand {
 		add(region, demand)
 	}
@@ -348,14 +348,10 @@
 	s.edge.callerAddresses.Store(&addresses)
 }
 
-// minReportedRate is the rate, in events per second, below which rates are not reported
-// to other instances.
-const minReportedRate = 0.02
-
 func workspaceDemands(rates map[string]float64) []fleet.WorkspaceDemand {
 	var reported []fleet.WorkspaceDemand
 	for name, rate := range rates {
-		if rate >= minReportedRate {
+		if rate >= fleet.MinReportedRate {
 			reported = append(reported, fleet.WorkspaceDemand{Workspace: name, Rate: float32(rate)})
 		}
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -79,6 +79,10 @@
 	InFlight int
 }
 
+// MinReportedRate is the rate, in events per second, below which rates are not reported to
+// other instances.
+const MinReportedRate = 0.02
+
 // UpstreamDemand is the arrival rate of requests to an upstream, in requests per second.
 type UpstreamDemand struct {
 	//lint:ignore U1000 read by the msgpack library
--- a/internal/edge/traffic_stats.go
+++ b/internal/trafficstats/stats.go
@@ -1,4 +1,11 @@
-package edge
+// Package trafficstats measures the traffic of one instance: how long answers usually take,
+// by route and region, how long an endpoint takes for a request, and how many requests
+// arrive for each upstream. It knows what the other instances measured only as far as they
+// report it.
+//
+// Failure modes: before the first answers it returns assumed times. Rates below
+// fleet.MinReportedRate are not reported.
+package trafficstats
 
 import (
 	"sync"
@@ -19,9 +26,9 @@
 // answer.
 const initialServiceTime = 250 * time.Millisecond
 
-// trafficStats holds the usual durations of answers, which are moving averages, and the
+// Stats holds the usual durations of answers, which are moving averages, and the
 // arrival rates of requests. It is safe for concurrent use.
-type trafficStats struct {
+type Stats struct {
 	mu        sync.Mutex
 	durations map[routeKey]float64 // seconds
 	upstreams map[string]*upstreamStats
@@ -44,18 +51,19 @@
 
 type routeKey struct{ route, region string }
 
-func newTrafficStats() *trafficStats {
-	return &trafficStats{
+// New returns the stats of an instance that has had no requests.
+func New() *Stats {
+	return &Stats{
 		durations: make(map[routeKey]float64),
 		upstreams: make(map[string]*upstreamStats),
 		arrivals:  make(map[arrivalKey]*allowance.RateMeter),
 	}
 }
 
-// recordAnswer records the duration of an answer. local is set if the endpoint is in
+// RecordAnswer records the duration of an answer. local is set if the endpoint is in
 // the instance's own region. It returns the duration divided by the usual one for the
 // route and the endpoint's region, or 1 for the first answer.
-func (t *trafficStats) recordAnswer(upstream, route, region string, local bool, took time.Duration) float64 {
+func (t *Stats) RecordAnswer(upstream, route, region string, local bool, took time.Duration) float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := routeKey{route, region}
@@ -83,7 +91,7 @@
 }
 
 // upstream returns the stats of an upstream. The caller must hold t.mu.
-func (t *trafficStats) upstream(name string) *upstreamStats {
+func (t *Stats) upstream(name string) *upstreamStats {
 	s, found := t.upstreams[name]
 	if !found {
 		s = &upstreamStats{}
@@ -92,8 +100,8 @@
 	return s
 }
 
-// serviceTime returns how long an endpoint of the upstream takes for a request.
-func (t *trafficStats) serviceTime(upstream string) time.Duration {
+// ServiceTime returns how long an endpoint of the upstream takes for a request.
+func (t *Stats) ServiceTime(upstream string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if s, found := t.upstreams[upstream]; found && s.serviceSeconds > 0 {
@@ -102,22 +110,22 @@
 	return initialServiceTime
 }
 
-// upstreamAnswers returns the answers to report to other instances.
-func (t *trafficStats) upstreamAnswers() []fleet.UpstreamAnswers {
+// UpstreamAnswers returns the answers to report to other instances.
+func (t *Stats) UpstreamAnswers() []fleet.UpstreamAnswers {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var reported []fleet.UpstreamAnswers
 	for name, s := range t.upstreams {
-		if s.answers.Rate() >= minReportedRate {
+		if s.answers.Rate() >= fleet.MinReportedRate {
 			reported = append(reported, fleet.UpstreamAnswers{Upstream: name, Rate: float32(s.answers.Rate()), Busy: float32(s.busy.Rate())})
 		}
 	}
 	return reported
 }
 
-// updateServiceTimes updates the service times from this instance's answers and those
+// UpdateServiceTimes updates the service times from this instance's answers and those
 // of the other instances.
-func (t *trafficStats) updateServiceTimes(others map[string]fleet.UpstreamAnswers) {
+func (t *Stats) UpdateServiceTimes(others map[string]fleet.UpstreamAnswers) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for name := range others {
@@ -126,27 +134,27 @@
 	for name, s := range t.upstreams {
 		answers := s.answers.Rate() + float64(others[name].Rate)
 		busy := s.busy.Rate() + float64(others[name].Busy)
-		if answers >= minReportedRate && busy > 0 {
+		if answers >= fleet.MinReportedRate && busy > 0 {
 			s.serviceSeconds = smoothBy(serviceTimeSmoothing, s.serviceSeconds, busy/answers)
 		}
 	}
 }
 
-// responseTime returns the usual time of an answer to the route from a region, or the
+// ResponseTime returns the usual time of an answer to the route from a region, or the
 // upstream's service time before the first answer.
-func (t *trafficStats) responseTime(upstream, route, region string) time.Duration {
+func (t *Stats) ResponseTime(upstream, route, region string) time.Duration {
 	t.mu.Lock()
 	seconds := t.durations[routeKey{route, region}]
 	t.mu.Unlock()
 	if seconds > 0 {
 		return time.Duration(seconds * float64(time.Second))
 	}
-	return t.serviceTime(upstream)
+	return t.ServiceTime(upstream)
 }
 
-// recordArrival counts a request. region is the region in which it must run, or "" if any
+// RecordArrival counts a request. region is the region in which it must run, or "" if any
 // will do.
-func (t *trafficStats) recordArrival(upstream, region string) {
+func (t *Stats) RecordArrival(upstream, region string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	key := arrivalKey{upstream, region}
@@ -158,8 +166,8 @@
 	meter.Count()
 }
 
-// tick ends a measuring period.
-func (t *trafficStats) tick(elapsed time.Duration) {
+// Tick ends a measuring period.
+func (t *Stats) Tick(elapsed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, meter := range t.arrivals {
@@ -171,13 +179,13 @@
 	}
 }
 
-// upstreamDemand returns the arrival rates to report to other instances.
-func (t *trafficStats) upstreamDemand() []fleet.UpstreamDemand {
+// UpstreamDemand returns the arrival rates to report to other instances.
+func (t *Stats) UpstreamDemand() []fleet.UpstreamDemand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var reported []fleet.UpstreamDemand
 	for key, meter := range t.arrivals {
-		if meter.Rate() >= minReportedRate {
+		if meter.Rate() >= fleet.MinReportedRate {
 			reported = append(reported, fleet.UpstreamDemand{Upstream: key.upstream, Region: key.region, Rate: float32(meter.Rate())})
 		}
 	}
