Move the quota pools of an instance to a package of its own

The pure part of internal/edge/quota_pools.go (holders, loans, shares, silent holders) needs none of the state that the folder shares; what sends and admits stays there.

--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -96,7 +96,7 @@
 		d.Version = c.Version
 	}
 	d.Shares = e.balancer.Shares()
-	d.Quotas = e.pools.pool.Shares()
+	d.Quotas = e.pools.Shares()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -35,6 +35,7 @@
 	"lovagescale/internal/operator"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
+	"lovagescale/internal/quotapool"
 	"lovagescale/internal/reachability"
 	"lovagescale/internal/store"
 	"lovagescale/internal/trafficstats"
@@ -107,7 +108,7 @@
 	handoversInFlight atomic.Int64
 
 	workspaceDemand *allowance.DemandMeter
-	pools           *quotaPools
+	pools           *quotapool.Pools
 	retryBudget     *allowance.RetryBudget
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
@@ -136,7 +137,7 @@
 		peers:           link.NewPeers(),
 		handoverPeers:   link.NewPeers(),
 		workspaceDemand: allowance.NewDemandMeter(),
-		pools:           newQuotaPools(s.Instance, s.Zone, s.Bounds.QuotaWindow),
+		pools:           quotapool.New(s.Instance, s.Zone, s.Bounds.QuotaWindow, tickInterval),
 		retryBudget:     allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
--- a/internal/edge/quota_simulation_test.go
+++ b/internal/edge/quota_simulation_test.go
@@ -140,10 +140,10 @@
 func (sim *quotaSimulation) holderReplies(from int, holder fleet.Member) bool {
 	sender := sim.instances[from]
 	if sim.reaches(from, sim.index(holder.Instance)) && sim.random.Float64() >= sim.lateFraction {
-		sender.pools.recordReply(holder.Instance)
+		sender.pools.RecordReply(holder.Instance)
 		return true
 	}
-	if sender.pools.recordFailure(sim.now, holder.Instance) {
+	if sender.pools.RecordFailure(sim.now, holder.Instance) {
 		sender.state.recordSilentHolder(sim.now, holder.Instance)
 	}
 	return false
@@ -156,15 +156,15 @@
 	workspace := sim.catalog.Workspaces["azul"]
 	e.workspaceDemand.Count(workspace.Name)
 	sim.requests++
-	loan := e.pools.borrow(sim.now, workspace, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
+	loan := e.pools.Borrow(sim.now, workspace, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
 		if !sim.holderReplies(i, holder) {
 			return fleet.BorrowReply{}, false
 		}
 		receiver := sim.index(holder.Instance)
-		for _, member := range sim.instances[receiver].pools.zoneMembers(borrow.Unresponsive) {
+		for _, member := range sim.instances[receiver].pools.ZoneMembers(borrow.Unresponsive) {
 			sim.holderReplies(receiver, member)
 		}
-		return sim.instances[receiver].pools.lend(sim.now, workspace, borrow), true
+		return sim.instances[receiver].pools.Lend(sim.now, workspace, borrow), true
 	})
 	return loan.Granted
 }
@@ -279,7 +279,7 @@
 		sim.step(0.6*300, evenWeights)
 		sum := 0.0
 		for _, e := range sim.instances {
-			sum += e.pools.pool.Shares()["azul"]
+			sum += e.pools.Shares()["azul"]
 		}
 		smallest = min(smallest, sum)
 	}
--- a/internal/edge/settings_reload.go
+++ b/internal/edge/settings_reload.go
@@ -9,7 +9,7 @@
 	e.bounds.Store(&s.Bounds)
 	e.seeds.Store(&s.Seeds)
 	e.retryBudget.SetOptions(s.Bounds.retryOptions())
-	e.pools.setWindow(s.Bounds.QuotaWindow)
+	e.pools.SetWindow(s.Bounds.QuotaWindow)
 	event := e.log.Info().Interface("bounds", s.Bounds).Strs("seeds", s.Seeds)
 	if changed := e.settings.changedFixedSettings(s); len(changed) > 0 {
 		event = event.Strs("at_next_start", changed)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -8,6 +8,7 @@
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/quotapool"
 	"lovagescale/internal/store"
 )
 
@@ -177,7 +178,7 @@
 	s.ownDemand.Add(now, s.edge.workspaceDemand.Rates())
 	s.zoneDemand.Add(now, s.peerActivity.ZoneDemand)
 	s.otherZonesDemand.Add(now, s.peerActivity.DemandOutsideZone())
-	s.edge.pools.tick(now, elapsed)
+	s.edge.pools.Tick(now, elapsed)
 	s.divideQuotas(now)
 	s.rebalanceRegions(now, elapsed)
 	s.publishCallerAddresses(now)
@@ -229,11 +230,11 @@
 		Stale:      s.peerActivity.DemandStale,
 		Reserve:    s.quotaReserve(),
 	}
-	s.edge.pools.setHolders(s.fleet.PoolHolders(now))
-	s.edge.pools.divide(now, c, division, poolFractions{
-		pool:     s.fleet.PoolFraction(now),
-		fallback: 1 / float64(s.fleet.ZoneSize()),
-		entitled: s.fleet.Acknowledged() || !s.edge.hasOtherSeeds(),
+	s.edge.pools.SetHolders(s.fleet.PoolHolders(now))
+	s.edge.pools.Divide(now, c, division, quotapool.Fractions{
+		Pool:     s.fleet.PoolFraction(now),
+		Fallback: 1 / float64(s.fleet.ZoneSize()),
+		Entitled: s.fleet.Acknowledged() || !s.edge.hasOtherSeeds(),
 	})
 }
 
--- /dev/null
+++ b/internal/quotapool/pools.go
@@ -0,0 +1,257 @@
+// Package quotapool holds an instance's part of the quota pools: each zone has one pool for
+// each workspace with a rate, held by one of its instances, from which the instances of the
+// zone borrow a token for each request.
+//
+// Failure modes: a holder that does not reply for holderSilenceThreshold loses its pools to
+// the next candidate. An instance that hears from no other one uses its even share. One that
+// no other instance can know of yet has nothing.
+package quotapool
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"lovagescale/internal/allowance"
+	"lovagescale/internal/catalog"
+	"lovagescale/internal/fleet"
+)
+
+// Times of borrowing from quota pools.
+const (
+	// holderSilenceThreshold is how long a holder may fail to reply to borrows before
+	// another instance takes over its pools. Single late replies must not cause two
+	// instances to hold a pool.
+	holderSilenceThreshold = 250 * time.Millisecond
+	// failureLifetime is how long a borrow without a reply counts as a failure of the
+	// holder.
+	failureLifetime = 2 * time.Second
+	// MaxPause bounds the time in which no loan is asked for on behalf of a
+	// workspace that got none.
+	MaxPause = 250 * time.Millisecond
+)
+
+// maxHolderCandidates bounds the instances of a zone that are asked for one request.
+const maxHolderCandidates = 2
+
+// Pools gives an instance access to the quota pools of its zone. Rendezvous hashing
+// assigns each workspace's pool to one of the zone's instances, its holder. If the holder
+// does not reply, the next candidate is asked, which takes over the pool if it gets no
+// reply from the holder either. If the pool is empty, the holders in the other zones of
+// the region are asked. An instance that hears from no other one uses its even share of
+// the pools. It is safe for concurrent use.
+type Pools struct {
+	// pool holds the shares from which this instance lends as a holder. fallback holds
+	// those that it uses while it hears from no other instance, when the others already
+	// count it as silent.
+	pool     *allowance.Quotas
+	fallback *allowance.Quotas
+	// self and zone are the names of this instance and of its zone.
+	self, zone string
+	// holders are the instances of the region that may hold pools, by zone.
+	holders atomic.Pointer[map[string][]fleet.Member]
+	mu      sync.Mutex
+	// pausedUntil is the time until which no loan is asked for, by workspace.
+	pausedUntil map[string]time.Time
+	// failingSince is the time of the first borrow without a reply since the last reply,
+	// by holder.
+	failingSince map[string]time.Time
+	// tickInterval is the time between two calls of Tick.
+	tickInterval time.Duration
+}
+
+// New returns the pools of the instance self in its zone, without holders and shares.
+// window is that of the quotas, tickInterval the time between two calls of Tick.
+func New(self, zone string, window, tickInterval time.Duration) *Pools {
+	p := &Pools{
+		self:         self,
+		tickInterval: tickInterval,
+		zone:         zone,
+		pool:         allowance.NewQuotas(window),
+		fallback:     allowance.NewQuotas(window),
+		pausedUntil:  make(map[string]time.Time),
+		failingSince: make(map[string]time.Time),
+	}
+	p.SetHolders(nil)
+	return p
+}
+
+// SetWindow sets the window of the quotas.
+func (p *Pools) SetWindow(window time.Duration) {
+	p.pool.SetWindow(window)
+	p.fallback.SetWindow(window)
+}
+
+// Shares returns the shares from which this instance lends, by workspace.
+func (p *Pools) Shares() map[string]float64 { return p.pool.Shares() }
+
+// Tick ends a period of the quotas' windows and removes expired pauses and failures. After
+// a long time without a tick this process was paused, so that other instances may have taken
+// over its pools. Its tokens are then discarded.
+func (p *Pools) Tick(now time.Time, elapsed time.Duration) {
+	if elapsed > p.tickInterval+2*holderSilenceThreshold {
+		p.pool.DiscardTokens(now)
+		p.fallback.DiscardTokens(now)
+	}
+	p.pool.Tick(elapsed)
+	p.fallback.Tick(elapsed)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.pausedUntil, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(p.failingSince, func(_ string, since time.Time) bool { return now.Sub(since) > failureLifetime })
+}
+
+// Fractions are the fractions of the zone's quotas that an instance may use: Pool as
+// a holder, and Fallback while it hears from no other instance. It may use none unless
+// Entitled is set: while no other instance can know of it, the others hold the whole
+// quotas.
+type Fractions struct {
+	Pool, Fallback float64
+	Entitled       bool
+}
+
+// Divide sets this instance's shares of the quotas.
+func (p *Pools) Divide(now time.Time, c *catalog.Catalog, division allowance.Division, fractions Fractions) {
+	division.Fraction = fractions.Fallback
+	division.IsHolder = func(string) bool { return fractions.Entitled && p.isolated() }
+	p.fallback.Divide(now, c, division)
+	division.Fraction = fractions.Pool
+	division.IsHolder = func(workspace string) bool { return fractions.Entitled && p.isHolder(workspace) }
+	p.pool.Divide(now, c, division)
+}
+
+// isHolder reports whether this instance holds the workspace's pool of its zone.
+func (p *Pools) isHolder(workspace string) bool {
+	candidates := p.holderCandidates(p.zone, workspace)
+	return len(candidates) > 0 && candidates[0].Instance == p.self
+}
+
+// ZoneMembers returns those of the named instances that belong to this instance's zone.
+func (p *Pools) ZoneMembers(instances []string) []fleet.Member {
+	var named []fleet.Member
+	for _, member := range (*p.holders.Load())[p.zone] {
+		if slices.Contains(instances, member.Instance) {
+			named = append(named, member)
+		}
+	}
+	return named
+}
+
+// SetHolders sets the instances of the region that may hold pools, by zone.
+func (p *Pools) SetHolders(holders map[string][]fleet.Member) { p.holders.Store(&holders) }
+
+// isolated reports whether no holders are known. That is so if other instances are known
+// but this one hears from none of them.
+func (p *Pools) isolated() bool {
+	return len(*p.holders.Load()) == 0
+}
+
+// otherZones returns the other zones of the region that have holders.
+func (p *Pools) otherZones() []string {
+	var zones []string
+	for zone := range *p.holders.Load() {
+		if zone != p.zone {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// holderCandidates returns the instances of a zone that are asked for a workspace's pool,
+// the holder first.
+func (p *Pools) holderCandidates(zone, workspace string) []fleet.Member {
+	return fleet.Preferred((*p.holders.Load())[zone], workspace, maxHolderCandidates)
+}
+
+// RemainingPause returns how much longer no loan is asked for on behalf of the workspace.
+func (p *Pools) RemainingPause(now time.Time, workspace string) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pausedUntil[workspace].Sub(now)
+}
+
+// Pause asks for no loan on behalf of the workspace for the given time, at most MaxPause.
+func (p *Pools) Pause(now time.Time, workspace string, wait time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pausedUntil[workspace] = now.Add(min(wait, MaxPause))
+}
+
+// SendFunc sends a borrow to a holder and reports whether the holder replied.
+type SendFunc func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool)
+
+// Borrow asks for a loan for one request, first in this zone and then in the other zones
+// of the region.
+func (p *Pools) Borrow(now time.Time, workspace *catalog.Workspace, send SendFunc) fleet.BorrowReply {
+	loan := p.borrowInZone(now, workspace, send)
+	if loan.Granted {
+		return loan
+	}
+	for _, zone := range p.otherZones() {
+		candidates := p.holderCandidates(zone, workspace.Name)
+		if len(candidates) == 0 {
+			continue
+		}
+		if reply, ok := send(candidates[0], fleet.Borrow{Workspace: workspace.Name}); ok && reply.Granted {
+			return reply
+		}
+	}
+	return loan
+}
+
+// borrowInZone asks the candidates of this zone until one replies. If the next candidate
+// is this instance, it uses its own pool. If no candidate replies, it uses its fallback
+// share.
+func (p *Pools) borrowInZone(now time.Time, workspace *catalog.Workspace, send SendFunc) fleet.BorrowReply {
+	borrow := fleet.Borrow{Workspace: workspace.Name}
+	for _, holder := range p.holderCandidates(p.zone, workspace.Name) {
+		if holder.Instance == p.self {
+			return admitFrom(now, p.pool, workspace)
+		}
+		if loan, ok := send(holder, borrow); ok {
+			return loan
+		}
+		borrow.Unresponsive = append(borrow.Unresponsive, holder.Instance)
+	}
+	return admitFrom(now, p.fallback, workspace)
+}
+
+// RecordReply records that a holder replied.
+func (p *Pools) RecordReply(holder string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.failingSince, holder)
+}
+
+// RecordFailure records that a holder did not reply. It returns true if the holder has
+// not replied for at least holderSilenceThreshold.
+func (p *Pools) RecordFailure(now time.Time, holder string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since, found := p.failingSince[holder]
+	if !found || now.Sub(since) > failureLifetime {
+		p.failingSince[holder] = now
+		return false
+	}
+	if now.Sub(since) < holderSilenceThreshold {
+		return false
+	}
+	delete(p.failingSince, holder)
+	return true
+}
+
+// Lend replies to a borrow of another instance.
+func (p *Pools) Lend(now time.Time, workspace *catalog.Workspace, borrow fleet.Borrow) fleet.BorrowReply {
+	if len(borrow.Unresponsive) > 0 && !p.isHolder(workspace.Name) {
+		return admitFrom(now, p.fallback, workspace)
+	}
+	return admitFrom(now, p.pool, workspace)
+}
+
+// admitFrom takes a token for a request from a share of the quotas.
+func admitFrom(now time.Time, quotas *allowance.Quotas, workspace *catalog.Workspace) fleet.BorrowReply {
+	retryAfter, granted := quotas.Admit(now, workspace)
+	return fleet.BorrowReply{Granted: granted, RetryAfterMillis: retryAfter.Milliseconds()}
+}
