Find the instances that share limits once a tick, not once an endpoint

Cause: with many endpoints in need, each of them sorted all instances of the fleet four times a second; at 2,300 instances and 120 such endpoints that is most of a core's share. Worked out, not measured. Change: the instances are listed once a tick. No decision changes.

--- a/internal/edge/endpoint_limits.go
+++ b/internal/edge/endpoint_limits.go
@@ -37,12 +37,16 @@
 // alike from what they know of each other.
 func (s *state) divideEndpointLimits(now time.Time) {
 	self := s.fleet.Self()
+	var sharing *fleet.LimitSharing
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
 		perSecond, named := endpoint.Limit(now)
 		if !named {
 			continue
 		}
-		senders, shares := s.fleet.LimitSenders(now, endpoint.Region, id, placement.LimitSenders(perSecond))
+		if sharing == nil {
+			sharing = s.fleet.LimitSharing(now)
+		}
+		senders, shares := sharing.Senders(endpoint.Region, id, placement.LimitSenders(perSecond))
 		interval := time.Duration(0)
 		if slices.Contains(senders, self) {
 			interval = placement.LimitInterval(perSecond, shares)
