--- a/internal/edge/limit_simulation_test.go
+++ b/internal/edge/limit_simulation_test.go
@@ -189,6 +189,21 @@
 	})
 }
 
+// Guards against a limit that is divided among all instances of a large region: after a
+// quiet time each of them has a request saved up, and all send it at once.
+func TestNamedLimitHoldsAfterQuietTime(t *testing.T) {
+	const limit = 3.0
+	sim := newLimitSimulation(11, 1, 2, 33)
+	sim.limit = limit
+	sim.run(6*time.Second, 100*limit)
+	sim.run(8*time.Second, 0)
+	sim.run(4*time.Second, 100*limit)
+	allowed := 1.5*limit*limitWindow.Seconds() + 5
+	if worst := sim.worstWindow(); float64(worst) > allowed {
+		t.Fatalf("an endpoint with a limit of %.0f a second got %d requests in %v; allowed %.0f", limit, worst, limitWindow, allowed)
+	}
+}
+
 // Guards against an endpoint whose limit leaves it without requests: it gets what it takes
 // while it names the limit, and all of its requests once it names none.
 func TestNamedLimitIsUsedAndEnds(t *testing.T) {
