--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -39,7 +39,7 @@
 // run runs a caller's request: through another instance if this one reaches no endpoint,
 // or with attempts of its own.
 func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
-	if e.reach.Cut() {
+	if e.reach.Partitioned() {
 		if answer, refused, taken := e.handOver(ctx, q, q.maxAttempts); taken {
 			return answer, nil, refused
 		}
@@ -68,7 +68,7 @@
 			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
 		if err != nil {
-			if answer, refused, taken := e.handOverUnsent(ctx, q, attempts, reached); taken {
+			if answer, refused, taken := e.handOverNotRun(ctx, q, attempts, reached); taken {
 				return answer, attempts, refused
 			}
 			return nil, attempts, e.noRoomRefusal(q, attempts, err)
@@ -93,16 +93,16 @@
 		if failedAnswer != nil {
 			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
-		if answer, refused, taken := e.handOverUnsent(ctx, q, attempts, reached); taken {
+		if answer, refused, taken := e.handOverNotRun(ctx, q, attempts, reached); taken {
 			return answer, attempts, refused
 		}
 		return nil, attempts, e.failureRefusal(ctx, q, attempts)
 	}
 }
 
-// handOverUnsent hands a request over that found no endpoint here and has not run, if this
+// handOverNotRun hands a request over that found no endpoint here and has not run, if this
 // instance reaches none. taken is false if no instance took it.
-func (e *Edge) handOverUnsent(ctx context.Context, q *request, attempts []attempt, reached int) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
+func (e *Edge) handOverNotRun(ctx context.Context, q *request, attempts []attempt, reached int) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
 	if q.handedOver || anyMayHaveRun(attempts) || reached >= q.maxAttempts || !e.awaitProbes(ctx) {
 		return nil, nil, false
 	}
@@ -113,7 +113,7 @@
 // endpoint. taken is false if none took it. failedAnswer is the answer of an earlier
 // attempt that reports a failure, or nil.
 func (e *Edge) retryElsewhere(ctx context.Context, q *request, attempts []attempt, reached int, failedAnswer *upstream.Answer) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
-	if !e.reach.Cut() {
+	if !e.reach.Partitioned() {
 		return nil, nil, false
 	}
 	answer, refused, taken = e.handOver(ctx, q, q.maxAttempts-reached)
@@ -123,7 +123,7 @@
 	case failedAnswer != nil:
 		return failedAnswer, nil, true
 	case anyMayHaveRun(attempts):
-		return nil, refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "the endpoint gave no answer"), true
+		return nil, noAnswerRefusal(), true
 	}
 	return nil, refused, true
 }
@@ -292,6 +292,12 @@
 		return refusal.New(http.StatusGatewayTimeout, refusal.DeadlineExceeded, refusal.Unknown,
 			"the endpoint gave no answer in time")
 	}
+	return noAnswerRefusal()
+}
+
+// noAnswerRefusal returns the refusal of a request that an endpoint may have run without an
+// answer.
+func noAnswerRefusal() *refusal.Refusal {
 	return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "the endpoint gave no answer")
 }
 
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -116,7 +116,7 @@
 	e.handoversInFlight.Add(1)
 	defer e.handoversInFlight.Add(-1)
 	c := e.catalog.Load()
-	if c == nil || c.Version < message.Version || e.reach.Cut() {
+	if c == nil || c.Version < message.Version || e.reach.Partitioned() {
 		return fleet.HandoverReply{NotTaken: true}, nil
 	}
 	q, refused := e.acceptHandover(c, message)
--- a/internal/edge/reachability.go
+++ b/internal/edge/reachability.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// checkReach begins a round of probes if this instance may be cut off from all endpoints.
+// checkReach begins a round of probes if this instance may be partitioned from all endpoints.
 // inFlight is the number of requests that wait for an answer.
 func (e *Edge) checkReach(now time.Time, inFlight int) {
 	if endpoints := e.table.Load().Endpoints(); e.reach.ProbeDue(now, inFlight, len(endpoints)) {
@@ -64,13 +64,13 @@
 	if e.reach.RecordRound(time.Now(), connected) {
 		e.applyReach(endpoints)
 	}
-	return connected || e.reach.Cut()
+	return connected || e.reach.Partitioned()
 }
 
 // awaitProbes reports whether this instance reaches no endpoint. Unless that is settled
 // already, it waits for the probes in progress.
 func (e *Edge) awaitProbes(ctx context.Context) bool {
-	if e.reach.Cut() {
+	if e.reach.Partitioned() {
 		return true
 	}
 	if done := e.probesDone.Load(); done != nil {
@@ -79,22 +79,22 @@
 		case <-ctx.Done():
 		}
 	}
-	return e.reach.Cut()
+	return e.reach.Partitioned()
 }
 
-// applyReach applies that this instance has become cut off from all endpoints, or is no
-// longer.
+// applyReach applies that this instance has become partitioned from all endpoints, or is
+// no longer.
 func (e *Edge) applyReach(endpoints map[string]*placement.Endpoint) {
 	e.loop.TryPost(e.state.tickNow) // tells the others
-	cut := e.reach.Cut()
+	partitioned := e.reach.Partitioned()
 	for _, endpoint := range endpoints {
-		if cut {
+		if partitioned {
 			endpoint.Pool.Close() // connections from before the partition may hang
 		} else {
 			endpoint.ForgetOutage(time.Now())
 		}
 	}
-	if cut {
+	if partitioned {
 		e.log.Warn().Msg("instance reaches no endpoint; other instances run its requests")
 	} else {
 		e.log.Info().Msg("instance reaches endpoints again")
@@ -129,6 +129,7 @@
 	return conn.Close()
 }
 
+// probeCandidates returns the endpoints of a round of probes.
 func (e *Edge) probeCandidates(endpoints map[string]*placement.Endpoint) []*placement.Endpoint {
 	now := time.Now()
 	var sound, failed []*placement.Endpoint
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -196,7 +196,7 @@
 	case s.edge.catalog.Load() != nil:
 		s.fleet.SetState(fleet.Ready)
 	}
-	s.fleet.SetNoEndpoint(s.edge.reach.Cut())
+	s.fleet.SetNoEndpoint(s.edge.reach.Partitioned())
 }
 
 // updateEndpoints sets the number of the other instances' in-flight requests at each
--- a/internal/reachability/tracker.go
+++ b/internal/reachability/tracker.go
@@ -1,16 +1,15 @@
 // Package reachability tells whether an instance reaches any endpoint at all. Endpoints
 // that fail are the concern of package placement; this package notices that the instance
-// itself is cut off from all of them.
+// itself is partitioned from all of them.
 //
 // Requests that fail at several endpoints, or that get no answer for a time, only raise a
 // suspicion. Then the instance opens connections to a few endpoints. If none can be opened
-// in roundsUntilCut rounds in a row, the instance counts as cut off, until one can. An
+// in roundsUntilPartitioned rounds in a row, the instance counts as partitioned, until one can. An
 // answer alone does not end that: connections that were open before may live on while new
 // ones are refused.
 //
 // Failure modes: an instance whose few probes all meet endpoints that are down counts as
-// cut off until the next round. If all endpoints are down, every instance counts as cut
-// off.
+// partitioned until the next round. If all endpoints are down, every instance does.
 package reachability
 
 import (
@@ -24,10 +23,10 @@
 	// endpoints stay ejected, since those get no requests.
 	failureLifetime = 5 * time.Second
 	// suspiciousEndpoints is the number of endpoints with failures from which the instance
-	// may be cut off.
+	// may be partitioned.
 	suspiciousEndpoints = 3
 	// silenceThreshold is the time without an answer to any request in flight from which
-	// the instance may be cut off.
+	// the instance may be partitioned.
 	silenceThreshold = time.Second
 )
 
@@ -35,13 +34,13 @@
 const (
 	// probeInterval is the time between probes while the instance is suspected.
 	probeInterval = time.Second
-	// cutProbeInterval is that while it is cut off.
-	cutProbeInterval = 500 * time.Millisecond
+	// partitionedProbeInterval is that while it is partitioned.
+	partitionedProbeInterval = 500 * time.Millisecond
 )
 
-// roundsUntilCut is the number of rounds in a row without a connection after which the
-// instance counts as cut off.
-const roundsUntilCut = 2
+// roundsUntilPartitioned is the number of rounds in a row without a connection after which the
+// instance counts as partitioned.
+const roundsUntilPartitioned = 2
 
 // Tracker holds what requests and probes show. It is safe for concurrent use.
 type Tracker struct {
@@ -85,26 +84,26 @@
 }
 
 // ProbeDue reports whether rounds of probes are due, and counts them as begun. Rounds then
-// follow each other until one connects or the instance counts as cut off. inFlight is
+// follow each other until one connects or the instance counts as partitioned. inFlight is
 // the number of requests that wait for an answer, endpoints the number of known endpoints.
 func (t *Tracker) ProbeDue(now time.Time, inFlight, endpoints int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	interval := probeInterval
-	if t.isCut() {
-		interval = cutProbeInterval
+	if t.isPartitioned() {
+		interval = partitionedProbeInterval
 	}
 	if endpoints == 0 || now.Sub(t.lastProbesAt) < interval {
 		return false
 	}
-	if !t.isCut() && !t.isSuspicious(now, inFlight, endpoints) {
+	if !t.isPartitioned() && !t.isSuspicious(now, inFlight, endpoints) {
 		return false
 	}
 	t.lastProbesAt = now
 	return true
 }
 
-// isSuspicious reports whether requests show that the instance may be cut off. The caller
+// isSuspicious reports whether requests show that the instance may be partitioned. The caller
 // must hold the lock.
 func (t *Tracker) isSuspicious(now time.Time, inFlight, endpoints int) bool {
 	for endpoint, at := range t.failedAt {
@@ -117,11 +116,11 @@
 }
 
 // RecordRound records a round of probes, of which one connected or none did, and reports
-// whether it changed Cut.
+// whether it changed Partitioned.
 func (t *Tracker) RecordRound(now time.Time, connected bool) (changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wasCut := t.isCut()
+	wasPartitioned := t.isPartitioned()
 	if connected {
 		t.failedRounds = 0
 		t.lastSignAt = now
@@ -130,7 +129,7 @@
 	} else {
 		t.failedRounds++
 	}
-	return t.isCut() != wasCut
+	return t.isPartitioned() != wasPartitioned
 }
 
 // ConnectedSince reports whether a probe has connected since the given time.
@@ -140,11 +139,11 @@
 	return t.lastConnectionAt.After(at)
 }
 
-// Cut reports whether the instance reaches no endpoint.
-func (t *Tracker) Cut() bool {
+// Partitioned reports whether the instance reaches no endpoint.
+func (t *Tracker) Partitioned() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isCut()
+	return t.isPartitioned()
 }
 
-func (t *Tracker) isCut() bool { return t.failedRounds >= roundsUntilCut }
+func (t *Tracker) isPartitioned() bool { return t.failedRounds >= roundsUntilPartitioned }
--- a/internal/reachability/tracker_test.go
+++ b/internal/reachability/tracker_test.go
@@ -35,21 +35,21 @@
 		Expect(tracker.ProbeDue(at(5500*time.Millisecond), 3, 10)).To(BeFalse())
 	})
 
-	It("suspects a cut when several endpoints fail at once, not when one does", func() {
+	It("suspects a partition when several endpoints fail at once, not when one does", func() {
 		failAt(time.Millisecond, suspiciousEndpoints-1)
 		Expect(tracker.ProbeDue(at(2*time.Millisecond), 1, 10)).To(BeFalse())
 		failAt(3*time.Millisecond, suspiciousEndpoints)
 		Expect(tracker.ProbeDue(at(4*time.Millisecond), 1, 10)).To(BeTrue())
 	})
 
-	It("suspects a cut when endpoints fail one after the other and are ejected meanwhile", func() {
+	It("suspects a partition when endpoints fail one after the other and are ejected meanwhile", func() {
 		for i := range suspiciousEndpoints {
 			tracker.RecordFailure(at(time.Duration(i)*1500*time.Millisecond), fmt.Sprint("e", i))
 		}
 		Expect(tracker.ProbeDue(at(3100*time.Millisecond), 0, 10)).To(BeTrue())
 	})
 
-	It("suspects a cut when endpoints answer on old connections and refuse new ones", func() {
+	It("suspects a partition when endpoints answer on old connections and refuse new ones", func() {
 		for i := range suspiciousEndpoints {
 			tracker.RecordFailure(at(time.Duration(i)*100*time.Millisecond), fmt.Sprint("e", i))
 			tracker.RecordAnswer(at(time.Duration(i)*100*time.Millisecond + 50*time.Millisecond))
@@ -57,38 +57,38 @@
 		Expect(tracker.ProbeDue(at(400*time.Millisecond), 1, 10)).To(BeTrue())
 	})
 
-	It("suspects a cut when the only endpoint fails", func() {
+	It("suspects a partition when the only endpoint fails", func() {
 		failAt(time.Millisecond, 1)
 		Expect(tracker.ProbeDue(at(2*time.Millisecond), 0, 1)).To(BeTrue())
 	})
 
-	It("suspects a cut when requests in flight get no answer", func() {
+	It("suspects a partition when requests in flight get no answer", func() {
 		Expect(tracker.ProbeDue(at(silenceThreshold), 1, 10)).To(BeTrue())
 	})
 
-	It("is cut off after two rounds without a connection, until one connects", func() {
+	It("is partitioned after two rounds without a connection, until one connects", func() {
 		failAt(0, suspiciousEndpoints)
 		Expect(tracker.ProbeDue(at(0), 1, 10)).To(BeTrue())
 		Expect(tracker.RecordRound(at(0), false)).To(BeFalse())
-		Expect(tracker.Cut()).To(BeFalse())
+		Expect(tracker.Partitioned()).To(BeFalse())
 		Expect(tracker.RecordRound(at(time.Millisecond), false)).To(BeTrue())
-		Expect(tracker.Cut()).To(BeTrue())
+		Expect(tracker.Partitioned()).To(BeTrue())
 
 		tracker.RecordAnswer(at(time.Second))
-		Expect(tracker.Cut()).To(BeTrue(), "an old connection may live on")
+		Expect(tracker.Partitioned()).To(BeTrue(), "an old connection may live on")
 		Expect(tracker.ProbeDue(at(time.Second), 0, 10)).To(BeTrue())
 		Expect(tracker.RecordRound(at(time.Second), true)).To(BeTrue())
-		Expect(tracker.Cut()).To(BeFalse())
+		Expect(tracker.Partitioned()).To(BeFalse())
 		Expect(tracker.ProbeDue(at(2*time.Second), 0, 10)).To(BeFalse())
 	})
 
-	It("is not cut off while a probe connects, whatever fails", func() {
+	It("is not partitioned while a probe connects, whatever fails", func() {
 		for d := time.Duration(0); d < 10*time.Second; d += probeInterval {
 			failAt(d, 9)
 			if tracker.ProbeDue(at(d), 5, 10) {
 				tracker.RecordRound(at(d), true)
 			}
-			Expect(tracker.Cut()).To(BeFalse())
+			Expect(tracker.Partitioned()).To(BeFalse())
 		}
 	})
 })
