Bound the body of the instance list

Cause: the class of the endless heads of endpoints, elsewhere: the list of instances was decoded from a body without a bound, so that a list without end took memory until the call's deadline. Change: 16 MiB, above which the list is unavailable. The bodies that the store's clients read were bounded already, and the HTTP library bounds the headers of both.

--- a/internal/instancelist/instancelist.go
+++ b/internal/instancelist/instancelist.go
@@ -16,6 +16,9 @@
 // PathInstances is the path of the list on the platform.
 const PathInstances = "/v1/instances"
 
+// maxAnswerBytes bounds the body of an answer.
+const maxAnswerBytes = 16 << 20
+
 // State is an instance's state in the list.
 type State string
 
@@ -91,7 +94,7 @@
 		return nil, &UnavailableError{Cause: &StatusError{Status: answer.StatusCode}}
 	}
 	var instances []Instance
-	if err := json.NewDecoder(answer.Body).Decode(&instances); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, answer.Body, maxAnswerBytes)).Decode(&instances); err != nil {
 		return nil, &UnavailableError{Cause: err}
 	}
 	return instances, nil
