--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -22,7 +22,8 @@
 const maxHandoverTargets = 3
 
 // handOver asks other instances to run a request, because this one reaches no endpoint.
-// taken is false if none of them took it.
+// taken is false if none of them took it. One that took it without an answer may have run
+// it, so that no further one is asked.
 func (e *Edge) handOver(ctx context.Context, q *request, maxAttempts int) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
 	if q.handedOver {
 		return nil, nil, false
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -60,12 +60,14 @@
 
 func (l *namedLimit) isActive(now time.Time) bool { return now.Before(l.until) }
 
-func (l *namedLimit) lifetime() time.Duration {
-	return max(minLimitLifetime, LimitInterval(l.perSecond, answersPerLimitLifetime))
+// limitLifetime returns how long a limit counts after the last answer that named it.
+func limitLifetime(perSecond float64) time.Duration {
+	return max(minLimitLifetime, LimitInterval(perSecond, answersPerLimitLifetime))
 }
 
-// set makes the limit count until the given time.
-func (l *namedLimit) set(now time.Time, perSecond float64, until time.Time) {
+// countUntil makes a limit count until the given time. This instance sends nothing under a
+// limit that is new to it until it knows its part.
+func (l *namedLimit) countUntil(now time.Time, perSecond float64, until time.Time) {
 	if !l.isActive(now) {
 		l.interval = 0
 	}
@@ -87,8 +89,7 @@
 		return active
 	}
 	changed := !active || l.perSecond != perSecond
-	l.set(now, perSecond, time.Time{})
-	l.until = now.Add(l.lifetime())
+	l.countUntil(now, perSecond, now.Add(limitLifetime(perSecond)))
 	l.heardAt = now
 	return changed
 }
@@ -106,7 +107,7 @@
 	if l.until.After(until) {
 		until = l.until
 	}
-	l.set(now, perSecond, until)
+	l.countUntil(now, perSecond, until)
 }
 
 // Limit returns the limit that the endpoint names, in requests per second from all
@@ -125,7 +126,7 @@
 	defer e.mu.Unlock()
 	l := &e.limit
 	lately := now.Sub(l.heardAt) < reportedLimitLifetime
-	sends := l.interval > 0 && now.Sub(l.heardAt) < l.lifetime()
+	sends := l.interval > 0 && now.Sub(l.heardAt) < limitLifetime(l.perSecond)
 	return l.perSecond, l.isActive(now) && (lately || sends)
 }
 
