Take the quota token of a request after its endpoint, and return that of one that did not run

Cause: the token was taken before an endpoint was sought, so that requests without room spent it; callers that came back were refused with 429 below their rate. Change: choose first, keep one token over all attempts, give it back to its lender if the request certainly did not run (fleet.return, sent once).

--- a/internal/allowance/allowance_test.go
+++ b/internal/allowance/allowance_test.go
@@ -172,9 +172,9 @@
 		quotas := allowance.NewQuotas(window)
 		c := catalogOf(2, 1)
 		quotas.Divide(start, c, allowance.Division{Demand: constantDemands(0, 0), Holders: 1})
-		wait, ok := quotas.Admit(start, c.Workspaces["azul"])
+		admission, ok := quotas.Admit(start, c.Workspaces["azul"])
 		Expect(ok).To(BeFalse())
-		Expect(wait).To(BeNumerically("~", 500*time.Millisecond, 300*time.Millisecond))
+		Expect(admission.RetryAfter).To(BeNumerically("~", 500*time.Millisecond, 300*time.Millisecond))
 	})
 
 	It("does not limit a workspace without a rate", func() {
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -56,6 +56,16 @@
 	window     time.Duration
 	mu         sync.Mutex
 	workspaces map[string]*workspaceQuota
+	// lastPeriod is the number of the period that was begun last, of any workspace.
+	lastPeriod uint64
+}
+
+// Admission is the result of asking for a token.
+type Admission struct {
+	// Period identifies the period in which the token was taken, see Quotas.Return.
+	Period uint64
+	// RetryAfter is the time after which to ask again if no token was left.
+	RetryAfter time.Duration
 }
 
 // workspaceQuota is this instance's share of the quota of one workspace.
@@ -91,23 +101,46 @@
 	q.window = window
 }
 
-// Admit takes a token for a request of the workspace. If there is none, it returns false
-// and the time after which to try again.
-func (q *Quotas) Admit(now time.Time, workspace *catalog.Workspace) (time.Duration, bool) {
+// Admit takes a token for a request of the workspace. It returns false if there is none.
+func (q *Quotas) Admit(now time.Time, workspace *catalog.Workspace) (Admission, bool) {
 	if workspace == nil || workspace.Rate <= 0 {
-		return 0, true
+		return Admission{}, true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	quota := q.workspaceQuota(now, workspace.Name)
 	if float64(quota.admittedInWindow+1) <= quota.windowLimit && quota.limiter.AllowN(now, 1) {
 		quota.admittedInWindow++
-		quota.periods[len(quota.periods)-1].admitted++
-		return 0, true
+		current := &quota.periods[len(quota.periods)-1]
+		current.admitted++
+		return Admission{Period: current.number}, true
 	}
 	missing := 1 - quota.limiter.TokensAt(now)
 	wait := time.Duration(missing / math.Max(float64(quota.limiter.Limit()), 1) * float64(time.Second))
-	return min(wait, maxRetryAfter), false
+	return Admission{RetryAfter: min(wait, maxRetryAfter)}, false
+}
+
+// Return takes back the token of a request that did not run. It returns false if the
+// period in which the token was taken has left the window or is not one of these quotas.
+// The caller must return a token at most once.
+func (q *Quotas) Return(now time.Time, workspace string, number uint64) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	quota, found := q.workspaces[workspace]
+	if !found {
+		return false
+	}
+	for i := range quota.periods {
+		period := &quota.periods[i]
+		if period.number != number || period.admitted == 0 {
+			continue
+		}
+		period.admitted--
+		quota.admittedInWindow--
+		quota.limiter.AllowN(now, -1) // the depth of the bucket still limits its tokens
+		return true
+	}
+	return false
 }
 
 // Shares returns this holder's shares of the workspaces' quotas.
@@ -128,7 +161,7 @@
 func (q *Quotas) workspaceQuota(now time.Time, workspace string) *workspaceQuota {
 	quota, found := q.workspaces[workspace]
 	if !found {
-		quota = &workspaceQuota{limiter: rate.NewLimiter(0, 0), periods: make([]period, 1)}
+		quota = &workspaceQuota{limiter: rate.NewLimiter(0, 0), periods: []period{q.newPeriod()}}
 		quota.limiter.SetLimitAt(now, 0)
 		q.workspaces[workspace] = quota
 	}
@@ -140,10 +173,18 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, quota := range q.workspaces {
-		quota.advanceWindow(elapsed, q.window)
+		if quota.advanceWindow(elapsed, q.window) {
+			quota.periods = append(quota.periods, q.newPeriod())
+		}
 	}
 }
 
+// newPeriod returns a period with a number of its own. The caller must hold q.mu.
+func (q *Quotas) newPeriod() period {
+	q.lastPeriod++
+	return period{number: q.lastPeriod}
+}
+
 // DiscardTokens drops the tokens that have accumulated in this holder's buckets.
 func (q *Quotas) DiscardTokens(now time.Time) {
 	q.mu.Lock()
@@ -157,6 +198,7 @@
 
 // period is the number of requests admitted in a part of a window.
 type period struct {
+	number   uint64
 	admitted int
 	length   time.Duration
 }
@@ -165,13 +207,13 @@
 const minPeriod = 50 * time.Millisecond
 
 // advanceWindow adds the elapsed time to the current period. When the period has reached
-// minPeriod, it starts a new one and drops the periods that have left the window. A
-// period may be long after a pause of the whole process.
-func (w *workspaceQuota) advanceWindow(elapsed, window time.Duration) {
+// minPeriod, it drops the periods that have left the window and reports that a new period
+// is to begin. A period may be long after a pause of the whole process.
+func (w *workspaceQuota) advanceWindow(elapsed, window time.Duration) bool {
 	current := &w.periods[len(w.periods)-1]
 	current.length += elapsed
 	if current.length < minPeriod {
-		return
+		return false
 	}
 	covered := time.Duration(0)
 	for _, period := range w.periods {
@@ -182,7 +224,7 @@
 		w.admittedInWindow -= w.periods[0].admitted
 		w.periods = w.periods[1:]
 	}
-	w.periods = append(w.periods, period{})
+	return true
 }
 
 // Demands is the demand on one holder and on all others, in requests per second.
--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -40,6 +40,9 @@
 // or with attempts of its own.
 func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
 	if e.reach.Partitioned() {
+		if refused := e.admit(ctx, q); refused != nil {
+			return nil, nil, refused
+		}
 		if answer, refused, taken := e.handOver(ctx, q, q.maxAttempts); taken {
 			return answer, nil, refused
 		}
@@ -63,7 +66,10 @@
 	var failedAnswer *upstream.Answer
 	reached := 0
 	for {
-		endpoint, err := e.chooseEndpoint(q, attempts)
+		endpoint, refused, err := e.chooseAndAdmit(ctx, q, attempts)
+		if refused != nil {
+			return nil, attempts, refused
+		}
 		if err != nil && failedAnswer != nil {
 			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
@@ -106,6 +112,9 @@
 	if q.handedOver || anyMayHaveRun(attempts) || reached >= q.maxAttempts || !e.awaitProbes(ctx) {
 		return nil, nil, false
 	}
+	if refused := e.admit(ctx, q); refused != nil {
+		return nil, refused, true
+	}
 	return e.handOver(ctx, q, q.maxAttempts-reached)
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -126,6 +126,8 @@
 	if ports.DialEndpoint == nil {
 		ports.DialEndpoint = upstream.Dial
 	}
+	self := fleet.Member{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Zone: s.Zone, Region: s.Region,
+		Callers: s.Callers, Link: s.Link}
 	e := &Edge{
 		settings:        s,
 		startedAt:       time.Now(),
@@ -137,7 +139,7 @@
 		peers:           link.NewPeers(),
 		handoverPeers:   link.NewPeers(),
 		workspaceDemand: allowance.NewDemandMeter(),
-		pools:           quotapool.New(s.Instance, s.Zone, s.Bounds.QuotaWindow, tickInterval),
+		pools:           quotapool.New(self, s.Bounds.QuotaWindow, tickInterval),
 		retryBudget:     allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
@@ -151,8 +153,6 @@
 	e.position.Store(&store.Position{})
 	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
-	self := fleet.Member{Instance: s.Instance, Incarnation: time.Now().UnixMilli(), Zone: s.Zone, Region: s.Region,
-		Callers: s.Callers, Link: s.Link}
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
@@ -199,6 +199,7 @@
 	linkServer.Handle(fleet.TypeExchange, e.handleExchange)
 	linkServer.Handle(fleet.TypePull, e.handlePull)
 	linkServer.Handle(fleet.TypeBorrow, e.handleBorrow)
+	linkServer.Handle(fleet.TypeReturn, e.handleReturn)
 	linkServer.Handle(fleet.TypeStateQuery, e.handleStateQuery)
 	linkServer.Handle(fleet.TypeHandover, e.handleHandover)
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -32,7 +32,7 @@
 
 	requests, answers, lookups                 metrics.Counter
 	storeCalls, storeFailures, messageFailures metrics.Counter
-	loans, timedOutConns                       metrics.Counter
+	loans, returnedLoans, timedOutConns        metrics.Counter
 	handovers, handoverFailures                metrics.Counter
 	latency                                    metrics.Timer
 }
@@ -48,6 +48,7 @@
 		storeFailures:    metrics.GetOrRegisterCounter("edge.store.failures", registry),
 		messageFailures:  metrics.GetOrRegisterCounter("edge.peer.failures", registry),
 		loans:            metrics.GetOrRegisterCounter("edge.quota.loans", registry),
+		returnedLoans:    metrics.GetOrRegisterCounter("edge.quota.returned", registry),
 		handovers:        metrics.GetOrRegisterCounter("edge.handovers", registry),
 		handoverFailures: metrics.GetOrRegisterCounter("edge.handovers.not_taken", registry),
 		timedOutConns:    metrics.GetOrRegisterCounter("edge.callers.quiet_closed", registry),
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -2,38 +2,76 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
 	"time"
 
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/placement"
 	"lovagescale/internal/quotapool"
+	"lovagescale/internal/refusal"
 	"lovagescale/internal/wire"
 )
 
 // borrowTimeout bounds how long a request waits for the reply of one holder of a pool.
 const borrowTimeout = 120 * time.Millisecond
 
-// admit takes a loan for a request from the pools of its workspace. If it gets none, it
-// returns false and the time after which to try again.
-func (e *Edge) admit(ctx context.Context, q *request) (time.Duration, bool) {
-	if q.workspace == nil {
-		return 0, true
-	}
-	e.workspaceDemand.Count(q.workspace.Name)
-	if q.workspace.Rate <= 0 {
-		return 0, true
+// needsToken reports whether the request must take a quota token before it is sent on.
+func (q *request) needsToken() bool {
+	return q.workspace != nil && q.workspace.Rate > 0 && !q.handedOver && q.loan == nil
+}
+
+// admit takes the quota token of a request from the pools of its workspace, unless the
+// request needs none or has it already. It returns a refusal if there is no token.
+func (e *Edge) admit(ctx context.Context, q *request) *refusal.Refusal {
+	for {
+		retryAfter, admitted := e.tryAdmit(ctx, q)
+		if admitted {
+			return nil
+		}
+		wait := e.startupWait(time.Now(), q, retryAfter)
+		if wait <= 0 || ctx.Err() != nil {
+			return rateRefusal(q.workspace, retryAfter)
+		}
+		sleep(ctx, wait)
 	}
+}
+
+// chooseAndAdmit chooses an endpoint for the request and then takes its quota token: a
+// request without room must not spend one. It returns a refusal if there is no token,
+// or the error if there is no endpoint.
+func (e *Edge) chooseAndAdmit(ctx context.Context, q *request, attempts []attempt) (*placement.Endpoint, *refusal.Refusal, error) {
 	for {
+		if q.needsToken() {
+			if left := e.pools.RemainingPause(time.Now(), q.workspace.Name); left > 0 && e.startupWait(time.Now(), q, left) <= 0 {
+				return nil, rateRefusal(q.workspace, left), nil
+			}
+		}
+		endpoint, err := e.chooseEndpoint(q, attempts)
+		if err != nil {
+			return nil, nil, err
+		}
 		retryAfter, admitted := e.tryAdmit(ctx, q)
-		now := time.Now()
-		wait := startupWait(now.Sub(e.startedAt), now.Sub(q.started), maxQuotaWait(q.route), retryAfter)
-		if admitted || wait <= 0 || ctx.Err() != nil {
-			return retryAfter, admitted
+		if admitted {
+			return endpoint, nil, nil
+		}
+		e.table.Load().End(time.Now(), endpoint, placement.Abandoned, 0)
+		wait := e.startupWait(time.Now(), q, retryAfter)
+		if wait <= 0 || ctx.Err() != nil {
+			return nil, rateRefusal(q.workspace, retryAfter), nil
 		}
 		sleep(ctx, wait)
 	}
 }
 
+// rateRefusal returns the refusal of a request for which its workspace has no token.
+func rateRefusal(workspace *catalog.Workspace, retryAfter time.Duration) *refusal.Refusal {
+	return refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, refusal.NotRun,
+		fmt.Sprintf("workspace is above its rate of %g a second and its burst of %g", workspace.Rate, workspace.Burst)).
+		WithRetryAfter(max(retryAfter, minRetryAfter))
+}
+
 // Times in which requests wait for a share of a quota instead of being refused.
 const (
 	// startupTime is how long after its start an instance may still lack its shares: it
@@ -64,9 +102,18 @@
 	return wait
 }
 
-// tryAdmit asks once for a loan for a request. If it gets none, it returns false and the
+// startupWait returns how long the request waits for a token before the next try, or 0 if
+// it is refused.
+func (e *Edge) startupWait(now time.Time, q *request, retryAfter time.Duration) time.Duration {
+	return startupWait(now.Sub(e.startedAt), now.Sub(q.started), maxQuotaWait(q.route), retryAfter)
+}
+
+// tryAdmit asks once for the token of a request. If it gets none, it returns false and the
 // time after which to try again.
 func (e *Edge) tryAdmit(ctx context.Context, q *request) (time.Duration, bool) {
+	if !q.needsToken() {
+		return 0, true
+	}
 	now := time.Now()
 	if left := e.pools.RemainingPause(now, q.workspace.Name); left > 0 {
 		return left, false
@@ -80,9 +127,44 @@
 		return wait, false
 	}
 	e.counters.loans.Inc(1)
+	q.loan = &loan
 	return 0, true
 }
 
+// returnToken gives the quota token of a request that did not run back to its lender. A
+// return that is lost is not repeated: the lender could not tell a repeated one from
+// another.
+func (e *Edge) returnToken(q *request) {
+	loan := q.loan
+	if loan == nil || loan.Token.Period == 0 {
+		return
+	}
+	q.loan = nil
+	e.counters.returnedLoans.Inc(1)
+	returned := fleet.Return{Workspace: q.workspace.Name, Token: loan.Token}
+	if loan.Lender.Instance == "" {
+		e.pools.TakeBack(time.Now(), returned)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+		defer cancel()
+		var reply fleet.ReturnReply
+		if err := e.peers.Client(loan.Lender.Link).Call(ctx, fleet.TypeReturn, returned, &reply); err != nil {
+			e.log.Info().Err(err).Str("peer", loan.Lender.Instance).Str("workspace", returned.Workspace).Msg("token could not be returned")
+		}
+	}()
+}
+
+// handleReturn takes back a token that this instance lent to another one.
+func (e *Edge) handleReturn(_ context.Context, request wire.Envelope) (any, error) {
+	var returned fleet.Return
+	if err := request.Decode(&returned); err != nil {
+		return nil, err
+	}
+	return fleet.ReturnReply{Credited: e.pools.TakeBack(time.Now(), returned)}, nil
+}
+
 // sendBorrow sends a borrow to a holder. A holder that repeatedly does not reply is
 // skipped for some time.
 func (e *Edge) sendBorrow(ctx context.Context, holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -12,6 +12,7 @@
 	"lovagescale/internal/header"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
+	"lovagescale/internal/quotapool"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/upstream"
 )
@@ -43,8 +44,11 @@
 	outgoing    upstream.Request
 	// maxAttempts is the number of endpoints to which the request may be sent.
 	maxAttempts int
-	// handedOver is set if another instance handed the request over to this one.
+	// handedOver is set if another instance handed the request over to this one. That
+	// instance takes the quota token.
 	handedOver bool
+	// loan is the quota token of the request, or nil before it is taken.
+	loan *quotapool.Loan
 	// runsAt is the instance to which this one handed the request over, or "".
 	runsAt string
 	// reservedBytes is the memory reserved for the body.
@@ -75,6 +79,9 @@
 	defer cancel()
 	answer, attempts, refused := e.run(ctx, q)
 	if refused != nil {
+		if refused.Outcome == refusal.NotRun {
+			e.returnToken(q)
+		}
 		e.writeRefusal(w, q, attempts, refused)
 		return
 	}
@@ -97,9 +104,8 @@
 	if refused := e.identify(q, r); refused != nil {
 		return q, refused
 	}
-	if wait, admitted := e.admit(r.Context(), q); !admitted {
-		return q, refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, refusal.NotRun,
-			fmt.Sprintf("workspace is above its rate of %g a second and its burst of %g", q.workspace.Rate, q.workspace.Burst)).WithRetryAfter(max(wait, minRetryAfter))
+	if q.workspace != nil {
+		e.workspaceDemand.Count(q.workspace.Name)
 	}
 	q.deadline = q.started.Add(timeoutOf(q))
 	body, refused := e.readBody(w, r, q)
--- a/internal/edge/startup_test.go
+++ b/internal/edge/startup_test.go
@@ -27,8 +27,8 @@
 	}
 	admit := func(e *Edge) (admitted bool, took time.Duration) {
 		q := &request{workspace: workspace, route: route, started: time.Now()}
-		_, admitted = e.admit(context.Background(), q)
-		return admitted, time.Since(q.started)
+		refused := e.admit(context.Background(), q)
+		return refused == nil, time.Since(q.started)
 	}
 
 	e := start()
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -14,6 +14,7 @@
 	TypeExchange   = "fleet.exchange"
 	TypePull       = "fleet.pull"
 	TypeBorrow     = "fleet.borrow"
+	TypeReturn     = "fleet.return"
 	TypeStateQuery = "fleet.state_query"
 )
 
@@ -223,6 +224,36 @@
 	// RetryAfterMillis is the time after which a request that was not granted may be
 	// admitted.
 	RetryAfterMillis int64 `msgpack:"t"`
+	// Token identifies the token that was lent. It is empty in replies of builds that do
+	// not take tokens back.
+	Token Token `msgpack:"k,omitempty"`
+}
+
+// Token identifies a token that an instance lent.
+type Token struct {
+	//lint:ignore U1000 read by the msgpack library
+	_msgpack struct{} `msgpack:",as_array"`
+	// Incarnation is the lender's run.
+	Incarnation int64
+	// Period is the period of the lender's quotas in which it was lent, or 0 for a token
+	// that cannot be returned.
+	Period uint64
+	// Fallback is set if it was lent from the lender's fallback share.
+	Fallback bool
+}
+
+// Return gives back the token of a request that did not run. It is sent at most once: a
+// token that is returned twice would let the workspace exceed its quota.
+type Return struct {
+	Workspace string `msgpack:"w"`
+	Token     Token  `msgpack:"k"`
+}
+
+// ReturnReply is the reply to a Return.
+type ReturnReply struct {
+	// Credited is false if the token's period has left the window or was that of another
+	// run.
+	Credited bool `msgpack:"c"`
 }
 
 // Position returns the position of the replying instance's mirror of the store.
--- a/internal/quotapool/pools.go
+++ b/internal/quotapool/pools.go
@@ -48,8 +48,10 @@
 	// count it as silent.
 	pool     *allowance.Quotas
 	fallback *allowance.Quotas
-	// self and zone are the names of this instance and of its zone.
-	self, zone string
+	// self and zone are the names of this instance and of its zone, incarnation is its
+	// run.
+	self, zone  string
+	incarnation int64
 	// holders are the instances of the region that may hold pools, by zone.
 	holders atomic.Pointer[map[string][]fleet.Member]
 	mu      sync.Mutex
@@ -62,13 +64,14 @@
 	tickInterval time.Duration
 }
 
-// New returns the pools of the instance self in its zone, without holders and shares.
-// window is that of the quotas, tickInterval the time between two calls of Tick.
-func New(self, zone string, window, tickInterval time.Duration) *Pools {
+// New returns the pools of an instance, without holders and shares. window is that of the
+// quotas, tickInterval the time between two calls of Tick.
+func New(self fleet.Member, window, tickInterval time.Duration) *Pools {
 	p := &Pools{
-		self:         self,
+		self:         self.Instance,
+		incarnation:  self.Incarnation,
 		tickInterval: tickInterval,
-		zone:         zone,
+		zone:         self.Zone,
 		pool:         allowance.NewQuotas(window),
 		fallback:     allowance.NewQuotas(window),
 		pausedUntil:  make(map[string]time.Time),
@@ -182,9 +185,16 @@
 // SendFunc sends a borrow to a holder and reports whether the holder replied.
 type SendFunc func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool)
 
+// Loan is the reply to a borrow, with the instance that replied.
+type Loan struct {
+	fleet.BorrowReply
+	// Lender is the instance that lent the token. It is empty if this instance did.
+	Lender fleet.Member
+}
+
 // Borrow asks for a loan for one request, first in this zone and then in the other zones
 // of the region.
-func (p *Pools) Borrow(now time.Time, workspace *catalog.Workspace, send SendFunc) fleet.BorrowReply {
+func (p *Pools) Borrow(now time.Time, workspace *catalog.Workspace, send SendFunc) Loan {
 	loan := p.borrowInZone(now, workspace, send)
 	if loan.Granted {
 		return loan
@@ -195,7 +205,7 @@
 			continue
 		}
 		if reply, ok := send(candidates[0], fleet.Borrow{Workspace: workspace.Name}); ok && reply.Granted {
-			return reply
+			return Loan{reply, candidates[0]}
 		}
 	}
 	return loan
@@ -204,18 +214,18 @@
 // borrowInZone asks the candidates of this zone until one replies. If the next candidate
 // is this instance, it uses its own pool. If no candidate replies, it uses its fallback
 // share.
-func (p *Pools) borrowInZone(now time.Time, workspace *catalog.Workspace, send SendFunc) fleet.BorrowReply {
+func (p *Pools) borrowInZone(now time.Time, workspace *catalog.Workspace, send SendFunc) Loan {
 	borrow := fleet.Borrow{Workspace: workspace.Name}
 	for _, holder := range p.holderCandidates(p.zone, workspace.Name) {
 		if holder.Instance == p.self {
-			return admitFrom(now, p.pool, workspace)
+			return Loan{BorrowReply: p.lendFromPool(now, workspace)}
 		}
-		if loan, ok := send(holder, borrow); ok {
-			return loan
+		if reply, ok := send(holder, borrow); ok {
+			return Loan{reply, holder}
 		}
 		borrow.Unresponsive = append(borrow.Unresponsive, holder.Instance)
 	}
-	return admitFrom(now, p.fallback, workspace)
+	return Loan{BorrowReply: p.lendFromFallback(now, workspace)}
 }
 
 // RecordReply records that a holder replied.
@@ -245,13 +255,37 @@
 // Lend replies to a borrow of another instance.
 func (p *Pools) Lend(now time.Time, workspace *catalog.Workspace, borrow fleet.Borrow) fleet.BorrowReply {
 	if len(borrow.Unresponsive) > 0 && !p.isHolder(workspace.Name) {
-		return admitFrom(now, p.fallback, workspace)
+		return p.lendFromFallback(now, workspace)
 	}
-	return admitFrom(now, p.pool, workspace)
+	return p.lendFromPool(now, workspace)
+}
+
+func (p *Pools) lendFromPool(now time.Time, workspace *catalog.Workspace) fleet.BorrowReply {
+	return p.lendFrom(now, p.pool, workspace)
+}
+
+func (p *Pools) lendFromFallback(now time.Time, workspace *catalog.Workspace) fleet.BorrowReply {
+	reply := p.lendFrom(now, p.fallback, workspace)
+	reply.Token.Fallback = true
+	return reply
 }
 
-// admitFrom takes a token for a request from a share of the quotas.
-func admitFrom(now time.Time, quotas *allowance.Quotas, workspace *catalog.Workspace) fleet.BorrowReply {
-	retryAfter, granted := quotas.Admit(now, workspace)
-	return fleet.BorrowReply{Granted: granted, RetryAfterMillis: retryAfter.Milliseconds()}
+// lendFrom takes a token for a request from a share of the quotas.
+func (p *Pools) lendFrom(now time.Time, quotas *allowance.Quotas, workspace *catalog.Workspace) fleet.BorrowReply {
+	admission, granted := quotas.Admit(now, workspace)
+	return fleet.BorrowReply{Granted: granted, RetryAfterMillis: admission.RetryAfter.Milliseconds(),
+		Token: fleet.Token{Incarnation: p.incarnation, Period: admission.Period}}
+}
+
+// TakeBack takes back a token that this instance lent to a request that did not run. It
+// returns false if the token is of another run or its period has left the window.
+func (p *Pools) TakeBack(now time.Time, returned fleet.Return) bool {
+	token := returned.Token
+	if token.Incarnation != p.incarnation || token.Period == 0 {
+		return false
+	}
+	if token.Fallback {
+		return p.fallback.Return(now, returned.Workspace, token.Period)
+	}
+	return p.pool.Return(now, returned.Workspace, token.Period)
 }
--- a/internal/quotapool/pools_test.go
+++ b/internal/quotapool/pools_test.go
@@ -33,7 +33,7 @@
 	}
 
 	It("distributes the workspaces over the instances of the zone", func() {
-		pools := New("north-1-0", "north-1", time.Second, 250*time.Millisecond)
+		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
 		pools.SetHolders(map[string][]fleet.Member{"north-1": members("north-1", 8)})
 		held := make(map[string]int)
 		for _, workspace := range workspaces(800) {
@@ -49,7 +49,7 @@
 	})
 
 	It("moves only the pools of a lost instance, to their next candidates", func() {
-		pools := New("north-1-0", "north-1", time.Second, 250*time.Millisecond)
+		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
 		all := members("north-1", 8)
 		pools.SetHolders(map[string][]fleet.Member{"north-1": all})
 		before := make(map[string][]fleet.Member)
@@ -68,7 +68,7 @@
 	})
 
 	It("counts a holder as silent only if it repeatedly does not reply", func() {
-		pools := New("north-1-0", "north-1", time.Second, 250*time.Millisecond)
+		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
 		now := time.UnixMilli(1_000_000)
 		Expect(pools.RecordFailure(now, "north-1-1")).To(BeFalse())
 		pools.RecordReply("north-1-1")
@@ -78,7 +78,7 @@
 	})
 
 	It("returns the other zones of the region, and nothing while no holder is known", func() {
-		pools := New("north-1-0", "north-1", time.Second, 250*time.Millisecond)
+		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
 		Expect(pools.holderCandidates("north-1", "azul")).To(BeEmpty())
 		Expect(pools.otherZones()).To(BeEmpty())
 		pools.SetHolders(map[string][]fleet.Member{"north-1": members("north-1", 1), "north-2": members("north-2", 2)})
