--- a/internal/allowance/meter.go
+++ b/internal/allowance/meter.go
@@ -48,6 +48,16 @@
 	}
 }
 
+// Rate returns the demand of a workspace, in requests per second.
+func (d *DemandMeter) Rate(workspace string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if meter, found := d.meters[workspace]; found {
+		return meter.Rate()
+	}
+	return 0
+}
+
 // Rates returns the demand of the workspaces, in requests per second.
 func (d *DemandMeter) Rates() map[string]float64 {
 	d.mu.Lock()
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -60,11 +60,13 @@
 	lastPeriod uint64
 }
 
-// Admission is the result of asking for a token.
+// Admission is the result of asking for tokens.
 type Admission struct {
-	// Period identifies the period in which the token was taken, see Quotas.Return.
+	// Tokens is the number of tokens taken.
+	Tokens int
+	// Period identifies the period in which they were taken, see Quotas.Return.
 	Period uint64
-	// RetryAfter is the time after which to ask again if no token was left.
+	// RetryAfter is the time after which to ask again if none was left.
 	RetryAfter time.Duration
 }
 
@@ -103,44 +105,60 @@
 
 // Admit takes a token for a request of the workspace. It returns false if there is none.
 func (q *Quotas) Admit(now time.Time, workspace *catalog.Workspace) (Admission, bool) {
+	return q.AdmitUpTo(now, workspace, 1)
+}
+
+// maxBatchFraction is the fraction of the tokens left that one borrower gets beyond its
+// first one, so that the others find some too.
+const maxBatchFraction = 0.25
+
+// AdmitUpTo takes up to n tokens for requests of the workspace. It returns false if there
+// is none.
+func (q *Quotas) AdmitUpTo(now time.Time, workspace *catalog.Workspace, n int) (Admission, bool) {
 	if workspace == nil || workspace.Rate <= 0 {
-		return Admission{}, true
+		return Admission{Tokens: n}, true
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	quota := q.workspaceQuota(now, workspace.Name)
-	if float64(quota.admittedInWindow+1) <= quota.windowLimit && quota.limiter.AllowN(now, 1) {
+	current := &quota.periods[len(quota.periods)-1]
+	n = max(min(n, int(maxBatchFraction*quota.limiter.TokensAt(now))), 1)
+	taken := 0
+	for taken < n && float64(quota.admittedInWindow+1) <= quota.windowLimit && quota.limiter.AllowN(now, 1) {
 		quota.admittedInWindow++
-		current := &quota.periods[len(quota.periods)-1]
 		current.admitted++
-		return Admission{Period: current.number}, true
+		taken++
+	}
+	if taken > 0 {
+		return Admission{Tokens: taken, Period: current.number}, true
 	}
 	missing := 1 - quota.limiter.TokensAt(now)
 	wait := time.Duration(missing / math.Max(float64(quota.limiter.Limit()), 1) * float64(time.Second))
 	return Admission{RetryAfter: min(wait, maxRetryAfter)}, false
 }
 
-// Return takes back the token of a request that did not run. It returns false if the
-// period in which the token was taken has left the window or is not one of these quotas.
-// The caller must return a token at most once.
-func (q *Quotas) Return(now time.Time, workspace string, number uint64) bool {
+// Return takes back up to n tokens of the period with the number, which no request has
+// spent, and returns how many it took. It takes none if the period has left the window or
+// is not one of these quotas. The caller must return a token at most once.
+func (q *Quotas) Return(now time.Time, workspace string, number uint64, n int) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	quota, found := q.workspaces[workspace]
 	if !found {
-		return false
+		return 0
 	}
 	for i := range quota.periods {
 		period := &quota.periods[i]
-		if period.number != number || period.admitted == 0 {
+		if period.number != number {
 			continue
 		}
-		period.admitted--
-		quota.admittedInWindow--
-		quota.limiter.AllowN(now, -1) // the depth of the bucket still limits its tokens
-		return true
+		n = max(min(n, period.admitted), 0)
+		period.admitted -= n
+		quota.admittedInWindow -= n
+		quota.limiter.AllowN(now, -n) // the depth of the bucket still limits its tokens
+		return n
 	}
-	return false
+	return 0
 }
 
 // Shares returns this holder's shares of the workspaces' quotas.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -109,6 +109,7 @@
 
 	workspaceDemand *allowance.DemandMeter
 	pools           *quotapool.Pools
+	stash           *quotapool.Stash
 	retryBudget     *allowance.RetryBudget
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
@@ -140,6 +141,7 @@
 		handoverPeers:   link.NewPeers(),
 		workspaceDemand: allowance.NewDemandMeter(),
 		pools:           quotapool.New(self, s.Bounds.QuotaWindow, tickInterval),
+		stash:           quotapool.NewStash(),
 		retryBudget:     allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
@@ -160,6 +162,7 @@
 		registry:  placement.NewRegistry(s.Zones, e.newPool),
 		resources: make(map[string]Resource),
 	}
+	e.state.fleet.SetCapacity(s.Capacity)
 	e.table.Store(placement.NewTable())
 	e.callerAddresses.Store(&map[string][]string{})
 	e.handoverTargets.Store(&[][]fleet.Member{})
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -14,8 +14,13 @@
 	"lovagescale/internal/wire"
 )
 
-// borrowTimeout bounds how long a request waits for the reply of one holder of a pool.
-const borrowTimeout = 120 * time.Millisecond
+const (
+	// borrowTimeout bounds how long a request waits for the reply of one holder of a pool.
+	borrowTimeout = 120 * time.Millisecond
+	// borrowAheadTimeout bounds a loan for which no request waits. A reply that comes later
+	// has lent tokens that nobody spends.
+	borrowAheadTimeout = 500 * time.Millisecond
+)
 
 // needsToken reports whether the request must take a quota token before it is sent on.
 func (q *request) needsToken() bool {
@@ -44,7 +49,8 @@
 func (e *Edge) chooseAndAdmit(ctx context.Context, q *request, attempts []attempt) (*placement.Endpoint, *refusal.Refusal, error) {
 	for {
 		if q.needsToken() {
-			if left := e.pools.RemainingPause(time.Now(), q.workspace.Name); left > 0 && e.startupWait(time.Now(), q, left) <= 0 {
+			left := e.pools.RemainingPause(time.Now(), q.workspace.Name)
+			if left > 0 && e.startupWait(time.Now(), q, left) <= 0 && !e.stash.Holds(q.workspace.Name) {
 				return nil, rateRefusal(q.workspace, left), nil
 			}
 		}
@@ -114,49 +120,89 @@
 	if !q.needsToken() {
 		return 0, true
 	}
-	now := time.Now()
-	if left := e.pools.RemainingPause(now, q.workspace.Name); left > 0 {
-		return left, false
-	}
-	loan := e.pools.Borrow(now, q.workspace, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
-		return e.sendBorrow(ctx, holder, borrow)
+	loan := e.borrow(time.Now(), q.workspace, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
+		return e.sendBorrow(ctx, holder, borrow, borrowTimeout)
 	})
-	wait := time.Duration(loan.RetryAfterMillis) * time.Millisecond
 	if !loan.Granted {
-		e.pools.Pause(now, q.workspace.Name, wait)
-		return wait, false
+		return time.Duration(loan.RetryAfterMillis) * time.Millisecond, false
 	}
-	e.counters.loans.Inc(1)
 	q.loan = &loan
+	e.borrowAhead(q.workspace)
 	return 0, true
 }
 
-// returnToken gives the quota token of a request that did not run back to its lender. A
-// return that is lost is not repeated: the lender could not tell a repeated one from
-// another.
-func (e *Edge) returnToken(q *request) {
-	loan := q.loan
-	if loan == nil || loan.Token.Period == 0 {
-		return
+// borrow takes a token of the workspace from the stash, or from the pools with some for the
+// stash.
+func (e *Edge) borrow(now time.Time, workspace *catalog.Workspace, send quotapool.SendFunc) quotapool.Loan {
+	if loan, found := e.stash.Take(now, workspace.Name); found {
+		return loan
 	}
-	q.loan = nil
-	e.counters.returnedLoans.Inc(1)
-	returned := fleet.Return{Workspace: q.workspace.Name, Token: loan.Token}
-	if loan.Lender.Instance == "" {
-		e.pools.TakeBack(time.Now(), returned)
+	if left := e.pools.RemainingPause(now, workspace.Name); left > 0 {
+		return quotapool.Loan{BorrowReply: fleet.BorrowReply{RetryAfterMillis: left.Milliseconds()}}
+	}
+	loan := e.pools.Borrow(now, workspace, quotapool.BatchSize(e.workspaceDemand.Rate(workspace.Name)), send)
+	if !loan.Granted {
+		e.pools.Pause(now, workspace.Name, time.Duration(loan.RetryAfterMillis)*time.Millisecond)
+		return loan
+	}
+	e.counters.loans.Inc(1)
+	e.stash.Put(workspace.Name, loan, loan.Count-1)
+	return loan
+}
+
+// borrowAhead refills the stash of the workspace if it runs low.
+func (e *Edge) borrowAhead(workspace *catalog.Workspace) {
+	n := e.stash.BeginRefill(workspace.Name, e.workspaceDemand.Rate(workspace.Name))
+	if n == 0 {
 		return
 	}
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
-		defer cancel()
-		var reply fleet.ReturnReply
-		if err := e.peers.Client(loan.Lender.Link).Call(ctx, fleet.TypeReturn, returned, &reply); err != nil {
-			e.log.Info().Err(err).Str("peer", loan.Lender.Instance).Str("workspace", returned.Workspace).Msg("token could not be returned")
+		defer e.stash.EndRefill(workspace.Name)
+		loan := e.pools.BorrowAhead(time.Now(), workspace, n, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
+			return e.sendBorrow(context.Background(), holder, borrow, borrowAheadTimeout)
+		})
+		if loan.Granted {
+			e.counters.loans.Inc(1)
+			e.stash.Put(workspace.Name, loan, loan.Count)
 		}
 	}()
 }
 
-// handleReturn takes back a token that this instance lent to another one.
+// returnToken puts the quota token of a request that did not run into the stash, from where
+// another request takes it or it goes back to its lender.
+func (e *Edge) returnToken(q *request) {
+	if q.loan == nil {
+		return
+	}
+	e.stash.Put(q.workspace.Name, *q.loan, 1)
+	q.loan = nil
+	e.counters.returnedLoans.Inc(1)
+}
+
+// returnUnspentTokens gives tokens back to their lenders that have stayed unspent.
+func (e *Edge) returnUnspentTokens(now time.Time) {
+	for _, unspent := range e.stash.TakeExpired(now) {
+		if unspent.Lender.Instance == "" {
+			e.pools.TakeBack(now, unspent.Return)
+			continue
+		}
+		go e.sendReturn(unspent)
+	}
+}
+
+// sendReturn gives tokens back to another instance. A return that is lost is not repeated:
+// the lender could not tell a repeated one from another.
+func (e *Edge) sendReturn(unspent quotapool.LoanReturn) {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowAheadTimeout)
+	defer cancel()
+	var reply fleet.ReturnReply
+	if err := e.peers.Client(unspent.Lender.Link).Call(ctx, fleet.TypeReturn, unspent.Return, &reply); err != nil {
+		e.log.Info().Err(err).Str("peer", unspent.Lender.Instance).Str("workspace", unspent.Workspace).
+			Int("tokens", unspent.Count).Msg("tokens could not be returned")
+	}
+}
+
+// handleReturn takes back tokens that this instance lent to another one.
 func (e *Edge) handleReturn(_ context.Context, request wire.Envelope) (any, error) {
 	var returned fleet.Return
 	if err := request.Decode(&returned); err != nil {
@@ -167,8 +213,8 @@
 
 // sendBorrow sends a borrow to a holder. A holder that repeatedly does not reply is
 // skipped for some time.
-func (e *Edge) sendBorrow(ctx context.Context, holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
-	callCtx, cancel := context.WithTimeout(ctx, borrowTimeout)
+func (e *Edge) sendBorrow(ctx context.Context, holder fleet.Member, borrow fleet.Borrow, timeout time.Duration) (fleet.BorrowReply, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var loan fleet.BorrowReply
 	err := e.peers.Client(holder.Link).Call(callCtx, fleet.TypeBorrow, borrow, &loan)
@@ -204,7 +250,7 @@
 	for _, holder := range e.pools.ZoneMembers(borrow.Unresponsive) {
 		// Probe the holder. This instance takes over if it gets no reply either; until
 		// then it lends from its fallback shares.
-		go e.sendBorrow(context.WithoutCancel(ctx), holder, fleet.Borrow{})
+		go e.sendBorrow(context.WithoutCancel(ctx), holder, fleet.Borrow{}, borrowTimeout)
 	}
 	c := e.catalog.Load()
 	if c == nil || c.Workspaces[borrow.Workspace] == nil {
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -1,6 +1,10 @@
 package edge
 
-import "time"
+import (
+	"time"
+
+	"lovagescale/internal/steering"
+)
 
 // Settings are the settings of an instance that do not come from the store.
 type Settings struct {
@@ -20,7 +24,9 @@
 	Seeds []string
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
-	Bounds      Bounds
+	// Capacity is what the instance has for callers; the zero value stands for unknown.
+	Capacity steering.Capacity
+	Bounds   Bounds
 }
 
 // Bounds are the limits and times that an installation may set. Reload logs them under
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -178,7 +178,7 @@
 	s.ownDemand.Add(now, s.edge.workspaceDemand.Rates())
 	s.zoneDemand.Add(now, s.peerActivity.ZoneDemand)
 	s.otherZonesDemand.Add(now, s.peerActivity.DemandOutsideZone())
-	s.edge.pools.Tick(now, elapsed)
+	s.tickPools(now, elapsed)
 	s.divideQuotas(now)
 	s.rebalanceRegions(now, elapsed)
 	s.publishCallerAddresses(now)
@@ -189,6 +189,15 @@
 	}
 }
 
+// tickPools ends a period of the quotas. After a pause of the process, stashed tokens count
+// as spent.
+func (s *state) tickPools(now time.Time, elapsed time.Duration) {
+	if s.edge.pools.Tick(now, elapsed) {
+		s.edge.stash.Clear()
+	}
+	s.edge.returnUnspentTokens(now)
+}
+
 func (s *state) updateFleetState() {
 	switch {
 	case s.edge.leaving.Load():
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -361,6 +362,11 @@
 			number[8] |= 1 << 7
 		}
 		_, _ = hash.Write(number[:]) // never fails
+		if capacity := m.capacity(); capacity.IsKnown() {
+			binary.BigEndian.PutUint32(number[:], math.Float32bits(capacity.LinkMbps))
+			binary.BigEndian.PutUint32(number[4:], math.Float32bits(capacity.Cores))
+			_, _ = hash.Write(number[:8]) // never fails
+		}
 	}
 	return hash.Sum64() | 1
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -5,6 +5,7 @@
 
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/quarantine"
+	"lovagescale/internal/steering"
 	"lovagescale/internal/store"
 )
 
@@ -62,6 +63,17 @@
 	State  State  `msgpack:"s"`
 	// NoEndpoint is set if the member reaches no endpoint.
 	NoEndpoint bool `msgpack:"e,omitempty"`
+	// Capacity is what the member has for callers. It is nil for members that do not state
+	// it.
+	Capacity *steering.Capacity `msgpack:"c,omitempty"`
+}
+
+// capacity returns what the member has for callers, the zero value if it is unknown.
+func (s Status) capacity() steering.Capacity {
+	if s.Capacity == nil {
+		return steering.Capacity{}
+	}
+	return *s.Capacity
 }
 
 // EndpointKey identifies an endpoint in messages. It is a hash of the endpoint's
@@ -210,10 +222,12 @@
 	Packing Packing `msgpack:"p"`
 }
 
-// Borrow asks the holder of a workspace's quota pool in a zone to admit one request.
-// Without a workspace it only checks that the holder replies.
+// Borrow asks the holder of a workspace's quota pool in a zone to admit requests. Without a
+// workspace it only checks that the holder replies.
 type Borrow struct {
 	Workspace string `msgpack:"w"`
+	// Count is the number of tokens asked for; 0 stands for 1.
+	Count int `msgpack:"n,omitempty"`
 	// Unresponsive are the instances that were asked before and did not reply.
 	Unresponsive []string `msgpack:"s,omitempty"`
 }
@@ -221,6 +235,9 @@
 // BorrowReply is the reply to a Borrow.
 type BorrowReply struct {
 	Granted bool `msgpack:"g"`
+	// Count is the number of tokens lent. It is 0 in replies of builds that lend one at a
+	// time.
+	Count int `msgpack:"c,omitempty"`
 	// RetryAfterMillis is the time after which a request that was not granted may be
 	// admitted.
 	RetryAfterMillis int64 `msgpack:"t"`
@@ -242,18 +259,20 @@
 	Fallback bool
 }
 
-// Return gives back the token of a request that did not run. It is sent at most once: a
-// token that is returned twice would let the workspace exceed its quota.
+// Return gives back tokens that no request has spent. It is sent at most once: a token that
+// is returned twice would let the workspace exceed its quota.
 type Return struct {
 	Workspace string `msgpack:"w"`
 	Token     Token  `msgpack:"k"`
+	// Count is the number of tokens.
+	Count int `msgpack:"n"`
 }
 
 // ReturnReply is the reply to a Return.
 type ReturnReply struct {
-	// Credited is false if the token's period has left the window or was that of another
-	// run.
-	Credited bool `msgpack:"c"`
+	// Credited is the number of tokens taken back: none if their period has left the window
+	// or was that of another run.
+	Credited int `msgpack:"c"`
 }
 
 // Position returns the position of the replying instance's mirror of the store.
--- a/internal/quotapool/pools.go
+++ b/internal/quotapool/pools.go
@@ -92,11 +92,12 @@
 
 // Tick ends a period of the quotas' windows and removes expired pauses and failures. After
 // a long time without a tick this process was paused, so that other instances may have taken
-// over its pools. Its tokens are then discarded.
-func (p *Pools) Tick(now time.Time, elapsed time.Duration) {
+// over its pools. Its tokens are then discarded, and Tick returns true.
+func (p *Pools) Tick(now time.Time, elapsed time.Duration) (discarded bool) {
 	if elapsed > p.tickInterval+2*holderSilenceThreshold {
 		p.pool.DiscardTokens(now)
 		p.fallback.DiscardTokens(now)
+		discarded = true
 	}
 	p.pool.Tick(elapsed)
 	p.fallback.Tick(elapsed)
@@ -104,6 +105,7 @@
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.pausedUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(p.failingSince, func(_ string, since time.Time) bool { return now.Sub(since) > failureLifetime })
+	return discarded
 }
 
 // Fractions are the fractions of the zone's quotas that an instance may use: Pool as
@@ -188,14 +190,16 @@
 // Loan is the reply to a borrow, with the instance that replied.
 type Loan struct {
 	fleet.BorrowReply
-	// Lender is the instance that lent the token. It is empty if this instance did.
+	// Lender is the instance that lent the tokens. It is empty if this instance did.
 	Lender fleet.Member
+	// LentAt is when the tokens were asked for.
+	LentAt time.Time
 }
 
-// Borrow asks for a loan for one request, first in this zone and then in the other zones
-// of the region.
-func (p *Pools) Borrow(now time.Time, workspace *catalog.Workspace, send SendFunc) Loan {
-	loan := p.borrowInZone(now, workspace, send)
+// Borrow asks for a loan of up to n tokens, first in this zone and then in the other zones
+// of the region. From its own pool this instance takes one.
+func (p *Pools) Borrow(now time.Time, workspace *catalog.Workspace, n int, send SendFunc) Loan {
+	loan := p.borrowInZone(now, workspace, n, send)
 	if loan.Granted {
 		return loan
 	}
@@ -205,7 +209,7 @@
 			continue
 		}
 		if reply, ok := send(candidates[0], fleet.Borrow{Workspace: workspace.Name}); ok && reply.Granted {
-			return Loan{reply, candidates[0]}
+			return newLoan(now, reply, candidates[0])
 		}
 	}
 	return loan
@@ -214,18 +218,40 @@
 // borrowInZone asks the candidates of this zone until one replies. If the next candidate
 // is this instance, it uses its own pool. If no candidate replies, it uses its fallback
 // share.
-func (p *Pools) borrowInZone(now time.Time, workspace *catalog.Workspace, send SendFunc) Loan {
-	borrow := fleet.Borrow{Workspace: workspace.Name}
+func (p *Pools) borrowInZone(now time.Time, workspace *catalog.Workspace, n int, send SendFunc) Loan {
+	borrow := fleet.Borrow{Workspace: workspace.Name, Count: n}
 	for _, holder := range p.holderCandidates(p.zone, workspace.Name) {
 		if holder.Instance == p.self {
-			return Loan{BorrowReply: p.lendFromPool(now, workspace)}
+			return newLoan(now, p.lendFromPool(now, workspace, 1), fleet.Member{})
 		}
 		if reply, ok := send(holder, borrow); ok {
-			return Loan{reply, holder}
+			return newLoan(now, reply, holder)
 		}
 		borrow.Unresponsive = append(borrow.Unresponsive, holder.Instance)
 	}
-	return Loan{BorrowReply: p.lendFromFallback(now, workspace)}
+	return newLoan(now, p.lendFromFallback(now, workspace, 1), fleet.Member{})
+}
+
+// BorrowAhead asks the holder of this zone for up to n tokens for later requests. It asks
+// nobody if this instance is the holder.
+func (p *Pools) BorrowAhead(now time.Time, workspace *catalog.Workspace, n int, send SendFunc) Loan {
+	candidates := p.holderCandidates(p.zone, workspace.Name)
+	if len(candidates) == 0 || candidates[0].Instance == p.self {
+		return Loan{}
+	}
+	reply, ok := send(candidates[0], fleet.Borrow{Workspace: workspace.Name, Count: n})
+	if !ok {
+		return Loan{}
+	}
+	return newLoan(now, reply, candidates[0])
+}
+
+// newLoan returns the loan of a reply. Builds that lend one token at a time state no count.
+func newLoan(askedAt time.Time, reply fleet.BorrowReply, lender fleet.Member) Loan {
+	if reply.Granted && reply.Count == 0 {
+		reply.Count = 1
+	}
+	return Loan{BorrowReply: reply, Lender: lender, LentAt: askedAt}
 }
 
 // RecordReply records that a holder replied.
@@ -254,38 +280,39 @@
 
 // Lend replies to a borrow of another instance.
 func (p *Pools) Lend(now time.Time, workspace *catalog.Workspace, borrow fleet.Borrow) fleet.BorrowReply {
+	n := min(max(borrow.Count, 1), maxBatch)
 	if len(borrow.Unresponsive) > 0 && !p.isHolder(workspace.Name) {
-		return p.lendFromFallback(now, workspace)
+		return p.lendFromFallback(now, workspace, n)
 	}
-	return p.lendFromPool(now, workspace)
+	return p.lendFromPool(now, workspace, n)
 }
 
-func (p *Pools) lendFromPool(now time.Time, workspace *catalog.Workspace) fleet.BorrowReply {
-	return p.lendFrom(now, p.pool, workspace)
+func (p *Pools) lendFromPool(now time.Time, workspace *catalog.Workspace, n int) fleet.BorrowReply {
+	return p.lendFrom(now, p.pool, workspace, n)
 }
 
-func (p *Pools) lendFromFallback(now time.Time, workspace *catalog.Workspace) fleet.BorrowReply {
-	reply := p.lendFrom(now, p.fallback, workspace)
+func (p *Pools) lendFromFallback(now time.Time, workspace *catalog.Workspace, n int) fleet.BorrowReply {
+	reply := p.lendFrom(now, p.fallback, workspace, n)
 	reply.Token.Fallback = true
 	return reply
 }
 
-// lendFrom takes a token for a request from a share of the quotas.
-func (p *Pools) lendFrom(now time.Time, quotas *allowance.Quotas, workspace *catalog.Workspace) fleet.BorrowReply {
-	admission, granted := quotas.Admit(now, workspace)
-	return fleet.BorrowReply{Granted: granted, RetryAfterMillis: admission.RetryAfter.Milliseconds(),
+// lendFrom takes up to n tokens from a share of the quotas.
+func (p *Pools) lendFrom(now time.Time, quotas *allowance.Quotas, workspace *catalog.Workspace, n int) fleet.BorrowReply {
+	admission, granted := quotas.AdmitUpTo(now, workspace, n)
+	return fleet.BorrowReply{Granted: granted, Count: admission.Tokens, RetryAfterMillis: admission.RetryAfter.Milliseconds(),
 		Token: fleet.Token{Incarnation: p.incarnation, Period: admission.Period}}
 }
 
-// TakeBack takes back a token that this instance lent to a request that did not run. It
-// returns false if the token is of another run or its period has left the window.
-func (p *Pools) TakeBack(now time.Time, returned fleet.Return) bool {
+// TakeBack takes back tokens that this instance lent and that no request has spent. It
+// returns their number: none if they are of another run or their period has left the window.
+func (p *Pools) TakeBack(now time.Time, returned fleet.Return) int {
 	token := returned.Token
 	if token.Incarnation != p.incarnation || token.Period == 0 {
-		return false
+		return 0
 	}
 	if token.Fallback {
-		return p.fallback.Return(now, returned.Workspace, token.Period)
+		return p.fallback.Return(now, returned.Workspace, token.Period, returned.Count)
 	}
-	return p.pool.Return(now, returned.Workspace, token.Period)
+	return p.pool.Return(now, returned.Workspace, token.Period, returned.Count)
 }
--- a/internal/quotapool/pools_test.go
+++ b/internal/quotapool/pools_test.go
@@ -8,6 +8,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"lovagescale/internal/allowance"
+	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
 )
 
@@ -85,4 +87,32 @@
 		Expect(pools.otherZones()).To(ConsistOf("north-2"))
 		Expect(pools.holderCandidates("north-2", "azul")).To(HaveLen(2))
 	})
+
+	// Guards against a token that a restarted holder credits although it never lent it: the
+	// workspace could then exceed its quota.
+	It("takes back only tokens that this run lent", func() {
+		c := catalog.New(1, nil, nil, []*catalog.Workspace{{Name: "azul", Rate: 20, Burst: 20}}, catalog.Limits{})
+		self := fleet.Member{Instance: "north-1-0", Zone: "north-1", Incarnation: 7}
+		pools := New(self, 5*time.Second, 250*time.Millisecond)
+		pools.SetHolders(map[string][]fleet.Member{"north-1": {self}})
+		now := time.UnixMilli(1_000_000)
+		for range 8 {
+			now = now.Add(250 * time.Millisecond)
+			pools.Tick(now, 250*time.Millisecond)
+			pools.Divide(now, c, allowance.Division{Demand: func(string) allowance.Demands { return allowance.Demands{Own: 10} }, Holders: 1},
+				Fractions{Pool: 1, Fallback: 1, Entitled: true})
+		}
+		loan := pools.Borrow(now, c.Workspaces["azul"], 1, nil)
+		Expect(loan.Granted).To(BeTrue())
+		Expect(loan.Lender.Instance).To(BeEmpty(), "this instance is the holder")
+		returned := fleet.Return{Workspace: "azul", Token: loan.Token, Count: 1}
+
+		restarted := returned
+		restarted.Token.Incarnation++
+		Expect(pools.TakeBack(now, restarted)).To(BeZero())
+		old := fleet.Return{Workspace: "azul", Count: 1}
+		Expect(pools.TakeBack(now, old)).To(BeZero(), "lent by a build that takes none back")
+		Expect(pools.TakeBack(now, returned)).To(Equal(1))
+		Expect(pools.TakeBack(now, returned)).To(BeZero(), "the only token of its period")
+	})
 })
