--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -137,30 +137,6 @@
 	return Admission{RetryAfter: min(wait, maxRetryAfter)}, false
 }
 
-// Return takes back up to n tokens of the period with the number, which no request has
-// spent, and returns how many it took. It takes none if the period has left the window or
-// is not one of these quotas. The caller must return a token at most once.
-func (q *Quotas) Return(now time.Time, workspace string, number uint64, n int) int {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	quota, found := q.workspaces[workspace]
-	if !found {
-		return 0
-	}
-	for i := range quota.periods {
-		period := &quota.periods[i]
-		if period.number != number {
-			continue
-		}
-		n = max(min(n, period.admitted), 0)
-		period.admitted -= n
-		quota.admittedInWindow -= n
-		quota.limiter.AllowN(now, -n) // the depth of the bucket still limits its tokens
-		return n
-	}
-	return 0
-}
-
 // Shares returns this holder's shares of the workspaces' quotas.
 func (q *Quotas) Shares() map[string]float64 {
 	q.mu.Lock()
@@ -197,12 +173,6 @@
 	}
 }
 
-// newPeriod returns a period with a number of its own. The caller must hold q.mu.
-func (q *Quotas) newPeriod() period {
-	q.lastPeriod++
-	return period{number: q.lastPeriod}
-}
-
 // DiscardTokens drops the tokens that have accumulated in this holder's buckets.
 func (q *Quotas) DiscardTokens(now time.Time) {
 	q.mu.Lock()
@@ -214,37 +184,6 @@
 	}
 }
 
-// period is the number of requests admitted in a part of a window.
-type period struct {
-	number   uint64
-	admitted int
-	length   time.Duration
-}
-
-// minPeriod is the shortest period. It limits the number of periods in a window.
-const minPeriod = 50 * time.Millisecond
-
-// advanceWindow adds the elapsed time to the current period. When the period has reached
-// minPeriod, it drops the periods that have left the window and reports that a new period
-// is to begin. A period may be long after a pause of the whole process.
-func (w *workspaceQuota) advanceWindow(elapsed, window time.Duration) bool {
-	current := &w.periods[len(w.periods)-1]
-	current.length += elapsed
-	if current.length < minPeriod {
-		return false
-	}
-	covered := time.Duration(0)
-	for _, period := range w.periods {
-		covered += period.length
-	}
-	for len(w.periods) > 1 && covered-w.periods[0].length >= window {
-		covered -= w.periods[0].length
-		w.admittedInWindow -= w.periods[0].admitted
-		w.periods = w.periods[1:]
-	}
-	return true
-}
-
 // Demands is the demand on one holder and on all others, in requests per second.
 type Demands struct{ Own, Others float64 }
 
@@ -257,9 +196,9 @@
 	// Incomplete is set if the demand on some holders was never received, Stale if it was
 	// not received lately. It may have risen in the meantime.
 	Incomplete, Stale bool
-	// Fraction is the fraction of the holder's share that this instance may use; 0 means
-	// all of it.
-	Fraction float64
+	// Fraction returns the fraction of the holder's share that this instance may use; nil
+	// means all of it.
+	Fraction func(workspace string) float64
 	// IsHolder reports whether this instance is the workspace's holder now; nil means
 	// always. An instance that is not the holder any more admits requests with the tokens
 	// it has left but gets no new ones, so that a pool that moves back and forth does not
@@ -283,6 +222,9 @@
 		quota := q.workspaceQuota(now, name)
 		demands := division.Demand(name)
 		share := quota.currentShare(now, demands, division)
+		if division.Fraction != nil {
+			share *= division.Fraction(name)
+		}
 		rateLimit := workspace.Rate
 		isHolder := division.IsHolder == nil || division.IsHolder(name)
 		if quota.timeOverRate(now, workspace.Rate, demands, isHolder) >= q.window {
@@ -313,9 +255,6 @@
 	} else {
 		w.freshShares.add(now, share)
 	}
-	if division.Fraction > 0 {
-		share *= division.Fraction
-	}
 	return (1 - division.Reserve) * share
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -211,51 +211,6 @@
 	return candidates[:min(len(candidates), delegatesPerRegion)]
 }
 
-// PoolHolders returns the instances of this instance's region that may hold the quota
-// pools of their zone, by zone. They may include this instance. It returns none if other
-// instances are known but this one hears from none of them.
-func (v *View) PoolHolders(now time.Time) map[string][]Member {
-	if v.isolated(now) {
-		return nil
-	}
-	holders := make(map[string][]Member)
-	for _, m := range v.available(now, func(m Member) bool { return m.Region == v.self.Member.Region }) {
-		holders[m.Zone] = append(holders[m.Zone], m)
-	}
-	return holders
-}
-
-// reachedByOthers reports whether other instances have heard from the peer since it
-// stopped replying to this one. The peer is then alive and only the connection to it is
-// broken.
-func (p *peer) reachedByOthers() bool {
-	return p.consecutiveFailures > 0 && p.lastSeenAt.Sub(p.failingSince) > overdueAfter
-}
-
-// PoolFraction returns the fraction of its zone's quota pools that this instance may use.
-// It is the fraction of the zone's instances that this one reaches: the others may be
-// alive without reaching this one and hold the pools of the zone as well. Instances that
-// are leaving do not count. If other instances reach one that this instance does not,
-// that one continues to hold its pools, and the fraction is one divided by the number of
-// the zone's instances.
-func (v *View) PoolFraction(now time.Time) float64 {
-	reachable, unreachable, reachedByOthers := 1, 0, false
-	for _, p := range v.peers {
-		switch {
-		case p.status.Member.Zone != v.self.Member.Zone || p.status.State == Leaving:
-		case now.Before(p.suspectUntil) || !p.isLive(now):
-			unreachable++
-			reachedByOthers = reachedByOthers || p.reachedByOthers()
-		default:
-			reachable++
-		}
-	}
-	if reachedByOthers {
-		return 1 / float64(reachable+unreachable)
-	}
-	return float64(reachable) / float64(reachable+unreachable)
-}
-
 // available returns the members that match, are not leaving and are not suspect, ordered
 // by name.
 func (v *View) available(now time.Time, matches func(Member) bool) []Member {
