--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -196,9 +196,9 @@
 	// Incomplete is set if the demand on some holders was never received, Stale if it was
 	// not received lately. It may have risen in the meantime.
 	Incomplete, Stale bool
-	// Fraction is the fraction of the holder's share that this instance may use; 0 means
-	// all of it.
-	Fraction float64
+	// Fraction returns the fraction of the holder's share that this instance may use; nil
+	// means all of it.
+	Fraction func(workspace string) float64
 	// IsHolder reports whether this instance is the workspace's holder now; nil means
 	// always. An instance that is not the holder any more admits requests with the tokens
 	// it has left but gets no new ones, so that a pool that moves back and forth does not
@@ -222,6 +222,9 @@
 		quota := q.workspaceQuota(now, name)
 		demands := division.Demand(name)
 		share := quota.currentShare(now, demands, division)
+		if division.Fraction != nil {
+			share *= division.Fraction(name)
+		}
 		rateLimit := workspace.Rate
 		isHolder := division.IsHolder == nil || division.IsHolder(name)
 		if quota.timeOverRate(now, workspace.Rate, demands, isHolder) >= q.window {
@@ -252,9 +255,6 @@
 	} else {
 		w.freshShares.add(now, share)
 	}
-	if division.Fraction > 0 {
-		share *= division.Fraction
-	}
 	return (1 - division.Reserve) * share
 }
 
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -239,11 +239,12 @@
 		Stale:      s.peerActivity.DemandStale,
 		Reserve:    s.quotaReserve(),
 	}
-	s.edge.pools.SetHolders(s.fleet.PoolHolders(now))
+	s.edge.pools.SetHolders(s.fleet.PoolHolders(now), s.fleet.Contested(now))
 	s.edge.pools.Divide(now, c, division, quotapool.Fractions{
-		Pool:     s.fleet.PoolFraction(now),
-		Fallback: 1 / float64(s.fleet.ZoneSize()),
-		Entitled: s.fleet.Acknowledged() || !s.edge.hasOtherSeeds(),
+		Pool:      s.fleet.PoolFraction(now),
+		Contested: 1 / float64(s.fleet.ZoneSize()),
+		Fallback:  1 / float64(s.fleet.ZoneSize()),
+		Entitled:  s.fleet.Acknowledged() || !s.edge.hasOtherSeeds(),
 	})
 }
 
--- a/internal/fleet/pools.go
+++ b/internal/fleet/pools.go
@@ -46,3 +46,24 @@
 	}
 	return float64(reachable) / float64(reachable+unreachable)
 }
+
+// contestTime is how long after a peer's first failure it may be alive without a report of
+// others that tells so: a report, an exchange between delegates and a reply.
+const contestTime = SilentAfter
+
+// Contested returns the instances of this zone that have stopped replying to this one so
+// lately that others may still reach them. They may go on holding their pools.
+func (v *View) Contested(now time.Time) []Member {
+	var contested []Member
+	for _, p := range v.peers {
+		member := p.status.Member
+		if member.Zone != v.self.Member.Zone || p.status.State == Leaving || p.consecutiveFailures == 0 {
+			continue
+		}
+		if now.Sub(p.failingSince) < contestTime || p.reachedByOthers() {
+			contested = append(contested, member)
+		}
+	}
+	sortMembers(contested)
+	return contested
+}
--- a/internal/quotapool/pools.go
+++ b/internal/quotapool/pools.go
@@ -52,9 +52,11 @@
 	// run.
 	self, zone  string
 	incarnation int64
-	// holders are the instances of the region that may hold pools, by zone.
-	holders atomic.Pointer[map[string][]fleet.Member]
-	mu      sync.Mutex
+	// holders are the instances of the region that may hold pools, by zone. contested are
+	// those of this zone that this instance does not reach while others may.
+	holders   atomic.Pointer[map[string][]fleet.Member]
+	contested atomic.Pointer[[]fleet.Member]
+	mu        sync.Mutex
 	// pausedUntil is the time until which no loan is asked for, by workspace.
 	pausedUntil map[string]time.Time
 	// failingSince is the time of the first borrow without a reply since the last reply,
@@ -77,7 +79,7 @@
 		pausedUntil:  make(map[string]time.Time),
 		failingSince: make(map[string]time.Time),
 	}
-	p.SetHolders(nil)
+	p.SetHolders(nil, nil)
 	return p
 }
 
@@ -108,21 +110,26 @@
 	return discarded
 }
 
-// Fractions are the fractions of the zone's quotas that an instance may use: Pool as
-// a holder, and Fallback while it hears from no other instance. It may use none unless
-// Entitled is set: while no other instance can know of it, the others hold the whole
-// quotas.
+// Fractions are the fractions of the zone's quotas that an instance may use: Pool as a
+// holder, Contested as the holder of a pool whose former holder others may still reach,
+// and Fallback while it hears from no other instance. It may use none unless Entitled is
+// set: while no other instance can know of it, the others hold the whole quotas.
 type Fractions struct {
-	Pool, Fallback float64
-	Entitled       bool
+	Pool, Contested, Fallback float64
+	Entitled                  bool
 }
 
 // Divide sets this instance's shares of the quotas.
 func (p *Pools) Divide(now time.Time, c *catalog.Catalog, division allowance.Division, fractions Fractions) {
-	division.Fraction = fractions.Fallback
+	division.Fraction = func(string) float64 { return fractions.Fallback }
 	division.IsHolder = func(string) bool { return fractions.Entitled && p.isolated() }
 	p.fallback.Divide(now, c, division)
-	division.Fraction = fractions.Pool
+	division.Fraction = func(workspace string) float64 {
+		if p.isContested(workspace) {
+			return min(fractions.Contested, fractions.Pool)
+		}
+		return fractions.Pool
+	}
 	division.IsHolder = func(workspace string) bool { return fractions.Entitled && p.isHolder(workspace) }
 	p.pool.Divide(now, c, division)
 }
@@ -133,6 +140,18 @@
 	return len(candidates) > 0 && candidates[0].Instance == p.self
 }
 
+// isContested reports whether a contested instance of this zone would hold the workspace's
+// pool. It may go on lending from it for others.
+func (p *Pools) isContested(workspace string) bool {
+	contested := *p.contested.Load()
+	if len(contested) == 0 {
+		return false
+	}
+	candidates := append(slices.Clone((*p.holders.Load())[p.zone]), contested...)
+	holder := fleet.Preferred(candidates, workspace, 1)[0]
+	return slices.Contains(contested, holder)
+}
+
 // ZoneMembers returns those of the named instances that belong to this instance's zone.
 func (p *Pools) ZoneMembers(instances []string) []fleet.Member {
 	var named []fleet.Member
@@ -144,8 +163,12 @@
 	return named
 }
 
-// SetHolders sets the instances of the region that may hold pools, by zone.
-func (p *Pools) SetHolders(holders map[string][]fleet.Member) { p.holders.Store(&holders) }
+// SetHolders sets the instances of the region that may hold pools, by zone, and those of
+// this zone that this instance does not reach while others may.
+func (p *Pools) SetHolders(holders map[string][]fleet.Member, contested []fleet.Member) {
+	p.holders.Store(&holders)
+	p.contested.Store(&contested)
+}
 
 // isolated reports whether no holders are known. That is so if other instances are known
 // but this one hears from none of them.
--- a/internal/quotapool/pools_test.go
+++ b/internal/quotapool/pools_test.go
@@ -36,7 +36,7 @@
 
 	It("distributes the workspaces over the instances of the zone", func() {
 		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
-		pools.SetHolders(map[string][]fleet.Member{"north-1": members("north-1", 8)})
+		pools.SetHolders(map[string][]fleet.Member{"north-1": members("north-1", 8)}, nil)
 		held := make(map[string]int)
 		for _, workspace := range workspaces(800) {
 			candidates := pools.holderCandidates("north-1", workspace)
@@ -53,13 +53,13 @@
 	It("moves only the pools of a lost instance, to their next candidates", func() {
 		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
 		all := members("north-1", 8)
-		pools.SetHolders(map[string][]fleet.Member{"north-1": all})
+		pools.SetHolders(map[string][]fleet.Member{"north-1": all}, nil)
 		before := make(map[string][]fleet.Member)
 		for _, workspace := range workspaces(200) {
 			before[workspace] = pools.holderCandidates("north-1", workspace)
 		}
 		lost := all[3]
-		pools.SetHolders(map[string][]fleet.Member{"north-1": append(append([]fleet.Member{}, all[:3]...), all[4:]...)})
+		pools.SetHolders(map[string][]fleet.Member{"north-1": append(append([]fleet.Member{}, all[:3]...), all[4:]...)}, nil)
 		for workspace, candidates := range before {
 			expected := candidates[0]
 			if candidates[0] == lost {
@@ -83,7 +83,7 @@
 		pools := New(members("north-1", 1)[0], time.Second, 250*time.Millisecond)
 		Expect(pools.holderCandidates("north-1", "azul")).To(BeEmpty())
 		Expect(pools.otherZones()).To(BeEmpty())
-		pools.SetHolders(map[string][]fleet.Member{"north-1": members("north-1", 1), "north-2": members("north-2", 2)})
+		pools.SetHolders(map[string][]fleet.Member{"north-1": members("north-1", 1), "north-2": members("north-2", 2)}, nil)
 		Expect(pools.otherZones()).To(ConsistOf("north-2"))
 		Expect(pools.holderCandidates("north-2", "azul")).To(HaveLen(2))
 	})
@@ -94,13 +94,13 @@
 		c := catalog.New(1, nil, nil, []*catalog.Workspace{{Name: "azul", Rate: 20, Burst: 20}}, catalog.Limits{})
 		self := fleet.Member{Instance: "north-1-0", Zone: "north-1", Incarnation: 7}
 		pools := New(self, 5*time.Second, 250*time.Millisecond)
-		pools.SetHolders(map[string][]fleet.Member{"north-1": {self}})
+		pools.SetHolders(map[string][]fleet.Member{"north-1": {self}}, nil)
 		now := time.UnixMilli(1_000_000)
 		for range 8 {
 			now = now.Add(250 * time.Millisecond)
 			pools.Tick(now, 250*time.Millisecond)
 			pools.Divide(now, c, allowance.Division{Demand: func(string) allowance.Demands { return allowance.Demands{Own: 10} }, Holders: 1},
-				Fractions{Pool: 1, Fallback: 1, Entitled: true})
+				Fractions{Pool: 1, Contested: 1, Fallback: 1, Entitled: true})
 		}
 		loan := pools.Borrow(now, c.Workspaces["azul"], 1, nil)
 		Expect(loan.Granted).To(BeTrue())
