Give callers of all regions the same limit of utilization at an endpoint

Cause: the limit followed from the response times of the instance's own answers. At endpoints 110 ms (round trip) away they are longer by that time, so that with an objective of 500 ms callers of the endpoints' own region accepted a limit of 1.42 and those of another region 1.05. At full endpoints the latter were refused first.

Change: an instance takes the mean response time of the callers of all regions, weighted by answers. Answers of the own region's endpoints are in the reports already; reports and digests get an optional field with the answers of other regions' endpoints, by a hash of upstream and region. The difference of an instance's own response times would not do: it shows the latency, but not how many of the callers are far away, and it contains the load of the region that it is measured in. The ratio between the routes of an upstream still comes from the instance's own answers. Without the field, as from earlier builds, the mean is that of the callers that are known.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -166,6 +166,7 @@
 		UpstreamDemand:  s.edge.stats.UpstreamDemand(),
 		WorkspaceDemand: workspaceDemands(s.edge.workspaceDemand.Rates()),
 		UpstreamAnswers: s.edge.stats.UpstreamAnswers(),
+		RemoteAnswers:   s.edge.stats.RemoteAnswers(),
 		Strikes:         s.edge.quarantine.activeStrikes(now),
 	}
 	endpoints := s.edge.table.Load().Endpoints()
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -169,6 +169,7 @@
 	s.publishFollowerElection(now)
 	s.peerActivity = s.fleet.PeerActivity(now)
 	s.edge.stats.UpdateServiceTimes(s.peerActivity.UpstreamAnswers)
+	s.edge.stats.UpdateResponseTimes(s.peerActivity.CallerAnswers, elapsed)
 	s.edge.instanceCount.Store(int64(s.fleet.Size()))
 	s.edge.retryBudget.SetInstances(s.fleet.Size())
 	s.updateFleetState()
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -207,6 +207,9 @@
 	DemandAge time.Duration
 	// UpstreamAnswers are the answers of the upstreams' endpoints, by upstream.
 	UpstreamAnswers map[string]UpstreamAnswers
+	// CallerAnswers are the answers to the instances of all regions, by the upstream and the
+	// region of the endpoints that gave them.
+	CallerAnswers map[AnswersKey]AnswerRates
 }
 
 // DemandOutsideZone returns the demand of workspaces on all zones but this instance's.
@@ -236,6 +239,7 @@
 		sum.Busy += float32(sign) * answers.Busy
 		a.UpstreamAnswers[answers.Upstream] = sum
 	}
+	callerAnswers(a.CallerAnswers).add(region, activity, sign)
 }
 
 // hasMembersIn reports whether an instance of the region is known.
@@ -248,6 +252,7 @@
 		EndpointLoads:   make(map[EndpointKey]int),
 		UpstreamDemand:  make(map[string][]UpstreamDemand),
 		UpstreamAnswers: make(map[string]UpstreamAnswers),
+		CallerAnswers:   make(map[AnswersKey]AnswerRates),
 	}
 	localRegion := v.self.Member.Region
 	delegate := v.IsDelegate(now)
@@ -278,6 +283,7 @@
 	strikes         map[uint64]quarantine.Strike
 	leaving         map[LeavingEndpoint]bool
 	limits          map[endpointRun]float32
+	remoteAnswers   remoteAnswersSum
 }
 
 // endpointRun identifies a run of an endpoint.
@@ -294,6 +300,7 @@
 		strikes:         make(map[uint64]quarantine.Strike),
 		leaving:         make(map[LeavingEndpoint]bool),
 		limits:          make(map[endpointRun]float32),
+		remoteAnswers:   make(remoteAnswersSum),
 	}
 }
 
@@ -311,6 +318,7 @@
 		total.Busy += answers.Busy
 		s.upstreamAnswers[answers.Upstream] = total
 	}
+	s.remoteAnswers.add(a.RemoteAnswers)
 	for _, strike := range a.Strikes {
 		s.strikes[strike.ID] = strike
 	}
@@ -336,6 +344,7 @@
 	for _, answers := range s.upstreamAnswers {
 		a.UpstreamAnswers = append(a.UpstreamAnswers, answers)
 	}
+	a.RemoteAnswers = s.remoteAnswers.answers()
 	for _, strike := range s.strikes {
 		a.Strikes = append(a.Strikes, strike)
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -118,6 +118,9 @@
 	Leaving []LeavingEndpoint `msgpack:"l,omitempty"`
 	// Limits are the limits that endpoints name in their answers.
 	Limits []EndpointLimit `msgpack:"m,omitempty"`
+	// RemoteAnswers are the answers of endpoints in other regions. Instances of earlier builds
+	// omit them.
+	RemoteAnswers []RemoteAnswers `msgpack:"r,omitempty"`
 }
 
 // EndpointLimit is the limit that a run of an endpoint names for all instances together.
--- a/internal/trafficstats/stats.go
+++ b/internal/trafficstats/stats.go
@@ -33,6 +33,8 @@
 	durations map[routeKey]float64 // seconds
 	upstreams map[string]*upstreamStats
 	arrivals  map[arrivalKey]*allowance.RateMeter
+	// callers are the answers by the region of the endpoints.
+	callers map[callersKey]*callersStats
 }
 
 // upstreamStats describes the answers of an upstream's endpoints in the instance's own
@@ -57,6 +59,7 @@
 		durations: make(map[routeKey]float64),
 		upstreams: make(map[string]*upstreamStats),
 		arrivals:  make(map[arrivalKey]*allowance.RateMeter),
+		callers:   make(map[callersKey]*callersStats),
 	}
 }
 
@@ -72,6 +75,7 @@
 		s.answers.Count()
 		s.busy.Add(took.Seconds())
 	}
+	t.callersOf(upstream, region).record(route, local, took)
 	usualSeconds := t.durations[key]
 	t.durations[key] = smooth(usualSeconds, took.Seconds())
 	if usualSeconds <= 0 {
@@ -140,18 +144,6 @@
 	}
 }
 
-// ResponseTime returns the usual time of an answer to the route from a region, or the
-// upstream's service time before the first answer.
-func (t *Stats) ResponseTime(upstream, route, region string) time.Duration {
-	t.mu.Lock()
-	seconds := t.durations[routeKey{route, region}]
-	t.mu.Unlock()
-	if seconds > 0 {
-		return time.Duration(seconds * float64(time.Second))
-	}
-	return t.ServiceTime(upstream)
-}
-
 // RecordArrival counts a request. region is the region in which it must run, or "" if any
 // will do.
 func (t *Stats) RecordArrival(upstream, region string) {
@@ -177,6 +169,10 @@
 		s.answers.Tick(elapsed)
 		s.busy.Tick(elapsed)
 	}
+	for _, c := range t.callers {
+		c.answers.Tick(elapsed)
+		c.busy.Tick(elapsed)
+	}
 }
 
 // UpstreamDemand returns the arrival rates to report to other instances.
