Carry demand and use of slots by workspace in reports, digests and totals

Cause: an instance knows neither which workspaces ask for an upstream's slots at the other instances nor how much of them is in use, so that it cannot tell who takes more than others.

It goes the way of the workspaces' demand: reports, digests between delegates, totals to members.

Activities of reports are packed for delegates that state that they read them, and their rates are rounded as those of the totals were (an error of at most 0.2%).

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -26,6 +26,9 @@
 	Stale bool `msgpack:"o,omitempty"`
 	// AgeMillis is the age of the oldest report in the totals, stale ones excepted.
 	AgeMillis int64 `msgpack:"a,omitempty"`
+	// SlotDemand is the demand on slots. Its rows refer to Workspaces. Delegates of earlier
+	// builds omit it.
+	SlotDemand []SlotDemand `msgpack:"s,omitempty"`
 }
 
 // WorkspaceTotal is the demand of a workspace on the member's zone, on the member's whole
@@ -43,6 +46,7 @@
 // region aggregated it.
 type regionDemand struct {
 	demands []WorkspaceDemand
+	slots   []SlotDemand
 	stale   bool
 	madeAt  time.Time
 }
@@ -119,7 +123,7 @@
 	if previous, found := v.regionDemands[digest.Region]; found && madeAt.Before(previous.madeAt) {
 		return
 	}
-	v.regionDemands[digest.Region] = regionDemand{demands: digest.Activity.WorkspaceDemand, stale: digest.DemandStale, madeAt: madeAt}
+	v.regionDemands[digest.Region] = regionDemand{demands: digest.Activity.WorkspaceDemand, slots: digest.Activity.SlotDemand, stale: digest.DemandStale, madeAt: madeAt}
 }
 
 // ApplyTotals stores the totals that a delegate sent; own is the demand on this instance,
@@ -169,7 +173,7 @@
 
 // roundRate rounds a rate to 8 significant binary digits, an error of at most 0.2%. The
 // other bytes of the number are then 0 and compress well.
-func roundRate(rate float64) float32 {
+func roundRate[T float32 | float64](rate T) float32 {
 	const droppedBits = 16
 	bits := math.Float32bits(float32(rate)) + 1<<(droppedBits-1)
 	return math.Float32frombits(bits >> droppedBits << droppedBits)
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -62,6 +62,7 @@
 	digest.DemandStale = demand.stale
 	demand.region.add(own.WorkspaceDemand)
 	digest.Activity.WorkspaceDemand = demand.region.demands()
+	v.addSlotDemand(now, &digest, own)
 	return digest
 }
 
@@ -79,7 +80,7 @@
 		if !slices.Contains(report.UsedRegions, region) {
 			digest.Activity.EndpointLoads = nil
 		}
-		digest.Activity.WorkspaceDemand = nil // the totals contain it
+		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand = nil, nil // the totals contain them
 		digests = append(digests, digest)
 	}
 	return omitKnownMembers(digests, report.MemberHashes)
@@ -102,7 +103,7 @@
 		if !found || region == exchange.Digest.Region || (known && age < digest.AgeMillis+relayMargin.Milliseconds()) {
 			continue
 		}
-		digest.Activity.WorkspaceDemand, digest.DemandStale = demand.demands, demand.stale
+		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand, digest.DemandStale = demand.demands, demand.slots, demand.stale
 		digests = append(digests, digest)
 	}
 	return omitKnownMembers(digests, exchange.MemberHashes)
@@ -354,6 +355,7 @@
 	for run, perSecond := range s.limits {
 		a.Limits = append(a.Limits, EndpointLimit{Endpoint: run.endpoint, StartMillis: run.startMillis, PerSecond: perSecond})
 	}
+	a.RoundRates()
 	return a
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,6 +58,8 @@
 	// membersHash is the hash of this region's members in that exchange.
 	packing     Packing
 	membersHash uint64
+	// acceptsPackedReports is set if it stated so in its last reply to a report.
+	acceptsPackedReports bool
 }
 
 func (p *peer) isLive(now time.Time) bool {
@@ -88,6 +90,11 @@
 	// delegateDemand is the demand on all other instances according to the totals of a
 	// delegate of this region; nil before the first totals.
 	delegateDemand *peerDemand
+	// delegateSlots is the demand on slots of all other instances according to the totals of a
+	// delegate; nil before the first ones.
+	delegateSlots *peerSlots
+	// slotCache is the last sum that a delegate made.
+	slotCache *peerSlots
 	// endpointLists are the lists of endpoints that this instance knew lately, the present
 	// one first.
 	endpointLists []endpointList
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -121,6 +121,9 @@
 	// RemoteAnswers are the answers of endpoints in other regions. Instances of earlier builds
 	// omit them.
 	RemoteAnswers []RemoteAnswers `msgpack:"r,omitempty"`
+	// SlotDemand is the demand on slots. Its rows refer to WorkspaceDemand. Digests for members
+	// omit it.
+	SlotDemand []SlotDemand `msgpack:"o,omitempty"`
 }
 
 // EndpointLimit is the limit that a run of an endpoint names for all instances together.
@@ -157,6 +160,8 @@
 	OmitDigests bool `msgpack:"b,omitempty"`
 	// Packing is how the sender accepts the reply.
 	Packing Packing `msgpack:"p"`
+	// Packed holds the activity in place of Activity, see View.PackReport.
+	Packed []byte `msgpack:"k,omitempty"`
 }
 
 // Digest lists the members of a region and their combined activity.
--- a/internal/fleet/packing.go
+++ b/internal/fleet/packing.go
@@ -133,6 +133,8 @@
 	Accepted bool `msgpack:"p,omitempty"`
 	// EndpointsHash is the hash of the endpoints that it knows.
 	EndpointsHash uint64 `msgpack:"e,omitempty"`
+	// AcceptsReports is set in replies to reports if it accepts packed reports.
+	AcceptsReports bool `msgpack:"r,omitempty"`
 }
 
 // Packing returns how this instance accepts packed messages.
