Share scarce slots by max-min fairness between workspaces and classes

Cause: endpoints take requests as they come, so that at a full upstream each workspace is served in proportion to what it asks for, and one that asks for more displaces the others.

Change: internal/admission divides the slots in use by max-min fairness, weighted by the rates of the workspaces, classes in the order of their urgency, each class and workspace with a minimum of 0.35 of the mean. A request beyond the share is not refused at the gate but only gets free slots (one in five a short queue), so that no slot stays idle. Shares count while more than 6 in 100 slots asked for are refused for lack of room; a workspace is limited only as far as it gets more than its share first come, first served.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -62,12 +62,14 @@
 		e.stats.RecordArrival(q.upstream, "")
 	}
 	e.retryBudget.RecordFirstAttempt(q.upstream)
+	e.compareWithShare(q)
 	var attempts []attempt
 	var failedAnswer *upstream.Answer
 	reached := 0
 	for {
 		endpoint, refused, err := e.chooseAndAdmit(ctx, q, attempts)
 		if refused != nil {
+			e.withdrawDemand(q)
 			return nil, attempts, refused
 		}
 		if err != nil && failedAnswer != nil {
@@ -174,6 +176,7 @@
 	if result == placement.Answered {
 		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
 	}
+	e.recordSlotTime(q, endpoint, result, now.Sub(started), latencyRatio)
 	if answer != nil {
 		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
 			endpoint.SetReportedLoad(now, running+waiting)
@@ -282,7 +285,7 @@
 
 // noRoomRefusal returns the refusal of a request for which no endpoint could be chosen.
 func (e *Edge) noRoomRefusal(q *request, attempts []attempt, cause error) *refusal.Refusal {
-	q.cause = cause
+	q.cause = e.recordNoRoom(q, cause)
 	if anyMayHaveRun(attempts) {
 		return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown,
 			"the endpoint gave no answer and no other one has room")
@@ -327,10 +330,10 @@
 // maxUtilization returns the utilization up to which an endpoint of the request's region
 // may take the request.
 func (e *Edge) maxUtilization(q *request) float64 {
-	return placement.MaxUtilization(placement.RequestProfile{
+	return q.limitByShare(placement.MaxUtilization(placement.RequestProfile{
 		Objective:    q.route.Objective,
 		ResponseTime: e.stats.ResponseTime(q.upstream, q.route.Name, q.region),
 		ServiceTime:  e.stats.ServiceTime(q.upstream),
 		Urgency:      q.catalog.Urgency(q.route, q.workspace),
-	})
+	}))
 }
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lovagescale/internal/admission"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/placement"
 )
@@ -30,6 +31,8 @@
 	Endpoints   []placement.Description `json:"endpoints"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
+	// Admission is how scarce slots are shared.
+	Admission []admission.Description `json:"admission"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -97,6 +100,7 @@
 	}
 	d.Shares = e.balancer.Shares()
 	d.Quotas = e.pools.Shares()
+	d.Admission = e.sharing.gate.Describe()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,6 +26,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"lovagescale/internal/admission"
 	"lovagescale/internal/allowance"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/control"
@@ -118,6 +119,7 @@
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
 	bodyMemory bodyMemory
+	sharing    sharing
 	counters   counters
 }
 
@@ -153,6 +155,7 @@
 	e.position.Store(&store.Position{})
 	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
+	e.sharing.gate = admission.NewGate()
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -135,6 +135,7 @@
 	}
 	set("edge.endpoints.usable", usable)
 	set("edge.in_flight", inFlight)
+	e.updateShareGauges()
 }
 
 // updateTrafficGauges sets the gauges of the traffic with other instances.
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -41,7 +41,7 @@
 		for i, delegate := range round.reportTo {
 			report := round.report
 			report.OmitDigests = round.largeRegion && (i > 0 || round.isDelegate)
-			go e.sendReport(ctx, delegate, report)
+			go e.sendReport(ctx, delegate, report, round.packed[delegate.Instance])
 		}
 		if now.Sub(lastExchange) >= exchangeInterval {
 			lastExchange = now
@@ -58,7 +58,9 @@
 	report    fleet.Report
 	reportTo  []fleet.Member
 	exchanges []outgoingExchange
-	interval  time.Duration
+	// packed is the packed activity of the report, by the delegate that accepts it.
+	packed   map[string][]byte
+	interval time.Duration
 	// isDelegate is set if this instance is a delegate, so that it receives the reports
 	// of its region itself.
 	isDelegate bool
@@ -114,6 +116,7 @@
 			round.reportTo = append(round.reportTo, delegate)
 		}
 	}
+	round.packed = s.packReports(round)
 	if position < 0 {
 		return round
 	}
@@ -169,6 +172,7 @@
 		RemoteAnswers:   s.edge.stats.RemoteAnswers(),
 		Strikes:         s.edge.quarantine.activeStrikes(now),
 	}
+	s.addSlotDemand(&activity)
 	endpoints := s.edge.table.Load().Endpoints()
 	activity.Limits = endpointLimits(now, endpoints)
 	for id, endpoint := range endpoints {
@@ -183,10 +187,11 @@
 }
 
 // sendReport sends a report to a delegate and applies the digests of its reply.
-func (e *Edge) sendReport(ctx context.Context, delegate fleet.Member, report fleet.Report) {
-	e.sendMessage(ctx, delegate, fleet.TypeReport, report, func(now time.Time, reply fleet.Reply) {
+func (e *Edge) sendReport(ctx context.Context, delegate fleet.Member, report fleet.Report, packed []byte) {
+	e.sendMessage(ctx, delegate, fleet.TypeReport, withPacked(report, packed), func(now time.Time, reply fleet.Reply) {
 		e.state.followerElection.recordDelegateReply(now, delegate.Instance, time.Duration(reply.StoreAgeMillis)*time.Millisecond)
 		e.state.publishFollowerElection(now)
+		e.state.fleet.RecordReported(delegate, reply)
 		e.state.applyReportReply(now, report, reply)
 	})
 }
@@ -206,6 +211,7 @@
 	}
 	if reply.Totals != nil {
 		s.fleet.ApplyTotals(now, *reply.Totals, report.Activity.WorkspaceDemand)
+		s.fleet.ApplySlotTotals(now, *reply.Totals, report.Activity)
 	}
 }
 
@@ -316,8 +322,8 @@
 
 // handleReport handles a report from an instance of the region.
 func (e *Edge) handleReport(ctx context.Context, request wire.Envelope) (any, error) {
-	var report fleet.Report
-	if err := request.Decode(&report); err != nil {
+	report, err := decodeReport(request)
+	if err != nil {
 		return nil, err
 	}
 	return e.newReply(ctx, func(now time.Time) fleet.Reply { return e.state.handleReport(now, report) })
@@ -328,12 +334,14 @@
 	if s.fleet.ApplyReport(now, report) {
 		s.applyWarnings(now, report.Activity)
 	}
+	packing := fleet.Packing{AcceptsReports: true}
 	if report.OmitDigests {
-		return fleet.Reply{}
+		return fleet.Reply{Packing: packing}
 	}
 	own := s.activity(now)
 	totals := s.fleet.Totals(now, report.Status.Member.Zone, own.WorkspaceDemand)
-	reply := fleet.Reply{Digests: s.fleet.DigestsForMember(now, own, report), Totals: &totals}
+	s.fleet.AddSlotTotals(now, &totals, own)
+	reply := fleet.Reply{Digests: s.fleet.DigestsForMember(now, own, report), Totals: &totals, Packing: packing}
 	return s.packReply(reply, report.Packing)
 }
 
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -53,6 +53,7 @@
 	runsAt string
 	// reservedBytes is the memory reserved for the body.
 	reservedBytes int64
+	share         shareVerdict
 }
 
 // workspaceName returns the name of the workspace, or "" if the request needs no key.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -182,6 +182,7 @@
 	s.edge.pools.Tick(now, elapsed)
 	s.divideQuotas(now)
 	s.rebalanceRegions(now, elapsed)
+	s.updateShares(now, elapsed)
 	s.publishCallerAddresses(now)
 	targets := s.fleet.HandoverTargets(now)
 	s.edge.handoverTargets.Store(&targets)
