--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -63,6 +63,7 @@
 	digest.DemandStale = demand.stale
 	demand.region.add(own.WorkspaceDemand)
 	digest.Activity.WorkspaceDemand = demand.region.demands()
+	v.addSlotDemand(now, &digest, own)
 	return digest
 }
 
@@ -80,7 +81,7 @@
 		if !slices.Contains(report.UsedRegions, region) {
 			digest.Activity.EndpointLoads = nil
 		}
-		digest.Activity.WorkspaceDemand = nil // the totals contain it
+		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand = nil, nil // the totals contain them
 		digests = append(digests, digest)
 	}
 	return omitKnownMembers(digests, report.MemberHashes)
@@ -103,7 +104,7 @@
 		if !found || region == exchange.Digest.Region || (known && age < digest.AgeMillis+relayMargin.Milliseconds()) {
 			continue
 		}
-		digest.Activity.WorkspaceDemand, digest.DemandStale = demand.demands, demand.stale
+		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand, digest.DemandStale = demand.demands, demand.slots, demand.stale
 		digests = append(digests, digest)
 	}
 	return omitKnownMembers(digests, exchange.MemberHashes)
@@ -208,6 +209,9 @@
 	DemandAge time.Duration
 	// UpstreamAnswers are the answers of the upstreams' endpoints, by upstream.
 	UpstreamAnswers map[string]UpstreamAnswers
+	// CallerAnswers are the answers to the instances of all regions, by the upstream and the
+	// region of the endpoints that gave them.
+	CallerAnswers map[AnswersKey]AnswerRates
 }
 
 // DemandOutsideZone returns the demand of workspaces on all zones but this instance's.
@@ -237,6 +241,7 @@
 		sum.Busy += float32(sign) * answers.Busy
 		a.UpstreamAnswers[answers.Upstream] = sum
 	}
+	callerAnswers(a.CallerAnswers).add(region, activity, sign)
 }
 
 // hasMembersIn reports whether an instance of the region is known.
@@ -249,6 +254,7 @@
 		EndpointLoads:   make(map[EndpointKey]int),
 		UpstreamDemand:  make(map[string][]UpstreamDemand),
 		UpstreamAnswers: make(map[string]UpstreamAnswers),
+		CallerAnswers:   make(map[AnswersKey]AnswerRates),
 	}
 	localRegion := v.self.Member.Region
 	delegate := v.IsDelegate(now)
@@ -279,6 +285,7 @@
 	strikes         map[uint64]quarantine.Strike
 	leaving         map[LeavingEndpoint]bool
 	limits          map[endpointRun]float32
+	remoteAnswers   remoteAnswersSum
 }
 
 // endpointRun identifies a run of an endpoint.
@@ -295,6 +302,7 @@
 		strikes:         make(map[uint64]quarantine.Strike),
 		leaving:         make(map[LeavingEndpoint]bool),
 		limits:          make(map[endpointRun]float32),
+		remoteAnswers:   make(remoteAnswersSum),
 	}
 }
 
@@ -312,6 +320,7 @@
 		total.Busy += answers.Busy
 		s.upstreamAnswers[answers.Upstream] = total
 	}
+	s.remoteAnswers.add(a.RemoteAnswers)
 	for _, strike := range a.Strikes {
 		s.strikes[strike.ID] = strike
 	}
@@ -337,6 +346,7 @@
 	for _, answers := range s.upstreamAnswers {
 		a.UpstreamAnswers = append(a.UpstreamAnswers, answers)
 	}
+	a.RemoteAnswers = s.remoteAnswers.answers()
 	for _, strike := range s.strikes {
 		a.Strikes = append(a.Strikes, strike)
 	}
@@ -346,6 +356,7 @@
 	for run, perSecond := range s.limits {
 		a.Limits = append(a.Limits, EndpointLimit{Endpoint: run.endpoint, StartMillis: run.startMillis, PerSecond: perSecond})
 	}
+	a.RoundRates()
 	return a
 }
 
