Give an object several preferred endpoints where each endpoint holds few objects

An object had one preferred endpoint in a region. Objects are distributed unevenly, so that one endpoint was full while its neighbour was idle, and the neighbour could not help above a mean utilization of 0.6.

The k endpoints with the highest ranks are now preferred; a request goes to the less loaded of two random ones, by a probability that grows with the difference, since all instances act on the same old reports. k follows from the distinct objects of recent requests (linear counting and Chao1, so that an instance that sees a part of the requests estimates the whole) for each endpoint of the region: 2 up to 5 objects, 3 up to 1.5, back above 6.5 and 2.2, each after 5 s. Instances exchange their estimates (optional field) and use the largest. Without an estimate k is 1 and the choice is the one before. A preferred endpoint that is paused, ejected or was tried keeps its rank, so that no other endpoint runs its objects for the first time while another preferred one is usable.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -150,14 +150,7 @@
 
 // chooseEndpoint returns an endpoint of the request's region that was not attempted yet.
 func (e *Edge) chooseEndpoint(q *request, attempts []attempt) (*placement.Endpoint, error) {
-	want := placement.Request{
-		Upstream: q.upstream, Region: q.region, Local: q.region == e.settings.Region,
-		AffinityKey: q.affinityKey, MaxUtilization: e.maxUtilization(q),
-	}
-	for _, a := range attempts {
-		want.Tried = append(want.Tried, a.endpoint)
-	}
-	return e.table.Load().Choose(time.Now(), want)
+	return e.table.Load().Choose(time.Now(), e.choice(q, attempts))
 }
 
 // attempt sends the request to one endpoint and records the result.
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -28,6 +28,8 @@
 	// Unreachable is set if this instance reaches no endpoint.
 	Unreachable bool                    `json:"reaches_no_endpoint"`
 	Endpoints   []placement.Description `json:"endpoints"`
+	// Objects are the numbers of objects and of their preferred endpoints.
+	Objects []placement.ObjectsDescription `json:"objects"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
 }
@@ -86,6 +88,7 @@
 		d.Era, d.Revision = position.Era, position.Revision
 		d.Evacuated = e.state.registry.Evacuated()
 		d.Peers = e.state.fleet.Peers()
+		d.Objects = e.objects.Describe()
 		d.Delegates = e.state.fleet.Delegates(now, e.settings.Region)
 		for _, endpoint := range e.table.Load().Endpoints() {
 			d.Endpoints = append(d.Endpoints, endpoint.Describe(now))
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -113,6 +113,7 @@
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
 	stats           *trafficstats.Stats
+	objects         *placement.Objects
 	quarantine      *quarantineTable
 	reach           *reachability.Tracker
 	// probesDone is closed when the last probes of endpoints have ended.
@@ -144,6 +145,7 @@
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
 		stats:           trafficstats.New(),
+		objects:         placement.NewObjects(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
 		reach:           reachability.NewTracker(time.Now()),
 		eraBegun:        make(chan struct{}, 1),
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -167,6 +167,7 @@
 		WorkspaceDemand: workspaceDemands(s.edge.workspaceDemand.Rates()),
 		UpstreamAnswers: s.edge.stats.UpstreamAnswers(),
 		Strikes:         s.edge.quarantine.activeStrikes(now),
+		Objects:         s.objectEstimates(),
 	}
 	endpoints := s.edge.table.Load().Endpoints()
 	activity.Limits = endpointLimits(now, endpoints)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -174,6 +174,7 @@
 	s.updateFleetState()
 	s.updateEndpoints(now)
 	s.divideEndpointLimits(now)
+	s.updatePreferred(now)
 	s.edge.workspaceDemand.Tick(elapsed)
 	s.ownDemand.Add(now, s.edge.workspaceDemand.Rates())
 	s.zoneDemand.Add(now, s.peerActivity.ZoneDemand)
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -207,6 +207,8 @@
 	DemandAge time.Duration
 	// UpstreamAnswers are the answers of the upstreams' endpoints, by upstream.
 	UpstreamAnswers map[string]UpstreamAnswers
+	// Objects are the largest estimates of the number of objects, by upstream and region.
+	Objects map[[2]string]float32
 }
 
 // DemandOutsideZone returns the demand of workspaces on all zones but this instance's.
@@ -223,6 +225,9 @@
 
 // add adds the activity of a region if sign is 1, and subtracts it if sign is -1.
 func (a *PeerActivity) add(region string, activity Activity, sign int) {
+	if sign > 0 {
+		objectCounts(a.Objects).add(activity.Objects)
+	}
 	for _, load := range activity.EndpointLoads {
 		a.EndpointLoads[load.Endpoint] += sign * load.InFlight
 	}
@@ -248,6 +253,7 @@
 		EndpointLoads:   make(map[EndpointKey]int),
 		UpstreamDemand:  make(map[string][]UpstreamDemand),
 		UpstreamAnswers: make(map[string]UpstreamAnswers),
+		Objects:         make(map[[2]string]float32),
 	}
 	localRegion := v.self.Member.Region
 	delegate := v.IsDelegate(now)
@@ -278,6 +284,7 @@
 	strikes         map[uint64]quarantine.Strike
 	leaving         map[LeavingEndpoint]bool
 	limits          map[endpointRun]float32
+	objects         objectCounts
 }
 
 // endpointRun identifies a run of an endpoint.
@@ -294,10 +301,12 @@
 		strikes:         make(map[uint64]quarantine.Strike),
 		leaving:         make(map[LeavingEndpoint]bool),
 		limits:          make(map[endpointRun]float32),
+		objects:         make(objectCounts),
 	}
 }
 
 func (s *activitySum) add(a Activity) {
+	s.objects.add(a.Objects)
 	for _, load := range a.EndpointLoads {
 		s.endpointLoads[load.Endpoint] += load.InFlight
 	}
@@ -326,7 +335,7 @@
 }
 
 func (s *activitySum) activity() Activity {
-	var a Activity
+	a := Activity{Objects: s.objects.list()}
 	for _, endpoint := range slices.Sorted(maps.Keys(s.endpointLoads)) {
 		a.EndpointLoads = append(a.EndpointLoads, EndpointLoad{Endpoint: endpoint, InFlight: s.endpointLoads[endpoint]})
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -118,6 +118,8 @@
 	Leaving []LeavingEndpoint `msgpack:"l,omitempty"`
 	// Limits are the limits that endpoints name in their answers.
 	Limits []EndpointLimit `msgpack:"m,omitempty"`
+	// Objects are the estimated numbers of objects of upstreams.
+	Objects []UpstreamObjects `msgpack:"o,omitempty"`
 }
 
 // EndpointLimit is the limit that a run of an endpoint names for all instances together.
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -59,14 +59,14 @@
 // reportedLoadLifetime is how long the load that an endpoint reported itself counts.
 const reportedLoadLifetime = 250 * time.Millisecond
 
-// totalInFlight returns the number of in-flight requests of all instances. For the other
-// instances it takes the larger of what they and the endpoint reported.
-func (e *Endpoint) totalInFlight(now time.Time) int {
+// countOthers returns the number of in-flight requests of the other instances. It takes the
+// larger of what they and the endpoint reported.
+func (e *Endpoint) countOthers(now time.Time) int64 {
 	others := e.othersInFlight.Load()
 	if now.UnixNano()-e.reportedAt.Load() < int64(reportedLoadLifetime) {
 		others = max(others, e.reportedOthers.Load())
 	}
-	return int(e.inFlight.Load() + others)
+	return others
 }
 
 // SetReportedLoad stores the number of in-flight requests that the endpoint reported
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -159,14 +159,6 @@
 	return math.Min(float64(e.Slots), e.limit.perSecond*serviceTime.Seconds())
 }
 
-// permitAvailable reports whether the endpoint's limits allow a request of this instance
-// now: the rate of a cold endpoint, and the limit that the endpoint names.
-func (e *Endpoint) permitAvailable(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.permitted(now)
-}
-
 // takePermit takes the permits for a request. It returns false if one is not available.
 func (e *Endpoint) takePermit(now time.Time) bool {
 	e.mu.Lock()
@@ -183,7 +175,9 @@
 	return true
 }
 
-// permitted is permitAvailable for a caller that holds the lock.
+// permitted reports whether the endpoint's limits allow a request of this instance now: the
+// rate of a cold endpoint, and the limit that the endpoint names. The caller must hold the
+// lock.
 func (e *Endpoint) permitted(now time.Time) bool {
 	if e.coldLimiter.isActive(now) && !e.coldLimiter.permitAvailable(now) {
 		return false
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -18,7 +18,6 @@
 
 import (
 	"fmt"
-	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -91,6 +90,12 @@
 	// request. Without an object it limits the least loaded endpoint and counts as at
 	// least 1.
 	MaxUtilization float64
+	// Preferred is the number of preferred endpoints of the object, see Objects; 0 counts
+	// as 1.
+	Preferred int
+	// Random is a random number from [0, 1) for the choice between several preferred
+	// endpoints.
+	Random float64
 	// Tried are the endpoints to which the request was sent already.
 	Tried []*Endpoint
 }
@@ -126,17 +131,26 @@
 		e.Upstream, e.Region, e.Usable, e.Registered, e.ColdWaiting, e.LimitWaiting, e.PreferredUtilization, e.MaxUtilization)
 }
 
+// Regions calls visit with the number of endpoints of each upstream and region.
+func (t *Table) Regions(visit func(serving Serving, endpoints int)) {
+	for name, regions := range t.upstreams {
+		for region, endpoints := range regions {
+			visit(Serving{Upstream: name, Region: region}, len(endpoints))
+		}
+	}
+}
+
 // Choose returns an endpoint and counts the request on it, or returns a *NoRoomError. The
 // caller must call End for the endpoint.
 func (t *Table) Choose(now time.Time, request Request) (*Endpoint, error) {
 	endpoints := t.upstreams[request.Upstream][request.Region]
 	for {
-		s := newSelection(now, request, endpoints)
+		s := newSelection(now, &request, endpoints)
 		best := s.best()
 		if best == nil {
 			return nil, &NoRoomError{Upstream: request.Upstream, Region: request.Region, Registered: len(endpoints),
 				Usable: s.usable, ColdWaiting: s.coldWaiting, LimitWaiting: s.limitWaiting,
-				PreferredUtilization: s.preferred.utilization, MaxUtilization: request.MaxUtilization}
+				PreferredUtilization: s.preferredUtilization(), MaxUtilization: request.MaxUtilization}
 		}
 		if best.takePermit(now) { // another request may have taken the last permit
 			best.beginRequest(now)
@@ -145,17 +159,6 @@
 	}
 }
 
-// newSelection compares the endpoints for a request.
-func newSelection(now time.Time, request Request, endpoints []*Endpoint) selection {
-	s := selection{now: now, request: request, leastLoaded: leastLoadedCandidate{utilization: math.Inf(1)}}
-	s.degradedAllowed = mostAreDegraded(now, endpoints)
-	s.spillDisabled = meanUtilization(now, endpoints) >= MaxRegionUtilizationForSpill
-	for _, e := range endpoints {
-		s.consider(e)
-	}
-	return s
-}
-
 // PausedFor returns the time until the first endpoint of an upstream in a region may get
 // requests again, or 0 if one wants them now. Endpoints that are leaving do not count.
 func (t *Table) PausedFor(now time.Time, upstream, region string) time.Duration {
@@ -184,121 +187,11 @@
 // meanUtilization returns the utilization of all endpoints together. Those whose slots are
 // out of use, or which name a limit, do not count.
 func meanUtilization(now time.Time, endpoints []*Endpoint) float64 {
-	inFlight, slots := 0, 0
+	var load regionLoad
 	for _, e := range endpoints {
-		if pause, stays := e.remainingPause(now); pause > 0 || !stays {
-			continue
-		}
-		if _, limited := e.Limit(now); limited {
-			continue
-		}
-		inFlight += e.totalInFlight(now)
-		slots += e.Slots
-	}
-	return float64(inFlight) / math.Max(float64(slots), 1)
-}
-
-// mostAreDegraded reports whether more endpoints are degraded than healthy. The cause is
-// then common to all of them, and choosing others would only move objects away from the
-// endpoints that have processed them before.
-func mostAreDegraded(now time.Time, endpoints []*Endpoint) bool {
-	counts := make([]int, healthy+1)
-	for _, e := range endpoints {
-		status, _ := e.status(now)
-		counts[status]++
-	}
-	return counts[degraded] > counts[healthy]
-}
-
-// rankedCandidate is the endpoint with the highest rank for the affinity key so far.
-type rankedCandidate struct {
-	endpoint    *Endpoint
-	rank        uint64
-	utilization float64
-}
-
-func (c *rankedCandidate) offer(e *Endpoint, rank uint64, utilization float64) {
-	if c.endpoint == nil || rank > c.rank {
-		*c = rankedCandidate{e, rank, utilization}
-	}
-}
-
-// leastLoadedCandidate is the endpoint with the lowest utilization so far.
-type leastLoadedCandidate struct {
-	endpoint    *Endpoint
-	utilization float64
-}
-
-// selection compares the endpoints for one request.
-type selection struct {
-	now     time.Time
-	request Request
-	// degradedAllowed is set if degraded endpoints are treated like healthy ones.
-	degradedAllowed bool
-	// spillDisabled is set if the request may only go to its preferred endpoint.
-	spillDisabled bool
-	// preferred is the endpoint with the highest rank for the affinity key, spill the one
-	// with the highest rank below MaxEndpointUtilizationForSpill.
-	preferred   rankedCandidate
-	spill       rankedCandidate
-	leastLoaded leastLoadedCandidate
-	// usable counts the endpoints that were compared, coldWaiting the cold ones without a
-	// permit, limitWaiting those whose limit allows no request now.
-	usable       int
-	coldWaiting  int
-	limitWaiting int
-}
-
-func (s *selection) consider(e *Endpoint) {
-	status, cold := e.status(s.now)
-	if status == unavailable || (status == degraded && !s.degradedAllowed) || s.tried(e) {
-		return
-	}
-	permitted := e.permitAvailable(s.now)
-	if cold && (!s.request.Local || !permitted) {
-		s.coldWaiting++
-		return
-	}
-	if !permitted {
-		s.limitWaiting++
-		return
-	}
-	s.usable++
-	utilization := float64(e.totalInFlight(s.now)) / float64(e.Slots)
-	if utilization < s.leastLoaded.utilization {
-		s.leastLoaded = leastLoadedCandidate{e, utilization}
-	}
-	if s.request.AffinityKey == 0 {
-		return
-	}
-	rank := rendezvousRank(s.request.AffinityKey, e.hash)
-	s.preferred.offer(e, rank, utilization)
-	if utilization < MaxEndpointUtilizationForSpill && !s.spillDisabled {
-		s.spill.offer(e, rank, utilization)
-	}
-}
-
-func (s *selection) tried(e *Endpoint) bool {
-	for _, tried := range s.request.Tried {
-		if tried == e {
-			return true
-		}
-	}
-	return false
-}
-
-// best returns the chosen endpoint, or nil.
-func (s *selection) best() *Endpoint {
-	if s.preferred.endpoint != nil && s.preferred.utilization < s.request.MaxUtilization {
-		return s.preferred.endpoint
-	}
-	if s.request.AffinityKey != 0 {
-		return s.spill.endpoint
-	}
-	if s.leastLoaded.utilization < math.Max(s.request.MaxUtilization, 1) {
-		return s.leastLoaded.endpoint
+		load.add(e.snapshot(now))
 	}
-	return nil
+	return load.utilization()
 }
 
 // AffinityKey returns the affinity key of the object with the given name on a route of an
