Use the whole load that endpoints report, and choose without locks

Of the load that an endpoint reports only the running and waiting requests were used, and malformed or impossible values were taken as they are. The speed of the endpoint's machine is now kept too. The speed is not used in a choice yet.

A choice copied the state of each endpoint under its lock.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -168,9 +168,7 @@
 		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
 	}
 	if answer != nil {
-		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
-			endpoint.SetReportedLoad(now, running+waiting)
-		}
+		e.applyReportedLoad(now, endpoint, answer)
 	}
 	if answer != nil && result != placement.Misdirected { // such an answer is of another endpoint
 		e.applyStatements(now, q, endpoint, answer, result)
--- a/internal/edge/endpoint_choice.go
+++ b/internal/edge/endpoint_choice.go
@@ -6,6 +6,7 @@
 
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/upstream"
 )
 
 // choice returns the request for an endpoint that was not attempted yet.
@@ -50,3 +51,17 @@
 	}
 	return reported
 }
+
+// applyReportedLoad applies the load that an endpoint reports in its answer.
+func (e *Edge) applyReportedLoad(now time.Time, endpoint *placement.Endpoint, answer *upstream.Answer) {
+	load, reported, err := e.ports.Callers.ParseReportedLoad(answer.Header)
+	if err != nil {
+		e.counters.implausibleLoads.Inc(1)
+		if endpoint.LogFault(now) {
+			e.log.Warn().Err(err).Str("endpoint", endpoint.ID).Msg("endpoint's reported load is used in part or not at all")
+		}
+	}
+	if reported {
+		endpoint.SetReportedLoad(now, load)
+	}
+}
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -34,6 +34,7 @@
 	storeCalls, storeFailures, messageFailures metrics.Counter
 	loans, returnedLoans, timedOutConns        metrics.Counter
 	handovers, handoverFailures                metrics.Counter
+	implausibleLoads                           metrics.Counter
 	latency                                    metrics.Timer
 }
 
@@ -52,6 +53,7 @@
 		handovers:        metrics.GetOrRegisterCounter("edge.handovers", registry),
 		handoverFailures: metrics.GetOrRegisterCounter("edge.handovers.not_taken", registry),
 		timedOutConns:    metrics.GetOrRegisterCounter("edge.callers.quiet_closed", registry),
+		implausibleLoads: metrics.GetOrRegisterCounter("edge.endpoints.implausible_loads", registry),
 		latency:          metrics.GetOrRegisterTimer("edge.latency", registry),
 	}
 }
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/placement"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/store"
 	"lovagescale/internal/upstream"
@@ -71,9 +72,10 @@
 	// PromisesNotRun reports whether a status tells callers that the request did not run
 	// and never will.
 	PromisesNotRun(status int) bool
-	// ParseReportedLoad returns the load that an endpoint reported in its answer.
-	// reported is false if there is none.
-	ParseReportedLoad(header http.Header) (running, waiting int, reported bool)
+	// ParseReportedLoad returns the load that an endpoint reported in its answer. reported
+	// is false if there is none that can be used. An error names a value that is malformed
+	// or implausible, also if the others can be used.
+	ParseReportedLoad(header http.Header) (load placement.ReportedLoad, reported bool, err error)
 }
 
 // LookupDialect is how the platform expresses lookups.
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -5,44 +5,34 @@
 	"time"
 )
 
-// snapshot is the state of an endpoint at the time of a choice.
-type snapshot struct {
-	endpoint *Endpoint
-	status   healthStatus
+// restriction is what restricts the use of an endpoint at the time of a choice.
+type restriction struct {
+	status healthStatus
 	// absent is set if the slots are out of use, limited if the endpoint names a limit,
 	// cold if it is cold. permitted is set if its limits allow a request now.
 	absent, limited, cold, permitted bool
-	inFlight                         int
 }
 
-// snapshot returns the state of the endpoint. A choice compares all endpoints of a region,
-// so the lock is taken once for each.
-func (e *Endpoint) snapshot(now time.Time) snapshot {
-	own := e.inFlight.Load()
-	s := snapshot{endpoint: e, inFlight: int(own + e.countOthers(now))}
+// isRestricted reports whether the use of the endpoint may be restricted. A choice takes the
+// locks of only those endpoints.
+func (e *Endpoint) isRestricted(nowNano, own int64) bool {
+	return nowNano < e.restrictedUntil.Load() || (own > 0 && nowNano-e.waitingSince.Load() >= int64(unresponsiveAfter))
+}
+
+// restriction returns what restricts the use of the endpoint.
+func (e *Endpoint) restriction(now time.Time, own int64) restriction {
 	e.mu.Lock()
-	s.absent = e.absent(now)
-	s.limited, s.cold = e.limit.isActive(now), e.coldLimiter.isActive(now)
-	s.permitted = (!s.limited && !s.cold) || e.permitted(now)
-	if !s.absent {
-		s.status = e.health.status(now, int(own))
+	defer e.mu.Unlock()
+	r := restriction{absent: e.absent(now), limited: e.limit.isActive(now), cold: e.coldLimiter.isActive(now), permitted: e.permitted(now)}
+	if !r.absent {
+		r.status = e.health.status(now, int(own))
 	}
-	e.mu.Unlock()
-	return s
+	return r
 }
 
-func (s *snapshot) utilization() float64 { return float64(s.inFlight) / float64(s.endpoint.Slots) }
-
 // regionLoad is the load of the endpoints of a region whose slots are in use and which name
 // no limit.
-type regionLoad struct{ inFlight, slots int }
-
-func (l *regionLoad) add(s snapshot) {
-	if !s.absent && !s.limited {
-		l.inFlight += s.inFlight
-		l.slots += s.endpoint.Slots
-	}
-}
+type regionLoad struct{ inFlight, slots int64 }
 
 func (l *regionLoad) utilization() float64 {
 	return float64(l.inFlight) / math.Max(float64(l.slots), 1)
@@ -62,12 +52,11 @@
 	top  [MaxPreferred]candidate
 	n    int
 	size int
+	// lowest is the rank above which a candidate is among them.
+	lowest uint64
 }
 
-func (r *ranking) offer(c candidate) {
-	if r.n == r.size && c.rank <= r.top[r.n-1].rank {
-		return
-	}
+func (r *ranking) add(c candidate) {
 	if r.n < r.size {
 		r.n++
 	}
@@ -76,6 +65,9 @@
 		r.top[i] = r.top[i-1]
 	}
 	r.top[i] = c
+	if r.n == r.size {
+		r.lowest = r.top[r.n-1].rank
+	}
 }
 
 // options are the best endpoints among those of one health.
@@ -86,17 +78,19 @@
 	usable                    int
 }
 
-func (o *options) offer(c candidate, objectKnown bool) {
+func (o *options) add(e *Endpoint, rank uint64, utilization float64, objectKnown bool) {
 	o.usable++
-	if o.leastLoaded.endpoint == nil || c.utilization < o.leastLoaded.utilization {
-		o.leastLoaded = c
+	if utilization < o.leastLoaded.utilization || o.leastLoaded.endpoint == nil {
+		o.leastLoaded.endpoint, o.leastLoaded.utilization = e, utilization
 	}
 	if !objectKnown {
 		return
 	}
-	offerRank(&o.first, c)
-	if c.utilization < MaxEndpointUtilizationForSpill {
-		offerRank(&o.spill, c)
+	if rank > o.first.rank || o.first.endpoint == nil {
+		o.first.endpoint, o.first.rank, o.first.utilization = e, rank, utilization
+	}
+	if utilization < MaxEndpointUtilizationForSpill && (rank > o.spill.rank || o.spill.endpoint == nil) {
+		o.spill.endpoint, o.spill.rank, o.spill.utilization = e, rank, utilization
 	}
 }
 
@@ -119,7 +113,8 @@
 // selection compares the endpoints for one request.
 type selection struct {
 	now     time.Time
-	request *Request
+	nowNano int64
+	request Request
 	// options are the best endpoints among the healthy ones, and among the degraded ones
 	// too if those are treated alike.
 	options
@@ -127,15 +122,15 @@
 	// preferred are the preferred endpoints of the object, usable or not.
 	preferred ranking
 	load      regionLoad
-	// degraded and healthy count the endpoints by health, coldWaiting the cold ones
-	// without a permit, limitWaiting those whose limit allows no request now.
-	degraded, healthy         int
+	// byHealth counts the endpoints by health, coldWaiting the cold ones without a permit,
+	// limitWaiting those whose limit allows no request now.
+	byHealth                  [healthy + 1]int
 	coldWaiting, limitWaiting int
 }
 
-// newSelection compares the endpoints for a request.
-func newSelection(now time.Time, request *Request, endpoints []*Endpoint) selection {
-	s := selection{now: now, request: request}
+// compare compares the endpoints for a request.
+func (s *selection) compare(now time.Time, request Request, endpoints []*Endpoint) {
+	*s = selection{now: now, nowNano: now.UnixNano(), request: request}
 	s.preferred.size = min(max(request.Preferred, 1), MaxPreferred)
 	for _, e := range endpoints {
 		s.consider(e)
@@ -143,54 +138,62 @@
 	if s.degradedAllowed() {
 		s.merge(&s.degradedOptions)
 	}
-	return s
 }
 
 // degradedAllowed reports whether degraded endpoints are treated like healthy ones, because
 // more endpoints are degraded than healthy. The cause is then common to all of them, and
 // choosing others would only move objects away from the endpoints that have processed them
 // before.
-func (s *selection) degradedAllowed() bool { return s.degraded > s.healthy }
+func (s *selection) degradedAllowed() bool { return s.byHealth[degraded] > s.byHealth[healthy] }
 
 func (s *selection) consider(e *Endpoint) {
-	state := e.snapshot(s.now)
-	s.load.add(state)
-	switch state.status {
-	case degraded:
-		s.degraded++
-	case healthy:
-		s.healthy++
+	own := e.inFlight.Load()
+	inFlight := own + e.countOthers(s.nowNano)
+	utilization := float64(inFlight) / float64(e.slots)
+	status, usable, counts := healthy, true, true
+	if e.isRestricted(s.nowNano, own) {
+		r := e.restriction(s.now, own)
+		status, usable, counts = r.status, s.isUsable(r), !r.absent && !r.limited
 	}
-	c := candidate{endpoint: e, utilization: state.utilization(), degraded: state.status == degraded}
-	c.usable = s.isUsable(&state)
-	if s.request.AffinityKey != 0 {
-		c.rank = rendezvousRank(s.request.AffinityKey, e.hash)
-		s.preferred.offer(c)
+	if len(s.request.Tried) > 0 && s.tried(e) {
+		usable = false
+	}
+	if counts {
+		s.load.inFlight += inFlight
+		s.load.slots += e.slots
+	}
+	s.byHealth[status]++
+	rank := uint64(0)
+	objectKnown := s.request.AffinityKey != 0
+	if objectKnown {
+		rank = rendezvousRank(s.request.AffinityKey, e.hash)
+		if rank > s.preferred.lowest || s.preferred.n < s.preferred.size {
+			s.preferred.add(candidate{e, rank, utilization, usable, status == degraded})
+		}
 	}
 	switch {
-	case !c.usable:
-	case c.degraded:
-		s.degradedOptions.offer(c, s.request.AffinityKey != 0)
+	case !usable:
+	case status == degraded:
+		s.degradedOptions.add(e, rank, utilization, objectKnown)
 	default:
-		s.offer(c, s.request.AffinityKey != 0)
+		s.add(e, rank, utilization, objectKnown)
 	}
 }
 
-// isUsable reports whether an endpoint may take the request, apart from its load and from
-// being degraded.
-func (s *selection) isUsable(state *snapshot) bool {
-	if state.status == unavailable || s.tried(state.endpoint) {
+// isUsable reports whether an endpoint may take the request, apart from its load, from
+// being degraded and from earlier attempts.
+func (s *selection) isUsable(r restriction) bool {
+	if r.status == unavailable {
 		return false
 	}
-	waits := state.cold && (!s.request.Local || !state.permitted)
-	switch {
-	case state.status == degraded: // counts as waiting only if it would be used
-	case waits:
+	if r.cold && (!s.request.Local || !r.permitted) {
 		s.coldWaiting++
-	case !state.permitted:
+		return false
+	}
+	if !r.permitted {
 		s.limitWaiting++
 	}
-	return !waits && state.permitted
+	return r.permitted
 }
 
 func (s *selection) tried(e *Endpoint) bool {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -12,13 +12,13 @@
 // Endpoint is one lifetime of an upstream's endpoint, with its load and health as this
 // instance knows them. It is safe for concurrent use.
 type Endpoint struct {
-	Record
-	// Region is the region of the endpoint's zone.
-	Region string
-	Pool   *upstream.Pool
+	// A choice reads the fields up to waitingSince of all endpoints of a region. They are
+	// together at the start, in one or two lines of the processor's cache.
 
 	// hash is the hash of the endpoint's identifier.
 	hash uint64
+	// slots is Record.Slots.
+	slots int64
 	// inFlight is the number of in-flight requests of this instance, othersInFlight that
 	// of the other instances, see SetOthersInFlight.
 	inFlight       atomic.Int64
@@ -27,6 +27,16 @@
 	// to the endpoint itself, at the time reportedAt in Unix nanoseconds.
 	reportedOthers atomic.Int64
 	reportedAt     atomic.Int64
+	// restrictedUntil and waitingSince copy the state under the lock, see unlock.
+	restrictedUntil atomic.Int64
+	waitingSince    atomic.Int64
+
+	Record
+	// Region is the region of the endpoint's zone.
+	Region string
+	Pool   *upstream.Pool
+
+	speed reportedSpeed
 	// othersMean is the moving average of the in-flight requests that the other instances
 	// reported. Only the control loop uses it.
 	othersMean float64
@@ -40,6 +50,33 @@
 	limit       namedLimit
 }
 
+// unlock releases the lock after a change. It publishes until when the state under the lock
+// restricts the use of the endpoint, and since when the endpoint owes an answer, so that a
+// choice takes the lock of restricted endpoints only.
+func (e *Endpoint) unlock() {
+	until := int64(0)
+	for _, t := range [...]time.Time{e.pausedUntil, e.health.unavailableUntil, e.health.degradedUntil, e.coldLimiter.until, e.limit.until} {
+		if !t.IsZero() {
+			until = max(until, t.UnixNano())
+		}
+	}
+	if e.departure != staying {
+		until = math.MaxInt64
+	}
+	e.restrictedUntil.Store(until)
+	if !e.health.waitingSince.IsZero() {
+		e.waitingSince.Store(e.health.waitingSince.UnixNano())
+	}
+	e.mu.Unlock()
+}
+
+// restore takes over what was known of an earlier endpoint of the same run.
+func (e *Endpoint) restore(last lastRun) {
+	e.mu.Lock()
+	defer e.unlock()
+	e.departure, e.limit = last.departure, last.limit
+}
+
 // departure is what this instance knows of an endpoint's leaving.
 type departure uint8
 
@@ -53,7 +90,7 @@
 
 // newEndpoint returns the endpoint of a record.
 func newEndpoint(record Record, region string, pool *upstream.Pool) *Endpoint {
-	return &Endpoint{Record: record, Region: region, Pool: pool, hash: hashString(record.ID)}
+	return &Endpoint{Record: record, Region: region, Pool: pool, hash: hashString(record.ID), slots: int64(record.Slots)}
 }
 
 // reportedLoadLifetime is how long the load that an endpoint reported itself counts.
@@ -61,21 +98,14 @@
 
 // countOthers returns the number of in-flight requests of the other instances. It takes the
 // larger of what they and the endpoint reported.
-func (e *Endpoint) countOthers(now time.Time) int64 {
+func (e *Endpoint) countOthers(nowNano int64) int64 {
 	others := e.othersInFlight.Load()
-	if now.UnixNano()-e.reportedAt.Load() < int64(reportedLoadLifetime) {
+	if nowNano-e.reportedAt.Load() < int64(reportedLoadLifetime) {
 		others = max(others, e.reportedOthers.Load())
 	}
 	return others
 }
 
-// SetReportedLoad stores the number of in-flight requests that the endpoint reported
-// itself.
-func (e *Endpoint) SetReportedLoad(now time.Time, inFlight int) {
-	e.reportedOthers.Store(max(int64(inFlight)-e.inFlight.Load(), 0))
-	e.reportedAt.Store(now.UnixNano())
-}
-
 // InFlight returns the number of in-flight requests of this instance.
 func (e *Endpoint) InFlight() int { return int(e.inFlight.Load()) }
 
@@ -95,7 +125,7 @@
 // beginRequest counts a request as in flight.
 func (e *Endpoint) beginRequest(now time.Time) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	if e.inFlight.Add(1) == 1 {
 		e.health.waitingSince = now
 	}
@@ -113,7 +143,7 @@
 // already, and returns what was known before.
 func (e *Endpoint) raiseDeparture(d departure) departure {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	known := e.departure
 	e.departure = max(known, d)
 	return known
@@ -128,7 +158,7 @@
 // Pause records that the endpoint wants no requests of this instance until the given time.
 func (e *Endpoint) Pause(until time.Time) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	if until.After(e.pausedUntil) {
 		e.pausedUntil = until
 	}
@@ -162,7 +192,7 @@
 // request from this instance per interval.
 func (e *Endpoint) SetCold(now, until time.Time, interval time.Duration) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	e.coldLimiter.start(now, until, interval)
 }
 
@@ -170,7 +200,7 @@
 // endpoint at all.
 func (e *Endpoint) ForgetOutage(now time.Time) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	e.health = health{latencyRatio: e.health.latencyRatio, waitingSince: now}
 }
 
@@ -208,7 +238,7 @@
 // attempt divided by the usual one for its route, or 0 if unknown.
 func (e *Endpoint) endRequest(now time.Time, result Result, latencyRatio float64) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	e.inFlight.Add(-1)
 	e.health.recordResult(now, result, latencyRatio)
 }
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -80,7 +80,7 @@
 // whether that changed.
 func (e *Endpoint) SetNamedLimit(now time.Time, perSecond float64, named bool) bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	l := &e.limit
 	active := l.isActive(now)
 	if !named {
@@ -98,7 +98,7 @@
 // named to this one lately goes before.
 func (e *Endpoint) applyReportedLimit(now time.Time, perSecond float64) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	l := &e.limit
 	if now.Sub(l.absentAt) < limitAbsentTime || now.Sub(l.heardAt) < reportedLimitLifetime {
 		return
@@ -134,7 +134,7 @@
 // endpoint's limit, or 0 if it sends none.
 func (e *Endpoint) SetLimitInterval(now time.Time, interval time.Duration) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	if e.limit.interval == 0 && interval > 0 {
 		e.limit.nextPermit = now.Add(interval) // the sender before this one may have used the last permit just now
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -193,7 +193,7 @@
 		t.Endpoint("e0").SetOthersInFlight(6)
 		Expect(choose(t, start, request(1))).To(BeEmpty())
 		t = registryOf(1).Table()
-		t.Endpoint("e0").SetReportedLoad(start, 6)
+		t.Endpoint("e0").SetReportedLoad(start, placement.ReportedLoad{Running: 4, Waiting: 2})
 		Expect(choose(t, start, request(1))).To(BeEmpty())
 		Expect(choose(t, start.Add(time.Second), request(1))).To(Equal("e0"))
 	})
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -69,7 +69,7 @@
 		r.Remove(record.ID)
 		known = newEndpoint(record, r.zoneRegions[record.Zone], r.newPool(record))
 		if seen && latest.StartMillis == record.StartMillis {
-			known.departure, known.limit = r.latest[record.ID].departure, r.latest[record.ID].limit
+			known.restore(r.latest[record.ID])
 		}
 		r.endpoints[record.ID] = known
 	}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -144,8 +144,9 @@
 // caller must call End for the endpoint.
 func (t *Table) Choose(now time.Time, request Request) (*Endpoint, error) {
 	endpoints := t.upstreams[request.Upstream][request.Region]
+	var s selection
 	for {
-		s := newSelection(now, &request, endpoints)
+		s.compare(now, request, endpoints)
 		best := s.best()
 		if best == nil {
 			return nil, &NoRoomError{Upstream: request.Upstream, Region: request.Region, Registered: len(endpoints),
@@ -189,7 +190,11 @@
 func meanUtilization(now time.Time, endpoints []*Endpoint) float64 {
 	var load regionLoad
 	for _, e := range endpoints {
-		load.add(e.snapshot(now))
+		own := e.inFlight.Load()
+		if r := e.restriction(now, own); !r.absent && !r.limited {
+			load.inFlight += own + e.countOthers(now.UnixNano())
+			load.slots += e.slots
+		}
 	}
 	return load.utilization()
 }
