--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -259,13 +259,17 @@
 	return s.chooseOfTwo(taking[:n])
 }
 
-// preferredUtilization returns the utilization of the preferred endpoint for the error of a
-// request that found no room, or 0 if none is usable.
-func (s *selection) preferredUtilization() float64 {
-	if s.request.AffinityKey == 0 {
-		return 0
+// noRoom returns the error of a request for which there is no endpoint among the registered
+// ones.
+func (s *selection) noRoom(registered int) *NoRoomError {
+	e := &NoRoomError{Upstream: s.request.Upstream, Region: s.request.Region, Registered: registered,
+		Usable: s.usable, ColdWaiting: s.coldWaiting, LimitWaiting: s.limitWaiting, MaxUtilization: s.request.MaxUtilization}
+	if s.request.AffinityKey != 0 {
+		preferred := s.bestPreferred()
+		e.PreferredUtilization = preferred.utilization
+		e.TooLate = preferred.endpoint != nil && preferred.utilization < s.request.MaxUtilization
 	}
-	return s.bestPreferred().utilization
+	return e
 }
 
 // utilizationScale is the difference of utilization from which the less loaded of two
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -259,6 +259,8 @@
 	Leaving        bool    `json:"leaving"`
 	// PauseMillis is how much longer the endpoint wants no requests of this instance.
 	PauseMillis int64 `json:"pause_ms"`
+	// SpeedPercent is how long work is expected to take, in percent of the usual time.
+	SpeedPercent int `json:"speed_percent"`
 	// LimitPerSecond is the rate that the endpoint takes from all instances together;
 	// absent without a limit.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
@@ -273,7 +275,8 @@
 		InFlight: e.InFlight(), OthersInFlight: int(e.othersInFlight.Load()),
 		LatencyRatio: e.health.latencyRatio, FailureRate: e.health.failureRate,
 		Usable: !e.absent(now) && e.health.status(now, e.InFlight()) == healthy, Cold: e.coldLimiter.isActive(now),
-		Leaving: e.departure != staying, PauseMillis: max(e.pausedUntil.Sub(now), 0).Milliseconds(),
+		SpeedPercent: int(math.Round(UsualSpeed * e.SpeedFactor(now))),
+		Leaving:      e.departure != staying, PauseMillis: max(e.pausedUntil.Sub(now), 0).Milliseconds(),
 	}
 	if e.limit.isActive(now) {
 		perSecond := e.limit.perSecond
--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -21,8 +21,8 @@
 	// trials with endpoints that keep 10 to 13 objects warm, two preferred endpoints served
 	// more requests within their objective up to about 6 objects, three up to about 3;
 	// above, first runs cost more than the better distribution gains.
-	raiseObjects = [MaxPreferred + 1]float64{2: 5.5, 3: 2.5}
-	lowerObjects = [MaxPreferred + 1]float64{2: 6.5, 3: 3.2}
+	raiseObjects = [MaxPreferred + 1]float64{2: 6, 3: 3}
+	lowerObjects = [MaxPreferred + 1]float64{2: 7.5, 3: 3.8}
 )
 
 const (
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -6,6 +6,10 @@
 // and publishes an immutable Table. The goroutines that serve requests choose endpoints
 // from the Table and count their in-flight requests on them.
 //
+// Where each endpoint holds few objects, an object has several preferred endpoints, and the
+// one with the earlier expected completion takes the request; see Objects and
+// docs/design/placement.md.
+//
 // The load of an endpoint is the number of in-flight requests of this instance and of the
 // other instances as last reported. An endpoint that is slow, fails often or does not
 // answer is ejected for a while. A cold endpoint gets requests at a limited rate and only
@@ -13,6 +17,8 @@
 //
 // Failure modes: without reports of the other instances the load is underestimated, so
 // that endpoints queue or refuse requests. Refusals count as failures of the endpoint.
+// Without estimates of the number of objects an object has one preferred endpoint; without
+// recent speeds all endpoints count as equally fast.
 // When a region has no usable endpoint, its share goes to the other regions at once.
 package placement
 
@@ -131,12 +137,19 @@
 	// PreferredUtilization is the utilization of the preferred endpoint, MaxUtilization
 	// the utilization below which it takes the request.
 	PreferredUtilization, MaxUtilization float64
+	// TooLate is set if the preferred endpoint would take the request but is expected to
+	// end it after its deadline.
+	TooLate bool
 }
 
 // Error implements the error interface.
 func (e *NoRoomError) Error() string {
-	return fmt.Sprintf("upstream %q has no room in region %q: %d of %d endpoints are usable, %d cold ones have no permit, %d have reached their limit; the preferred endpoint's utilization is %.2f, the limit %.2f",
-		e.Upstream, e.Region, e.Usable, e.Registered, e.ColdWaiting, e.LimitWaiting, e.PreferredUtilization, e.MaxUtilization)
+	late := ""
+	if e.TooLate {
+		late = "; there the request is expected to end after its deadline"
+	}
+	return fmt.Sprintf("upstream %q has no room in region %q: %d of %d endpoints are usable, %d cold ones have no permit, %d have reached their limit; the preferred endpoint's utilization is %.2f, the limit %.2f%s",
+		e.Upstream, e.Region, e.Usable, e.Registered, e.ColdWaiting, e.LimitWaiting, e.PreferredUtilization, e.MaxUtilization, late)
 }
 
 // Regions calls visit with the number of endpoints of each upstream and region.
@@ -157,9 +170,7 @@
 		s.compare(now, request, endpoints)
 		best := s.best()
 		if best == nil {
-			return nil, &NoRoomError{Upstream: request.Upstream, Region: request.Region, Registered: len(endpoints),
-				Usable: s.usable, ColdWaiting: s.coldWaiting, LimitWaiting: s.limitWaiting,
-				PreferredUtilization: s.preferredUtilization(), MaxUtilization: request.MaxUtilization}
+			return nil, s.noRoom(len(endpoints))
 		}
 		if best.takePermit(now) { // another request may have taken the last permit
 			best.beginRequest(now)
