React less to old reports in the choice between preferred endpoints

The scale of the difference is 0.8 instead of 0.5 of a mean run.

The number of preferred endpoints falls back at 7 and 3.4 objects for each endpoint, since endpoints that keep 10 objects warm lose 4% with three of them at 3.6 objects.

--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -14,8 +14,10 @@
 	waitWeight = 1.5
 	// completionScale is the difference of expected completion, as a multiple of the mean
 	// run, from which the earlier of two endpoints takes all requests, see
-	// utilizationScale.
-	completionScale = 0.5
+	// utilizationScale. A smaller one reacts more to speeds, a larger one less to old
+	// reports: 0.5 served 0.2% more requests within their objective with reports 350 ms
+	// old, 0.8 served 0.8% more with reports 1 s old.
+	completionScale = 0.8
 )
 
 // expectedWait returns the time in seconds for which a request waits behind the given
--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -22,7 +22,7 @@
 	// more requests within their objective up to about 6 objects, three up to about 3;
 	// above, first runs cost more than the better distribution gains.
 	raiseObjects = [MaxPreferred + 1]float64{2: 6, 3: 3}
-	lowerObjects = [MaxPreferred + 1]float64{2: 7.5, 3: 3.8}
+	lowerObjects = [MaxPreferred + 1]float64{2: 7, 3: 3.4}
 )
 
 const (
