Don't divide run times by a speed that is not trusted

A speed that had been the same for 5 s was ignored in the choice, but run times were still divided by it, so that an endpoint that always reported 500 made the learned run times of its route too short. The speed is now dropped before both uses.

--- a/internal/edge/endpoint_choice.go
+++ b/internal/edge/endpoint_choice.go
@@ -94,7 +94,7 @@
 		}
 	}
 	if reported {
-		endpoint.SetReportedLoad(now, load)
+		return endpoint.SetReportedLoad(now, load)
 	}
 	return load
 }
--- a/internal/placement/driver_test.go
+++ b/internal/placement/driver_test.go
@@ -229,7 +229,7 @@
 			speed = d.stated(index, speed)
 		}
 		load, _ := placement.ReportedLoad{Running: e.running, Waiting: len(e.queue), Slots: d.slots, Speed: speed}.Bounded()
-		chosen.SetReportedLoad(d.time(), load)
+		load = chosen.SetReportedLoad(d.time(), load)
 		took := d.now - sent
 		ratio := 0.0
 		if result == placement.Answered {
--- a/internal/placement/reported.go
+++ b/internal/placement/reported.go
@@ -99,8 +99,9 @@
 	return 1 + weight*(float64(entry&0xffff)/UsualSpeed-1)
 }
 
-// SetReportedLoad stores the load that the endpoint reported to this instance.
-func (e *Endpoint) SetReportedLoad(now time.Time, load ReportedLoad) {
+// SetReportedLoad stores the load that the endpoint reported to this instance. It returns
+// the load without a speed that is not trusted.
+func (e *Endpoint) SetReportedLoad(now time.Time, load ReportedLoad) ReportedLoad {
 	e.reportedOthers.Store(max(int64(load.Running+load.Waiting)-e.inFlight.Load(), 0))
 	e.reportedAt.Store(now.UnixNano())
 	r, millis := &e.speed, now.UnixMilli()
@@ -109,9 +110,13 @@
 	}
 	r.ownAt.Store(millis)
 	frozen := load.Speed != UsualSpeed && millis-r.ownSince.Load() > frozenAfter.Milliseconds()
-	if load.Speed > 0 && !frozen {
+	if frozen {
+		load.Speed = 0
+	}
+	if load.Speed > 0 {
 		r.store(now, load.Speed)
 	}
+	return load
 }
 
 // LogFault reports whether a faulty report of the endpoint is to be logged now.
--- a/internal/placement/reported_test.go
+++ b/internal/placement/reported_test.go
@@ -74,6 +74,8 @@
 		for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(100 * time.Millisecond) {
 			e.SetReportedLoad(at, placement.ReportedLoad{Speed: 1900})
 		}
+		used := e.SetReportedLoad(start.Add(10*time.Second), placement.ReportedLoad{Speed: 1900})
+		Expect(used.Speed).To(BeZero(), "run times must not be divided by it")
 		Expect(e.SpeedFactor(start.Add(10 * time.Second))).To(Equal(1.0))
 	})
 })
--- a/internal/placement/runtimes.go
+++ b/internal/placement/runtimes.go
@@ -50,8 +50,8 @@
 func NewRunTimes() *RunTimes { return &RunTimes{routes: make(map[runKey]*runTimes)} }
 
 // Observe records the duration of a run, with the load that the endpoint reported in its
-// answer. Runs that may have waited at the endpoint, and runs without a report, tell
-// nothing of the work. It reports whether the run is taken for a first run.
+// answer. Runs that may have waited at the endpoint tell nothing of the work; without a
+// speed the machine counts as fast as usual. It reports whether the run is taken for a first run.
 func (t *RunTimes) Observe(serving Serving, route string, took time.Duration, load ReportedLoad) (first bool) {
 	if took <= 0 || load.Waiting > 0 {
 		return false
