--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -152,14 +152,7 @@
 
 // chooseEndpoint returns an endpoint of the request's region that was not attempted yet.
 func (e *Edge) chooseEndpoint(q *request, attempts []attempt) (*placement.Endpoint, error) {
-	want := placement.Request{
-		Upstream: q.upstream, Region: q.region, Local: q.region == e.settings.Region,
-		AffinityKey: q.affinityKey, MaxUtilization: e.maxUtilization(q),
-	}
-	for _, a := range attempts {
-		want.Tried = append(want.Tried, a.endpoint)
-	}
-	return e.table.Load().Choose(time.Now(), want)
+	return e.table.Load().Choose(time.Now(), e.choice(q, attempts))
 }
 
 // attempt sends the request to one endpoint and records the result.
@@ -167,21 +160,22 @@
 	outgoing := q.outgoing
 	outgoing.Instance = endpoint.ID
 	started := time.Now()
+	expected := e.expectedCompletion(started, q, endpoint)
 	answer, err := endpoint.Pool.Exchange(ctx, &outgoing)
 	now := time.Now()
 	result := e.classify(ctx, answer, err)
 	e.counters.recordAttempt(result)
 	e.recordReach(now, endpoint, result)
+	var load placement.ReportedLoad
+	if answer != nil {
+		load = e.applyReportedLoad(now, endpoint, answer)
+	}
 	latencyRatio := 0.0
 	if result == placement.Answered {
 		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
+		e.recordCompletion(q, endpoint, expected, now.Sub(started), load)
 	}
 	e.recordSlotTime(q, endpoint, result, now.Sub(started), latencyRatio)
-	if answer != nil {
-		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
-			endpoint.SetReportedLoad(now, running+waiting)
-		}
-	}
 	if answer != nil && result != placement.Misdirected { // such an answer is of another endpoint
 		e.applyStatements(now, q, endpoint, answer, result)
 	}
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -35,6 +35,7 @@
 	members := []Status{v.self}
 	sum := newActivitySum()
 	sum.add(own)
+	sum.speeds.add(own.Speeds, 0)
 	overdue := make(map[string]int64)
 	for _, p := range v.peers {
 		if p.status.Member.Region != v.self.Member.Region || !p.reportedWithin(now, SilentAfter) {
@@ -42,6 +43,7 @@
 		}
 		members = append(members, p.status)
 		sum.add(p.activity)
+		sum.speeds.add(p.activity.Speeds, now.Sub(p.reportedAt))
 		if silence := now.Sub(p.reportedAt); silence > overdueAfter {
 			overdue[p.status.Member.Instance] = silence.Milliseconds()
 		}
@@ -79,7 +81,7 @@
 			continue
 		}
 		if !slices.Contains(report.UsedRegions, region) {
-			digest.Activity.EndpointLoads = nil
+			digest.Activity.EndpointLoads, digest.Activity.Speeds = nil, nil
 		}
 		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand = nil, nil // the totals contain them
 		digests = append(digests, digest)
@@ -212,6 +214,8 @@
 	// CallerAnswers are the answers to the instances of all regions, by the upstream and the
 	// region of the endpoints that gave them.
 	CallerAnswers map[AnswersKey]AnswerRates
+	// Objects are the largest estimates of the number of objects, by upstream and region.
+	Objects map[[2]string]float32
 }
 
 // DemandOutsideZone returns the demand of workspaces on all zones but this instance's.
@@ -228,6 +232,9 @@
 
 // add adds the activity of a region if sign is 1, and subtracts it if sign is -1.
 func (a *PeerActivity) add(region string, activity Activity, sign int) {
+	if sign > 0 {
+		objectCounts(a.Objects).add(activity.Objects)
+	}
 	for _, load := range activity.EndpointLoads {
 		a.EndpointLoads[load.Endpoint] += sign * load.InFlight
 	}
@@ -255,6 +262,7 @@
 		UpstreamDemand:  make(map[string][]UpstreamDemand),
 		UpstreamAnswers: make(map[string]UpstreamAnswers),
 		CallerAnswers:   make(map[AnswersKey]AnswerRates),
+		Objects:         make(map[[2]string]float32),
 	}
 	localRegion := v.self.Member.Region
 	delegate := v.IsDelegate(now)
@@ -286,6 +294,8 @@
 	leaving         map[LeavingEndpoint]bool
 	limits          map[endpointRun]float32
 	remoteAnswers   remoteAnswersSum
+	objects         objectCounts
+	speeds          speedReports
 }
 
 // endpointRun identifies a run of an endpoint.
@@ -303,10 +313,13 @@
 		leaving:         make(map[LeavingEndpoint]bool),
 		limits:          make(map[endpointRun]float32),
 		remoteAnswers:   make(remoteAnswersSum),
+		objects:         make(objectCounts),
+		speeds:          make(speedReports),
 	}
 }
 
 func (s *activitySum) add(a Activity) {
+	s.objects.add(a.Objects)
 	for _, load := range a.EndpointLoads {
 		s.endpointLoads[load.Endpoint] += load.InFlight
 	}
@@ -336,7 +349,7 @@
 }
 
 func (s *activitySum) activity() Activity {
-	var a Activity
+	a := Activity{Objects: s.objects.list(), Speeds: s.speeds.list()}
 	for _, endpoint := range slices.Sorted(maps.Keys(s.endpointLoads)) {
 		a.EndpointLoads = append(a.EndpointLoads, EndpointLoad{Endpoint: endpoint, InFlight: s.endpointLoads[endpoint]})
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -136,6 +136,11 @@
 	// SlotDemand is the demand on slots. Its rows refer to WorkspaceDemand. Digests for members
 	// omit it.
 	SlotDemand []SlotDemand `msgpack:"o,omitempty"`
+	// Objects are the estimated numbers of objects of upstreams.
+	Objects []UpstreamObjects `msgpack:"j,omitempty"`
+	// Speeds are the recent speeds of endpoints that are not as usual. Digests for members
+	// omit those of regions that the member does not use.
+	Speeds []EndpointSpeed `msgpack:"v,omitempty"`
 }
 
 // EndpointLimit is the limit that a run of an endpoint names for all instances together.
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -69,7 +69,7 @@
 		r.Remove(record.ID)
 		known = newEndpoint(record, r.zoneRegions[record.Zone], r.newPool(record))
 		if seen && latest.StartMillis == record.StartMillis {
-			known.departure, known.limit = r.latest[record.ID].departure, r.latest[record.ID].limit
+			known.restore(r.latest[record.ID])
 		}
 		r.endpoints[record.ID] = known
 	}
@@ -192,6 +192,7 @@
 	t := NewTable()
 	for id, e := range r.endpoints {
 		t.byID[id] = e
+		t.byHash[uint32(e.hash)] = e
 		if r.latest[id].Draining || r.evacuated[e.Zone] {
 			continue
 		}
