Run the pipelined idempotent requests of a connection at the same time

Cause: net/http reads the next request of a connection only after the response to the one before, so that callers that pipeline wait for their slowest request, and the deadlines of the others run out.

Change: internal/pipeline wraps the callers' connections and the handler. While net/http waits for a disconnect of the caller, the bytes behind the current request are read ahead (8 requests, 64 KB) and idempotent requests are started into buffered responses, which net/http writes in order.

--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 )
 
@@ -30,6 +31,8 @@
 	Endpoints   []placement.Description `json:"endpoints"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
+	// Pipelines are the callers' connections with requests that were started early.
+	Pipelines []pipeline.Description `json:"pipelines"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -92,6 +95,7 @@
 		}
 	})
 	d.Traffic = e.peerTraffic(d.Peers)
+	d.Pipelines = e.describePipelines(time.Now())
 	if c := e.catalog.Load(); c != nil {
 		d.Version = c.Version
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"lovagescale/internal/link"
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/operator"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
@@ -118,6 +119,7 @@
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
 	bodyMemory bodyMemory
+	pipelines  atomic.Pointer[pipeline.Listener]
 	counters   counters
 }
 
--- /dev/null
+++ b/internal/edge/pipelining.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"lovagescale/internal/catalog"
+	"lovagescale/internal/pipeline"
+)
+
+// pipelined returns a listener whose connections may have several requests in flight.
+func (e *Edge) pipelined(listener net.Listener) net.Listener {
+	l := pipeline.NewListener(listener, pipeline.Options{
+		Draining: e.leaving.Load, Registry: e.registry, Prefix: "edge.", Log: e.log,
+	})
+	e.pipelines.Store(l)
+	return l
+}
+
+// pipelineContext is the ConnContext callback of the http.Server.
+func pipelineContext(ctx context.Context, conn net.Conn) context.Context {
+	if accepted, ok := conn.(*callerConn); ok {
+		return pipeline.ConnContext(ctx, accepted.Conn)
+	}
+	return ctx
+}
+
+// mayBegin reports whether a request may be started while earlier ones of its connection
+// are not answered yet.
+func (e *Edge) mayBegin(r *http.Request) bool {
+	c := e.catalog.Load()
+	if c == nil {
+		return false
+	}
+	route, found := c.Match(r.Host, pathOf(r))
+	return found && route.Kind == catalog.Idempotent
+}
+
+// describePipelines returns the callers' connections with requests that were started early.
+func (e *Edge) describePipelines(now time.Time) []pipeline.Description {
+	if l := e.pipelines.Load(); l != nil {
+		return l.Describe(now)
+	}
+	return nil
+}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -10,6 +10,7 @@
 	"lovagescale/internal/call"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/header"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
@@ -66,7 +67,7 @@
 // ServeHTTP implements http.Handler for callers.
 func (e *Edge) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.counters.requests.Inc(1)
-	if e.leaving.Load() {
+	if e.leaving.Load() && !pipeline.Followed(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := e.readRequest(w, r)
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"lovagescale/internal/pipeline"
 )
 
 // Times of a planned stop.
@@ -21,9 +23,10 @@
 // it is not ready, still accepts requests of callers that have not noticed, closes idle
 // connections, and finally waits for the requests in flight.
 func (e *Edge) serveCallers(ctx context.Context, listener net.Listener) error {
-	conns := newCallerConns(listener)
+	conns := newCallerConns(e.pipelined(listener))
 	server := &http.Server{
-		Handler:        e,
+		Handler:        pipeline.Handler(e, e.mayBegin),
+		ConnContext:    pipelineContext,
 		ConnState:      conns.track,
 		MaxHeaderBytes: maxReadHeaderBytes,
 	}
--- /dev/null
+++ b/internal/pipeline/conn.go
@@ -0,0 +1,267 @@
+package pipeline
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// phase is what the server does with the connection.
+type phase int
+
+const (
+	// readingHead means that the server waits for a request or reads its head.
+	readingHead phase = iota
+	// headRead means that the server has the whole head but has not called the handler.
+	headRead
+	// serving means that the handler has been called. The server may still read the body.
+	serving
+	// opaque means that the ends of requests are unknown. All bytes are passed on as they
+	// are, and nothing is read ahead.
+	opaque
+)
+
+// Bounds of the buffer of a connection in bytes.
+const (
+	minBufferBytes = 4 << 10
+	// maxIdleBufferBytes is the size up to which an empty buffer is kept.
+	maxIdleBufferBytes = 4 << 10
+)
+
+// Bounds of the closing of a connection whose caller may have sent more requests. Closing
+// it with unread bytes resets it, which can destroy responses that the caller has not
+// read.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// conn is a caller's connection. The server reads it from one goroutine at a time and calls
+// the handler while it reads one byte in the background.
+//
+// The server never gets bytes of two requests in one read, so that it has no bytes of the
+// next request while it handles one.
+type conn struct {
+	net.Conn
+	listener *Listener
+	// changed gets a value when reads that wait for room should check again.
+	changed chan struct{}
+
+	mu     sync.Mutex
+	phase  phase
+	buffer buffer
+	// delivered is the number of bytes that the server has got.
+	delivered int64
+	// scanner is the progress in the head that the server reads.
+	scanner headScanner
+	// bodyLeft is how many bytes of the body the server has not got. It is valid while
+	// the phase is serving.
+	bodyLeft int64
+	// aborted is set while the server stops reads with a deadline in the past.
+	aborted bool
+	// ended is the error that has ended the caller's byte stream, or nil.
+	ended error
+	// reading is set while a read of the inner connection is in progress.
+	reading bool
+	// pipelined is set once bytes were read ahead.
+	pipelined bool
+	readAhead readAhead
+}
+
+func newConn(inner net.Conn, l *Listener) *conn {
+	return &conn{Conn: inner, listener: l, changed: make(chan struct{}, 1), buffer: buffer{memory: l.options.Memory}}
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	if len(p) == 1 && c.inBackground() {
+		return c.readInBackground(p)
+	}
+	c.mu.Lock()
+	c.advance()
+	if c.ended != nil {
+		c.mu.Unlock()
+		return 0, c.ended
+	}
+	if data := c.buffer.bytes(); len(data) > 0 {
+		n := c.deliver(data[:min(len(data), len(p))])
+		copy(p, data[:n])
+		c.buffer.discard(n)
+		c.mu.Unlock()
+		return n, nil
+	}
+	c.reading = true
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+	if c.ended != nil {
+		return 0, c.ended
+	}
+	delivered := c.deliver(p[:n])
+	if delivered < n {
+		c.buffer.append(p[delivered:n])
+		return delivered, nil // the next read returns the error
+	}
+	return n, err
+}
+
+// inBackground reports whether the server reads one byte only to notice a disconnect
+// while the handler runs. All other reads of one byte are in a head.
+func (c *conn) inBackground() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == headRead || c.phase == serving && c.bodyLeft == 0
+}
+
+// advance changes the phase when the server reads more than what belongs to the request
+// that it handles. The caller must hold mu.
+func (c *conn) advance() {
+	switch {
+	case c.phase == headRead: // the server has handled the request without the handler
+		c.becomeOpaque()
+	case c.phase == serving && c.bodyLeft == 0:
+		c.phase, c.scanner, c.readAhead.current = readingHead, headScanner{}, nil
+	}
+}
+
+// becomeOpaque gives up reading ahead. The caller must hold mu.
+func (c *conn) becomeOpaque() {
+	c.phase = opaque
+	c.cancelEarly("the ends of its requests are unknown")
+}
+
+// deliver returns how many of the bytes that come next the server gets now. The caller
+// must hold mu.
+func (c *conn) deliver(data []byte) int {
+	n := len(data)
+	switch c.phase {
+	case readingHead:
+		var ended bool
+		if n, ended = c.scanner.scan(data); ended {
+			c.phase = headRead
+		}
+	case serving:
+		n = int(min(int64(n), c.bodyLeft))
+		c.bodyLeft -= int64(n)
+	}
+	c.delivered += int64(n)
+	return n
+}
+
+// SetReadDeadline implements net.Conn. The server ends its background read with a deadline
+// in the past.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	c.aborted = !t.IsZero() && !t.After(time.Now())
+	if c.aborted {
+		c.notify()
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
+// notify wakes a read that waits for room.
+func (c *conn) notify() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+// end records that the caller's byte stream has ended, and cancels the requests that were
+// started early. The caller must hold mu.
+func (c *conn) end(err error, reason string) {
+	if c.ended == nil {
+		c.ended = err
+	}
+	c.cancelEarly(reason)
+	c.buffer.drop()
+	c.notify()
+}
+
+// CloseWrite closes the sending side of the connection if it supports that. No response
+// follows, so the requests that were started early are cancelled.
+func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	c.cancelEarly("a response closes the connection")
+	c.readAhead.blocked = true
+	c.mu.Unlock()
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return nil
+}
+
+// Close implements net.Conn. It cancels the requests that were started early.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	linger := (c.pipelined || c.buffer.len() > 0) && c.ended == nil && !c.reading // a read in progress must end now
+	c.end(net.ErrClosed, "the connection is closed")
+	c.mu.Unlock()
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && closer.CloseWrite() == nil {
+		go c.discardAndClose()
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// discardAndClose discards what the caller still sends and closes the connection.
+func (c *conn) discardAndClose() {
+	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // the caller may have closed it
+	}
+	_ = c.Conn.Close() // nothing can be done about a connection that fails to close
+}
+
+// serve records that the server has called the handler with r, and starts requests behind
+// it. It returns the early request that r is, or nil if r was not started early.
+func (c *conn) serve(h *handler, r *http.Request) *earlyRequest {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != headRead {
+		c.becomeOpaque()
+		return nil
+	}
+	a := &c.readAhead
+	c.phase, a.handler = serving, h
+	if a.context == nil {
+		a.context = context.WithoutCancel(r.Context())
+	}
+	e := c.takeEarly(r)
+	switch {
+	case e != nil:
+		c.bodyLeft = e.end - e.headEnd
+	case !c.frameBody(r):
+		c.becomeOpaque()
+		return nil
+	default:
+		a.current, a.blocked, a.next, a.parser = r, false, c.delivered+c.bodyLeft, parser{}
+	}
+	a.last = a.last || r.Close || !r.ProtoAtLeast(1, 1)
+	c.startEarly()
+	c.notify()
+	return e
+}
+
+// frameBody determines the size of the body of r, of which the server has got nothing. ok
+// is false if it is unknown. The caller must hold mu.
+func (c *conn) frameBody(r *http.Request) (ok bool) {
+	c.bodyLeft = r.ContentLength
+	switch {
+	case r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "":
+		return false
+	case r.ContentLength < 0:
+		c.bodyLeft, ok = chunkedBodyBytes(c.buffer.bytes())
+		return ok
+	}
+	return true
+}
+
+// peerClosed reports whether the caller has closed its side of the connection, also if
+// unread bytes precede the end.
+func (c *conn) peerClosed() bool { return streamEnded(c.Conn) }
