--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -120,7 +120,7 @@
 func TestDrainAnswersWhatWasReadAndClosesWithTheLastResponse(t *testing.T) {
 	serve(t, Options{}, func(g *WithT, s *testServer) {
 		s.send(get("/i/slow1", "/i/slow2", "/a/3", "/i/4"), "GET /i/incomplete")
-		s.draining = true
+		s.draining.Store(true)
 		s.send(get("/i/later"))
 		started, received := s.after(3 * time.Second)
 		g.Expect(bodies(received)).To(Equal([]string{"/i/slow1", "/i/slow2", "/a/3", "/i/4"}))
@@ -130,7 +130,7 @@
 	})
 	serve(t, Options{}, func(g *WithT, s *testServer) {
 		s.send(get("/i/slow1", "/i/slow2"))
-		s.draining = true
+		s.draining.Store(true)
 		_, received := s.after(3 * time.Second)
 		g.Expect(bodies(received)).To(HaveLen(2))
 		g.Expect(strings.Count(received, "Connection: close")).To(Equal(1))
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,7 +23,7 @@
 	listener *Listener
 	conn     *conn
 	caller   net.Conn
-	draining bool
+	draining atomic.Bool
 	// staysOpen makes the handler do nothing that closes the connection.
 	staysOpen bool
 
@@ -58,7 +59,7 @@
 	listener := net.Listener(inner)
 	if pipelined {
 		if options.Draining == nil {
-			options.Draining = func() bool { return s.draining }
+			options.Draining = func() bool { return s.draining.Load() }
 		}
 		s.listener = NewListener(inner, options)
 		listener = s.listener
@@ -92,7 +93,7 @@
 	s.mu.Lock()
 	s.started = append(s.started, r.Method+" "+r.RequestURI)
 	s.mu.Unlock()
-	if s.draining && !Followed(r.Context()) {
+	if s.draining.Load() && !Followed(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	has := func(word string) bool { return strings.Contains(r.URL.Path, word) }
