--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -95,7 +95,7 @@
 		}
 	})
 	d.Traffic = e.peerTraffic(d.Peers)
-	d.Pipelines = e.describePipelines(time.Now())
+	d.Pipelines = e.pipelines.Load().Describe(time.Now())
 	if c := e.catalog.Load(); c != nil {
 		d.Version = c.Version
 	}
--- a/internal/edge/pipelining.go
+++ b/internal/edge/pipelining.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/pipeline"
@@ -37,11 +36,3 @@
 	route, found := c.Match(r.Host, pathOf(r))
 	return found && route.Kind == catalog.Idempotent
 }
-
-// describePipelines returns the callers' connections with requests that were started early.
-func (e *Edge) describePipelines(now time.Time) []pipeline.Description {
-	if l := e.pipelines.Load(); l != nil {
-		return l.Describe(now)
-	}
-	return nil
-}
--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/refusal"
 )
 
@@ -43,12 +44,15 @@
 	refused  atomic.Int64
 }
 
+// isLeaving reports whether the entry is stopping.
+func (d *callerDrain) isLeaving() bool { return drainPhase(d.phase.Load()) >= leaving }
+
 // handler passes requests to next, or to refuse once the phase is refusing.
 func (d *callerDrain) handler(next http.Handler, refuse func(http.ResponseWriter, *http.Request, *refusal.Refusal)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.inFlight.Add(1)
 		defer d.inFlight.Add(-1)
-		w = &leavingWriter{ResponseWriter: w, drain: d}
+		w = &leavingWriter{ResponseWriter: w, drain: d, request: r}
 		if drainPhase(d.phase.Load()) >= refusing {
 			d.refused.Add(1)
 			refuse(w, r, refusal.New(http.StatusServiceUnavailable, refusal.Stopping, refusal.NotRun,
@@ -63,14 +67,17 @@
 // leaving when the response begins.
 type leavingWriter struct {
 	http.ResponseWriter
-	drain *callerDrain
+	drain   *callerDrain
+	request *http.Request
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (w *leavingWriter) WriteHeader(status int) {
-	if drainPhase(w.drain.phase.Load()) >= leaving {
+	if w.drain.isLeaving() {
 		w.Header().Set(headerLeaving, "true")
-		w.Header().Set("Connection", "close")
+		if !pipeline.Followed(w.request.Context()) {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	w.ResponseWriter.WriteHeader(status)
 }
@@ -126,5 +133,8 @@
 	return err
 }
 
-// inFlight returns the number of requests of callers and of other entries in flight.
-func (e *Entry) inFlight() int64 { return e.drain.inFlight.Load() + e.handover.InFlight() }
+// inFlight returns the number of requests of callers and of other entries in flight, with
+// those of callers whose response waits for its turn.
+func (e *Entry) inFlight() int64 {
+	return e.drain.inFlight.Load() + e.pipelines.Load().Depth() + e.handover.InFlight()
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -28,6 +28,7 @@
 	"lovagescale/internal/lookup"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/operator"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/shift"
 	"lovagescale/internal/store"
@@ -63,6 +64,7 @@
 	handover      *handover.Stage
 	shiftGate     *shift.Gate
 	drain         callerDrain
+	pipelines     atomic.Pointer[pipeline.Listener] // nil until callers are served
 	actions       *action.Stage
 	gateway       *gateway.Gateway
 	ownership     *ownershipController
@@ -203,13 +205,16 @@
 }
 
 func (e *Entry) serveCallers(ctx context.Context, listener net.Listener) error {
+	pipelines := pipeline.NewListener(listener, pipeline.Options{Draining: e.drain.isLeaving, Registry: e.registry, Log: e.log})
+	e.pipelines.Store(pipelines)
 	server := &http.Server{
-		Handler:           e.drain.handler(e.gateway, e.gateway.Refuse),
+		Handler:           pipeline.Handler(e.drain.handler(e.gateway, e.gateway.Refuse), e.gateway.IsIdempotent),
+		ConnContext:       pipeline.ConnContext,
 		ReadHeaderTimeout: readHeaderTimeout,
 		MaxHeaderBytes:    serverHeaderLimitFactor * e.settings.MaxHeaderBytes,
 	}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(listener) }()
+	go func() { serveErr <- server.Serve(pipelines) }()
 	select {
 	case err := <-serveErr:
 		return err
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -7,6 +7,7 @@
 
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/membership"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/quota"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/spread"
@@ -52,6 +53,8 @@
 	Quotas     quota.Dump              `json:"quotas"`
 	Routing    routingDump             `json:"routing"`
 	Endpoints  []routing.EndpointState `json:"endpoints"`
+	// Pipelines are the callers' connections with requests that were started early.
+	Pipelines []pipeline.Description `json:"pipelines"`
 }
 
 func (e *Entry) dump(ctx context.Context) (any, error) {
@@ -66,6 +69,7 @@
 		Actions:    e.dumpActions(),
 		Routing:    e.ownership.dump(ctx),
 		Endpoints:  e.router.EndpointStates(),
+		Pipelines:  e.pipelines.Load().Describe(time.Now()),
 	}
 	if c := e.configuration.Load(); c != nil {
 		dump.Revision = c.Revision
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,6 +125,17 @@
 	writeResult(w, result, r.Method == http.MethodHead)
 }
 
+// IsIdempotent reports whether the route of a request is idempotent. It reads only the
+// method and the target of the request.
+func (g *Gateway) IsIdempotent(r *http.Request) bool {
+	c := g.configuration.Load()
+	if c == nil {
+		return false
+	}
+	_, route, _, refused := matchRoute(c, r)
+	return refused == nil && route.Kind == configuration.Lookup
+}
+
 // asRefusal returns the refusal in err. Other errors become a refusal with the outcome
 // "unknown".
 func asRefusal(err error) *refusal.Refusal {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -68,7 +68,7 @@
 	options Options
 
 	begun, used, cancelled, stalls metrics.Counter
-	// depth is the number of requests that were started early and are not answered yet.
+	// depth is the number of requests that were started early and whose turn has not come.
 	depth atomic.Int64
 
 	mu sync.Mutex
@@ -106,8 +106,14 @@
 	return newConn(accepted, l), nil
 }
 
-// Depth returns the number of requests that were started early and are not answered yet.
-func (l *Listener) Depth() int64 { return l.depth.Load() }
+// Depth returns the number of requests that were started early and whose turn has not
+// come. A nil Listener has none.
+func (l *Listener) Depth() int64 {
+	if l == nil {
+		return 0
+	}
+	return l.depth.Load()
+}
 
 // Description describes a connection with requests that were started early.
 type Description struct {
@@ -123,8 +129,11 @@
 }
 
 // Describe returns the connections with requests that were started early, ordered by
-// caller.
+// caller. A nil Listener has none.
 func (l *Listener) Describe(now time.Time) []Description {
+	if l == nil {
+		return nil
+	}
 	l.mu.Lock()
 	conns := make([]*conn, 0, len(l.ahead))
 	for c := range l.ahead {
