--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -228,7 +228,7 @@
 		return nil
 	}
 	a := &c.readAhead
-	c.phase, a.handler = serving, h
+	c.phase, a.handler, a.finished = serving, h, false
 	if a.context == nil {
 		a.context = context.WithoutCancel(r.Context())
 	}
@@ -248,6 +248,14 @@
 	return e
 }
 
+// finish records that the handler has returned. The server may already have sent the
+// response, so that what the caller sends now is its next request and no pipelined one.
+func (c *conn) finish() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readAhead.finished = true
+}
+
 // frameBody determines the size of the body of r, of which the server has got nothing. ok
 // is false if it is unknown. The caller must hold mu.
 func (c *conn) frameBody(r *http.Request) (ok bool) {
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -29,6 +29,7 @@
 		return
 	}
 	e := c.serve(h, r)
+	defer c.finish()
 	if e == nil {
 		h.next.ServeHTTP(w, r)
 		return
--- a/internal/pipeline/readahead.go
+++ b/internal/pipeline/readahead.go
@@ -35,6 +35,9 @@
 	parser parser
 	// blocked is set if the request at next must not be started early.
 	blocked bool
+	// finished is set when the handler has returned. Then nothing more is read ahead and
+	// started until it is called again.
+	finished bool
 	// last is set if the server closes the connection after one of the requests before
 	// next.
 	last bool
@@ -60,6 +63,10 @@
 			return 0, err
 		}
 		if space == nil {
+			if c.isFinished() {
+				<-c.changed // the server ends the read now
+				continue
+			}
 			if !stalled && !c.listener.options.Draining() {
 				c.listener.stalls.Inc(1)
 			}
@@ -92,6 +99,8 @@
 		return nil, os.ErrDeadlineExceeded
 	case len(c.readAhead.early) >= options.MaxRequests || options.Draining():
 		return nil, nil
+	case c.readAhead.finished && c.buffer.len() > 0:
+		return nil, nil
 	}
 	space := p
 	if c.buffer.len() > 0 {
@@ -119,6 +128,13 @@
 	c.startEarly()
 }
 
+// isFinished reports whether the handler has returned.
+func (c *conn) isFinished() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readAhead.finished
+}
+
 // endOnError ends the caller's byte stream unless the error is that of a deadline.
 func (c *conn) endOnError(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -150,7 +166,7 @@
 // must not be started early. The caller must hold mu.
 func (c *conn) startEarly() {
 	a := &c.readAhead
-	for c.phase == serving && c.ended == nil && !a.blocked && !a.last && len(a.early) < c.listener.options.MaxRequests {
+	for c.phase == serving && c.ended == nil && !a.finished && !a.blocked && !a.last && len(a.early) < c.listener.options.MaxRequests {
 		data := c.ahead()
 		if len(data) == 0 {
 			return
