--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -73,6 +73,16 @@
 		gateway.ServeHTTP(answer, request)
 		return answer
 	}
+	// An action that is taken for idempotent would be started before its turn.
+	DescribeTable("knows which requests are idempotent", func(method, path string, expected bool) {
+		Expect(gateway.IsIdempotent(httptest.NewRequest(method, path, nil))).To(Equal(expected))
+	},
+		Entry(nil, "GET", "/files/a", true),
+		Entry(nil, "POST", "/files/send", false),
+		Entry(nil, "DELETE", "/files/a", false),
+		Entry(nil, "GET", "/unknown/a", false),
+	)
+
 	headerWith := func(pairs ...string) http.Header {
 		header := http.Header{"Authorization": {"Bearer " + key}}
 		for i := 0; i < len(pairs); i += 2 {
