--- a/internal/pipeline/readahead.go
+++ b/internal/pipeline/readahead.go
@@ -45,6 +45,7 @@
 
 // earlyRequest is a request that was started before the server has read it.
 type earlyRequest struct {
+	// request is not the copy that the handler gets and may change.
 	request *http.Request
 	// headEnd and end are offsets in the caller's byte stream.
 	headEnd, end int64
@@ -206,7 +207,7 @@
 	request := a.parser.request.WithContext(ctx)
 	request.RemoteAddr = c.RemoteAddr().String()
 	e := &earlyRequest{
-		request: request, headEnd: a.next + int64(a.parser.headBytes), end: a.next + int64(a.parser.totalBytes),
+		request: a.parser.request, headEnd: a.next + int64(a.parser.headBytes), end: a.next + int64(a.parser.totalBytes),
 		startedAt: time.Now(), cancel: cancel, response: newResponse(ctx, c.listener.options.Memory),
 	}
 	a.early = append(a.early, e)
