Reserve memory for the first 4 KB that are read ahead

Cause: the buffer of a connection was made for the first byte even if no memory could be reserved, and was then filled without asking again. Change: each read ahead needs a reservation of the whole buffer.

--- a/internal/pipeline/buffer.go
+++ b/internal/pipeline/buffer.go
@@ -53,15 +53,17 @@
 	if b.len()+n > limit {
 		return nil
 	}
-	if b.len()+n > len(b.data) {
-		size := min(max(2*len(b.data), b.len()+n, minBufferBytes), max(limit, minBufferBytes))
-		if b.memory != nil {
-			more := int64(size) - b.reserved
-			if b.memory.Reserve(more) != nil {
-				return nil
-			}
-			b.reserved += more
+	size := len(b.data)
+	if b.len()+n > size {
+		size = min(max(2*size, b.len()+n, minBufferBytes), max(limit, minBufferBytes))
+	}
+	if more := int64(size) - b.reserved; b.memory != nil && more > 0 {
+		if b.memory.Reserve(more) != nil {
+			return nil
 		}
+		b.reserved += more
+	}
+	if size > len(b.data) {
 		return limited(b.grow(size), limit-b.len())
 	}
 	if b.last+n > len(b.data) {
--- a/internal/pipeline/fuzz_test.go
+++ b/internal/pipeline/fuzz_test.go
@@ -111,7 +111,8 @@
 // serveStream returns the requests that a server starts for a byte stream, and its responses.
 func serveStream(t *testing.T, s *testServer, pipelined bool, parts []string) (started []string, received string) {
 	synctest.Test(t, func(t *testing.T) {
-		s.start(t, pipelined, Options{})
+		memory := &testMemory{limit: 8000} // less than the large response
+		s.start(t, pipelined, Options{Memory: memory})
 		written := make(chan struct{})
 		go func() {
 			defer close(written)
@@ -127,8 +128,8 @@
 		received = dateLine.ReplaceAllString(received, "")
 		_ = s.caller.Close()
 		synctest.Wait()
-		if s.listener != nil && s.listener.Depth() != 0 {
-			t.Errorf("depth is %d after the connection has ended", s.listener.Depth())
+		if held := memory.held.Load(); held != 0 || s.listener != nil && s.listener.Depth() != 0 {
+			t.Errorf("%d bytes are held, or requests remain, after the connection has ended: %q", held, parts)
 		}
 	})
 	return started, received
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -139,18 +139,25 @@
 
 // Guards against responses that are lost or held when no memory is left.
 func TestEarlyResponseWaitsForItsTurnWithoutMemory(t *testing.T) {
-	serve(t, Options{Memory: fullMemory{}}, func(g *WithT, s *testServer) {
+	serve(t, Options{Memory: &testMemory{limit: minBufferBytes}}, func(g *WithT, s *testServer) {
 		s.send(get("/i/slow1", "/i/large2", "/i/3"))
 		_, received := s.after(2 * time.Second)
 		g.Expect(received).To(ContainSubstring("[" + strings.Repeat("x", 9000) + "]"))
 		g.Expect(bodies(received)).To(Equal([]string{"/i/slow1", "/i/large2", "/i/3"}))
 		g.Expect(received).To(HaveSuffix("GET /i/3 h []"))
 	})
-	serve(t, Options{Memory: fullMemory{}}, func(g *WithT, s *testServer) {
+	serve(t, Options{Memory: &testMemory{limit: minBufferBytes}}, func(g *WithT, s *testServer) {
 		s.send(get("/i/slow1", "/i/large2"))
 		g.Expect(s.caller.Close()).To(Succeed())
 		s.after(0) // the bubble fails if a goroutine is left that waits
 	})
+	serve(t, Options{Memory: &testMemory{}}, func(g *WithT, s *testServer) {
+		s.send(get("/i/slow1", "/i/2"), get("/i/3"))
+		started, _ := s.after(time.Second / 2)
+		g.Expect(len(started)).To(BeNumerically("<=", 2), "nothing more is read")
+		_, received := s.after(time.Second)
+		g.Expect(bodies(received)).To(Equal([]string{"/i/slow1", "/i/2", "/i/3"}))
+	})
 }
 
 // Guards against a disconnect that goes unnoticed because the limits allow no more reads,
--- a/internal/pipeline/server_test.go
+++ b/internal/pipeline/server_test.go
@@ -154,8 +154,18 @@
 	return text.String()
 }
 
-// fullMemory is a Memory that is exhausted.
-type fullMemory struct{}
+// testMemory is a Memory that grants up to a limit at once.
+type testMemory struct {
+	limit int64
+	held  atomic.Int64
+}
+
+func (m *testMemory) Reserve(n int64) error {
+	if n > m.limit {
+		return errors.New("exhausted")
+	}
+	m.held.Add(n)
+	return nil
+}
 
-func (fullMemory) Reserve(int64) error { return errors.New("exhausted") }
-func (fullMemory) Release(int64)       {}
+func (m *testMemory) Release(n int64) { m.held.Add(-n) }
