--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -8,6 +8,7 @@
 
 	"lovagescale/internal/admission"
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 )
 
@@ -35,6 +36,8 @@
 	Traffic []PeerTraffic `json:"peer_traffic"`
 	// Admission is how scarce slots are shared.
 	Admission []admission.Description `json:"admission"`
+	// Pipelines are the callers' connections with requests that were started early.
+	Pipelines []pipeline.Description `json:"pipelines"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -98,6 +101,7 @@
 		}
 	})
 	d.Traffic = e.peerTraffic(d.Peers)
+	d.Pipelines = e.pipelines.Load().Describe(time.Now())
 	if c := e.catalog.Load(); c != nil {
 		d.Version = c.Version
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -34,6 +34,7 @@
 	"lovagescale/internal/link"
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/operator"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
@@ -123,6 +124,7 @@
 	probesDone atomic.Pointer[chan struct{}]
 	bodyMemory bodyMemory
 	sharing    sharing
+	pipelines  atomic.Pointer[pipeline.Listener]
 	counters   counters
 }
 
