--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -310,11 +310,15 @@
 	return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "the endpoint gave no answer")
 }
 
-// retryAfter returns the time after which a refused caller may retry. It is random, so
-// that the retries spread over the time in which the requests in flight end. If no
-// endpoint wants requests, it starts when the first one does again.
+// retryAfter returns the time after which a refused caller may retry. Where none can be
+// promised it is random, so that the retries spread over the time in which the requests in
+// flight end. If no endpoint wants requests, it starts when the first one does again.
 func (e *Edge) retryAfter(q *request) time.Duration {
-	return e.table.Load().PausedFor(time.Now(), q.upstream, q.region) + e.retrySpread(q)
+	pause := e.table.Load().PausedFor(time.Now(), q.upstream, q.region)
+	if wait := e.returnTime(q, pause); wait > 0 {
+		return wait
+	}
+	return pause + e.retrySpread(q)
 }
 
 // retrySpread returns a random time of about the upstream's service time.
@@ -327,10 +331,10 @@
 // maxUtilization returns the utilization up to which an endpoint of the request's region
 // may take the request.
 func (e *Edge) maxUtilization(q *request) float64 {
-	return placement.MaxUtilization(placement.RequestProfile{
+	return e.limitForReturns(q, placement.MaxUtilization(placement.RequestProfile{
 		Objective:    q.route.Objective,
 		ResponseTime: e.stats.ResponseTime(q.upstream, q.route.Name, q.region),
 		ServiceTime:  e.stats.ServiceTime(q.upstream),
 		Urgency:      q.catalog.Urgency(q.route, q.workspace),
-	})
+	}))
 }
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -8,6 +8,7 @@
 
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/returns"
 )
 
 // Dump is the state dump of an instance for operators.
@@ -28,6 +29,8 @@
 	// Unreachable is set if this instance reaches no endpoint.
 	Unreachable bool                    `json:"reaches_no_endpoint"`
 	Endpoints   []placement.Description `json:"endpoints"`
+	// Returns are the times promised to refused callers.
+	Returns returns.Description `json:"returns"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
 }
@@ -97,6 +100,7 @@
 	}
 	d.Shares = e.balancer.Shares()
 	d.Quotas = e.pools.Shares()
+	d.Returns = e.returns.Describe(time.Now())
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -37,6 +37,7 @@
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
 	"lovagescale/internal/reachability"
+	"lovagescale/internal/returns"
 	"lovagescale/internal/store"
 	"lovagescale/internal/trafficstats"
 	"lovagescale/internal/upstream"
@@ -115,6 +116,8 @@
 	stats           *trafficstats.Stats
 	quarantine      *quarantineTable
 	reach           *reachability.Tracker
+	returns         *returns.Book
+	rateReturns     *returns.Spacing
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
 	bodyMemory bodyMemory
@@ -146,6 +149,8 @@
 		stats:           trafficstats.New(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
 		reach:           reachability.NewTracker(time.Now()),
+		returns:         returns.NewBook(),
+		rateReturns:     returns.NewSpacing(),
 		eraBegun:        make(chan struct{}, 1),
 	}
 	e.bounds.Store(&s.Bounds)
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -32,7 +32,7 @@
 		}
 		wait := e.startupWait(time.Now(), q, retryAfter)
 		if wait <= 0 || ctx.Err() != nil {
-			return rateRefusal(q.workspace, retryAfter)
+			return e.rateRefusal(q, retryAfter)
 		}
 		sleep(ctx, wait)
 	}
@@ -45,7 +45,7 @@
 	for {
 		if q.needsToken() {
 			if left := e.pools.RemainingPause(time.Now(), q.workspace.Name); left > 0 && e.startupWait(time.Now(), q, left) <= 0 {
-				return nil, rateRefusal(q.workspace, left), nil
+				return nil, e.rateRefusal(q, left), nil
 			}
 		}
 		endpoint, err := e.chooseEndpoint(q, attempts)
@@ -59,17 +59,17 @@
 		e.table.Load().End(time.Now(), endpoint, placement.Abandoned, 0)
 		wait := e.startupWait(time.Now(), q, retryAfter)
 		if wait <= 0 || ctx.Err() != nil {
-			return nil, rateRefusal(q.workspace, retryAfter), nil
+			return nil, e.rateRefusal(q, retryAfter), nil
 		}
 		sleep(ctx, wait)
 	}
 }
 
 // rateRefusal returns the refusal of a request for which its workspace has no token.
-func rateRefusal(workspace *catalog.Workspace, retryAfter time.Duration) *refusal.Refusal {
+func (e *Edge) rateRefusal(q *request, retryAfter time.Duration) *refusal.Refusal {
 	return refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, refusal.NotRun,
-		fmt.Sprintf("workspace is above its rate of %g a second and its burst of %g", workspace.Rate, workspace.Burst)).
-		WithRetryAfter(max(retryAfter, minRetryAfter))
+		fmt.Sprintf("workspace is above its rate of %g a second and its burst of %g", q.workspace.Rate, q.workspace.Burst)).
+		WithRetryAfter(e.rateReturnTime(q, retryAfter))
 }
 
 // Times in which requests wait for a share of a quota instead of being refused.
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -283,6 +283,7 @@
 		capacity := table.Capacity(now, name, s.edge.stats.ServiceTime(name))
 		available := placement.AvailableCapacity(capacity, slotsFor(pinned[name], serviceSeconds))
 		demand := slotsFor(unpinned[name], serviceSeconds)
+		s.updateReturnCapacity(now, name, capacity, unpinned[name], pinned[name])
 		assumed := placement.AssumedDemand(s.edge.regions, available)
 		for _, region := range s.edge.regions {
 			if _, reported := s.peerActivity.UpstreamDemand[region]; !reported && region != ownRegion {
--- /dev/null
+++ b/internal/returns/capacity.go
@@ -0,0 +1,68 @@
+package returns
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// promisedFraction is the fraction of the capacity that is promised while demand
+	// exceeds the capacity. Returning callers are answered later than new ones, and in a
+	// lasting overload their order does not change how many are refused twice. A larger
+	// fraction would only delay more answers.
+	promisedFraction = 0.15
+	// maxPromisedFraction is the fraction that is promised if there is no demand.
+	maxPromisedFraction = 0.5
+	// capacityLifetime is how long a Capacity counts.
+	capacityLifetime = 4 * time.Second
+)
+
+// Capacity is the capacity of an upstream that is expected in the next seconds, and the
+// part of it that this instance may promise.
+type Capacity struct {
+	// Slots are the slots of the upstream's usable endpoints.
+	Slots float64
+	// ServiceTime is how long a request occupies a slot.
+	ServiceTime time.Duration
+	// Share is this instance's part of the arrivals at all instances, in [0, 1].
+	Share float64
+	// Demand is the number of requests per second that arrive at this instance.
+	Demand float64
+	// Excess is the number of requests in flight, over all instances, that must end before
+	// an endpoint takes one again.
+	Excess float64
+}
+
+// perSecond returns the number of requests per second that all endpoints complete.
+func (c Capacity) perSecond() float64 {
+	return c.Slots / math.Max(c.ServiceTime.Seconds(), 1e-3)
+}
+
+// placesPerSecond returns the number of requests per second that the instance promises to
+// run: the capacity that new requests leave, but at least promisedFraction.
+func (c Capacity) placesPerSecond() float64 {
+	own := c.Share * c.perSecond()
+	return math.Max(promisedFraction*own, math.Min(own-c.Demand, maxPromisedFraction*own))
+}
+
+// drainTime returns the time in which the excess ends.
+func (c Capacity) drainTime() time.Duration {
+	if c.Excess <= 0 || c.Slots <= 0 {
+		return 0
+	}
+	return time.Duration(c.Excess / c.perSecond() * float64(time.Second))
+}
+
+// maxShareRatio bounds the share of an instance by its even share. After a restart of all
+// instances, the demand at the others is not known yet.
+const maxShareRatio = 2
+
+// ShareOf returns an instance's part of the arrivals, given its own and those at all
+// instances, in requests per second.
+func ShareOf(own, all float64, instances int) float64 {
+	even := 1 / float64(max(instances, 1))
+	if own <= 0 || all <= 0 {
+		return even
+	}
+	return math.Min(own/math.Max(all, own), math.Min(1, maxShareRatio*even))
+}
