Describe return times for developers and operators, and test restarts apart

The restart in the simulation failed with no mutation of the code; a test of first promises, which does, takes its place.

--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -12,8 +12,8 @@
 const (
 	// returnAllowance is the utilization above the limit of new requests up to which an
 	// endpoint takes a request that returns in its promised time. With 0.25, one place of an
-	// endpoint with four slots, several returns at one endpoint broke 8 in 100 promises in
-	// the simulation of package returns, with 0.5 they broke 2.
+	// endpoint with four slots, several returns at one endpoint broke 6 to 9 in 100 promises
+	// in the simulation of package returns, with 0.5 they broke 2 to 3.
 	returnAllowance = 0.5
 	// maxReturnUtilization bounds the limit with returnAllowance. Endpoints refuse
 	// requests beyond such a queue.
--- a/internal/returns/capacity.go
+++ b/internal/returns/capacity.go
@@ -9,8 +9,9 @@
 	// promisedFraction is the fraction of the capacity that is promised while demand
 	// exceeds the capacity. Returning callers are answered later than new ones, and in a
 	// lasting overload their order hardly changes how many are refused twice. In the
-	// simulation of this package, at 1.3 times the capacity, 0.3 refused as many twice as
-	// 0.15 (0.265 and 0.266), but 0.48 instead of 0.39 of the answers went to returns.
+	// simulation of this package, 61 instances at 1.3 times the capacity refused 0.269 of the
+	// callers twice with 0.3 and 0.271 with 0.15, but 0.48 instead of 0.39 of the answers
+	// went to returns.
 	promisedFraction = 0.15
 	// maxPromisedFraction is the fraction that is promised if there is no demand.
 	maxPromisedFraction = 0.5
--- a/internal/returns/returns_test.go
+++ b/internal/returns/returns_test.go
@@ -16,6 +16,17 @@
 // warmUp is the time in which all instances have had enough requests to recognise returns.
 const warmUp = 6 * second
 
+var refusedFirst = Refused{Upstream: "u", Route: "r", Timeout: 3 * second, TimeLeft: 3 * second}
+
+// newBookOfRoute returns a book that recognises returns on the route of refusedFirst.
+func newBookOfRoute() *Book {
+	b := NewBook()
+	for range minTimeoutSamples {
+		b.Observe("r", 3*second)
+	}
+	return b
+}
+
 func ratio(part, whole int) float64 { return float64(part) / float64(max(whole, 1)) }
 
 // Guards against promises without capacity behind them, against more promises than the
@@ -101,26 +112,35 @@
 	}
 }
 
-// Guards against a wave of returns at one moment, after the last second of an outage whose
-// end is known and after a restart of all instances.
-func TestReturnsAreSpread(t *testing.T) {
-	for name, disturb := range map[string]func(*simulation){
-		"outage":  func(s *simulation) { s.opensAt = s.now + second; s.run(second, 0.9, 0, 0) },
-		"restart": func(s *simulation) { s.restart(len(s.books)) },
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := newSimulation(4, 33, 120, 400*time.Millisecond, 4*second)
-			s.run(10*second, 1.2, 0, 0)
-			disturb(s)
-			begin := s.now
-			s.run(3*second, 1.2, 0, 0)
-			const load = 1.2
-			for at, n := range s.returned {
-				if arrivals := load * s.capacity() / 10; at >= begin && float64(n) > 1.5*arrivals {
-					t.Errorf("%d callers returned in 100 ms from %v, beside %.0f new ones", n, at-begin, arrivals)
-				}
-			}
-		})
+// Guards against a wave of returns at the end of an outage that is known beforehand.
+func TestReturnsAfterOutageAreSpread(t *testing.T) {
+	const load = 1.2
+	s := newSimulation(4, 33, 120, 400*time.Millisecond, 4*second)
+	s.run(10*second, load, 0, 0)
+	s.opensAt = s.now + second // its last second
+	s.run(4*second, load, 0, 0)
+	for at, n := range s.returned {
+		if arrivals := load * s.capacity() / 10; float64(n) > 1.5*arrivals {
+			t.Errorf("%d callers returned in 100 ms from %v, beside %.0f new ones", n, at-s.opensAt, arrivals)
+		}
+	}
+}
+
+// Guards against a wave of returns after a restart of all instances, whose first promises
+// are made at the same time.
+func TestRestartedInstancesPromiseDifferentTimes(t *testing.T) {
+	random, tenths := rand.New(rand.NewPCG(8, 1)), make(map[time.Duration]int)
+	for range 200 {
+		b := newBookOfRoute()
+		b.SetCapacity(at(0), "u", Capacity{Slots: 100, ServiceTime: second / 10, Share: 0.01, Demand: 100})
+		if wait, ok := b.Promise(at(0), refusedFirst, random.Float64()); ok {
+			tenths[wait.Truncate(second/10)]++
+		}
+	}
+	for tenth, n := range tenths {
+		if n > 50 { // a place every 0.67 s leaves 30 for 100 ms on the average
+			t.Errorf("%d of 200 instances promised the 100 ms from %v", n, tenth)
+		}
 	}
 }
 
@@ -133,7 +153,7 @@
 		now := at(time.Duration(tick) * 10 * time.Millisecond)
 		b.SetCapacity(now, "u", Capacity{Slots: 100, ServiceTime: second, Share: 0.1, Demand: 100})
 		b.Observe("r", 3*second)
-		if _, ok := b.Promise(now, Refused{Upstream: "u", Route: "r", Timeout: 3 * second, TimeLeft: 3 * second}, 0.5); ok {
+		if _, ok := b.Promise(now, refusedFirst, 0.5); ok {
 			promised++
 		}
 		if pretended := 2300 * time.Millisecond; b.Observe("r", pretended) == Returning && b.Redeem(now, "u", "r", pretended) {
@@ -167,11 +187,7 @@
 // caller that has returned already.
 func TestNothingIsPromisedWithoutNeed(t *testing.T) {
 	g := NewWithT(t)
-	b := NewBook()
-	for range minTimeoutSamples {
-		b.Observe("r", 3*second)
-	}
-	refused := Refused{Upstream: "u", Route: "r", Timeout: 3 * second, TimeLeft: 3 * second}
+	b, refused := newBookOfRoute(), refusedFirst
 	wait, ok := b.Promise(at(0), refused, 0)
 	g.Expect(ok).To(BeFalse())
 	g.Expect(wait).To(BeZero(), "no capacity is known")
--- a/internal/returns/simulation_test.go
+++ b/internal/returns/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -49,7 +50,7 @@
 	timeout time.Duration
 	now     time.Duration
 	queue   simQueue
-	// open is false during an outage; the endpoints announce opensAt as its end.
+	// opensAt is the end of an outage, which the endpoints announce.
 	opensAt time.Duration
 	// blind leaves the books without a known capacity, so that nothing is promised.
 	blind bool
@@ -75,17 +76,12 @@
 
 func newSimulation(seed uint64, instances, endpoints int, service, timeout time.Duration) *simulation {
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), service: service, timeout: timeout, ends: make([][]time.Duration, endpoints),
+		books: make([]*Book, instances), demand: make([]float64, instances), counts: make([]int, instances),
 		returned: make(map[time.Duration]int), promised: make(map[time.Duration]int)}
-	s.restart(instances)
-	return s
-}
-
-// restart replaces all instances.
-func (s *simulation) restart(instances int) {
-	s.books, s.demand, s.counts = make([]*Book, instances), make([]float64, instances), make([]int, instances)
 	for i := range s.books {
 		s.books[i] = NewBook()
 	}
+	return s
 }
 
 // count starts the counts of callers and promises anew.
@@ -110,11 +106,10 @@
 			}
 			s.demand[i] += 0.2 * (float64(s.counts[i])/tick.Seconds() - s.demand[i])
 			s.counts[i] = 0
-			if s.blind {
-				continue
+			if !s.blind {
+				book.SetCapacity(at(s.now), "u", Capacity{Slots: float64(len(s.ends) * simSlots), ServiceTime: s.service,
+					Share: 1 / float64(len(s.books)), Demand: s.demand[i]})
 			}
-			book.SetCapacity(at(s.now), "u", Capacity{Slots: float64(len(s.ends) * simSlots), ServiceTime: s.service,
-				Share: 1 / float64(len(s.books)), Demand: s.demand[i]})
 		}
 		for t := s.now + s.exponential(load); t < s.now+tick; t += s.exponential(load) {
 			c := &simCaller{at: t, firstAt: t, endpoint: s.random.IntN(len(s.ends))}
@@ -214,9 +209,7 @@
 		}
 		end := begin + time.Duration((0.5+s.random.Float64())*float64(s.service))
 		ends = append(ends, end)
-		for k := len(ends) - 1; k > 0 && ends[k] < ends[k-1]; k-- {
-			ends[k], ends[k-1] = ends[k-1], ends[k]
-		}
+		slices.Sort(ends)
 	}
 	s.ends[c.endpoint] = ends
 	return admitted
