--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -10,6 +10,7 @@
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/returns"
 )
 
 // Dump is the state dump of an instance for operators.
@@ -32,6 +33,8 @@
 	Endpoints   []placement.Description `json:"endpoints"`
 	// Objects are the numbers of objects and of their preferred endpoints.
 	Objects []placement.ObjectsDescription `json:"objects"`
+	// Returns are the times promised to refused callers.
+	Returns returns.Description `json:"returns"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
 	// Admission is how scarce slots are shared.
@@ -108,6 +111,7 @@
 	d.Shares = e.balancer.Shares()
 	d.Quotas = e.pools.Shares()
 	d.Admission = e.sharing.gate.Describe()
+	d.Returns = e.returns.Describe(time.Now())
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
