--- a/internal/placement/objects_test.go
+++ b/internal/placement/objects_test.go
@@ -164,7 +164,8 @@
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
 		r := request(uint64(i%309 + 1))
-		r.Preferred, r.Random = preferred, float64(i%100)/100
+		r.Preferred, r.Random, r.TimeLeft = preferred, float64(i%100)/100, time.Second
+		r.Expected = placement.Expectation{Warm: 300 * time.Millisecond, First: time.Second, Mean: 400 * time.Millisecond}
 		e, err := t.Choose(start, r)
 		if err != nil {
 			b.Fatal(err)
