Give an object at most two preferred endpoints

Cause: three preferred endpoints where objects are few cost first runs; endpoints do not say how many objects they keep.

--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -8,7 +8,9 @@
 	"time"
 )
 
-// MaxPreferred is the largest number of preferred endpoints of an object.
+// MaxPreferred is the largest number of preferred endpoints that a request can name.
+// Objects have at most two: endpoints that keep few objects warm serve fewer requests
+// within their objective with three.
 const MaxPreferred = 3
 
 // Limits of the mean number of objects for each endpoint of a region. An endpoint keeps
@@ -16,13 +18,13 @@
 // it hold k times as many. A limit is therefore on the objects before they are multiplied.
 var (
 	// raiseObjects are the objects for each endpoint up to which the number of preferred
-	// endpoints rises to 2 and to 3, lowerObjects those above which it falls below 2 and
-	// below 3. In between it stays, so that an estimate near a limit changes nothing. In
-	// trials with endpoints that keep 10 to 13 objects warm, two preferred endpoints served
-	// more requests within their objective up to about 6 objects, three up to about 3;
-	// above, first runs cost more than the better distribution gains.
-	raiseObjects = [MaxPreferred + 1]float64{2: 6, 3: 3}
-	lowerObjects = [MaxPreferred + 1]float64{2: 7, 3: 3.4}
+	// endpoints rises to 2, lowerObjects those above which it falls below 2. In between it
+	// stays, so that an estimate near a limit changes nothing. In trials with endpoints that
+	// keep 10 to 13 objects warm, two preferred endpoints served more requests within their
+	// objective up to about 6 objects; above, first runs cost more than the better
+	// distribution gains.
+	raiseObjects = [...]float64{2: 6}
+	lowerObjects = [...]float64{2: 7}
 )
 
 const (
@@ -168,7 +170,7 @@
 // wantedPreferred returns the number of preferred endpoints for a mean number of objects
 // for each endpoint.
 func wantedPreferred(current int, objectsPerEndpoint float64) int {
-	for current < MaxPreferred && objectsPerEndpoint <= raiseObjects[current+1] {
+	for current < len(raiseObjects)-1 && objectsPerEndpoint <= raiseObjects[current+1] {
 		current++
 	}
 	for current > 1 && objectsPerEndpoint > lowerObjects[current] {
