Limit the memory of bodies, responses and slow readers together

Cause: only request bodies were limited (a quarter of the memory); responses were held without a limit until their caller had read them, so callers that stop reading could take all memory of an instance.

Change: package bodymemory reserves memory for bodies, responses and read-ahead under one limit, a third of the instance's memory. The expected response is reserved before the request is sent. Callers that read slowly are disconnected while memory is short. The heap has a limit, and memory of a peak is returned to the operating system.

The tests of bodies in internal/edge use the new type with the same sizes and conditions.

Measured: tests of internal/edge and internal/upstream pass.

--- a/cmd/lovage-edge/main.go
+++ b/cmd/lovage-edge/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/daemon"
 	"lovagescale/internal/edge"
 	"lovagescale/internal/settings"
@@ -63,6 +64,7 @@
 	log := settings.NewLogger(out, args.LogLevel, "lovage-edge")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	bodymemory.LimitHeap(platformSettings.Edge.MemoryBytes)
 	instance := edge.New(platformSettings.Edge, platform.NewPorts(platformSettings), log)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
--- /dev/null
+++ b/internal/bodymemory/deliver.go
@@ -0,0 +1,42 @@
+package bodymemory
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+type connKey struct{}
+
+// ConnContext returns a context from which Deliver finds the caller's connection, if it is a
+// Conn. It can be used as the ConnContext of an http.Server.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(Conn); ok {
+		return context.WithValue(ctx, connKey{}, c)
+	}
+	return ctx
+}
+
+// ResponseHolder is implemented by an http.ResponseWriter that keeps a response until its
+// caller can take it, such as that of a request that was begun early. HoldResponse takes over
+// the body, which is not copied and must not be changed, and its reservation. The holder
+// passes both to Deliver when the caller can take the response, or releases the reservation
+// when it drops the response.
+type ResponseHolder interface {
+	HoldResponse(body []byte, held *Reservation)
+}
+
+// Deliver writes the body of a response and releases its memory when the caller has taken it.
+// While it is written, its caller can be disconnected. If w is a ResponseHolder, it gets the
+// body and the reservation instead. The status and the headers must be written before.
+func Deliver(ctx context.Context, w http.ResponseWriter, body []byte, held *Reservation) {
+	if holder, ok := w.(ResponseHolder); ok {
+		holder.HoldResponse(body, held)
+		return
+	}
+	defer held.Release()
+	if conn, ok := ctx.Value(connKey{}).(Conn); ok {
+		held.StartReading(conn)
+	}
+	_, _ = w.Write(body) // the caller may have disconnected
+}
--- /dev/null
+++ b/internal/bodymemory/memory.go
@@ -0,0 +1,188 @@
+// Package bodymemory limits the memory that an instance holds for callers: request bodies,
+// responses and requests that were read ahead, under a single limit that follows from the
+// memory of the instance.
+//
+// Failure modes: without memory a reservation fails with a *NoMemoryError, and the request is
+// refused before it is sent. Before that, the callers that read their responses most slowly
+// are disconnected if that frees enough. Large reservations leave a part of the limit to
+// small ones, so that a few callers with large responses do not stop all others.
+package bodymemory
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// defaultMemoryBytes is the memory of an instance whose settings state none: that of the
+// smallest instances.
+const defaultMemoryBytes = 184 << 20
+
+// limitDivisor is the divisor of an instance's memory that gives the limit of its Memory.
+// The rest is for the process itself and for garbage that is not collected yet.
+const limitDivisor = 3
+
+// Reservations above largeBytes use at most 1-1/smallShareDivisor of the limit.
+const (
+	largeBytes        = 64 << 10
+	smallShareDivisor = 8
+)
+
+// LimitOf returns the limit in bytes for an instance with the given memory, or for one of
+// the smallest instances if memoryBytes is not positive.
+func LimitOf(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		memoryBytes = defaultMemoryBytes
+	}
+	return memoryBytes / limitDivisor
+}
+
+// Kind is what memory is reserved for.
+type Kind uint8
+
+// The kinds of reservations.
+const (
+	RequestBody Kind = iota
+	Response
+	ReadAhead
+	kindCount
+)
+
+var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead"}
+
+// String returns the name of the kind in metrics and in the dump.
+func (k Kind) String() string { return kindNames[k] }
+
+// NoMemoryError reports a reservation that would exceed the limit.
+type NoMemoryError struct {
+	Kind Kind
+	// Bytes is what the reservation would have grown by.
+	Bytes, Limit int64
+}
+
+// Error implements the error interface.
+func (e *NoMemoryError) Error() string {
+	return fmt.Sprintf("%d more bytes of %s would exceed the limit of %d bytes", e.Bytes, e.Kind, e.Limit)
+}
+
+// Memory is the memory that an instance holds for callers. It is safe for concurrent use.
+type Memory struct {
+	limit int64
+	now   func() time.Time
+	// onDisconnect is called without mu for each caller that was disconnected.
+	onDisconnect func(Disconnection)
+
+	mu         sync.Mutex
+	used, peak int64
+	byKind     [kindCount]int64
+	// first is the head of the list of all reservations that are not released.
+	first   *Reservation
+	trimmer trimmer
+}
+
+// New returns a Memory with a limit in bytes.
+func New(limit int64) *Memory { return &Memory{limit: limit, now: time.Now} }
+
+// OnDisconnect sets the function that is called for each caller that was disconnected. It
+// must be called before the first reservation.
+func (m *Memory) OnDisconnect(f func(Disconnection)) { m.onDisconnect = f }
+
+// Limit returns the limit in bytes.
+func (m *Memory) Limit() int64 { return m.limit }
+
+// Used returns the bytes that are reserved.
+func (m *Memory) Used() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.used
+}
+
+// UsedBy returns the bytes that are reserved for a kind.
+func (m *Memory) UsedBy(kind Kind) int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byKind[kind]
+}
+
+// Reserve reserves n bytes. Without memory it returns a *NoMemoryError.
+func (m *Memory) Reserve(kind Kind, n int64) (*Reservation, error) {
+	r := &Reservation{memory: m, kind: kind}
+	m.mu.Lock()
+	r.startedAt = m.now()
+	m.link(r)
+	disconnected, err := m.resize(r, n)
+	if err != nil {
+		m.unlink(r)
+	}
+	m.mu.Unlock()
+	m.report(disconnected)
+	if err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// resize sets the size of a reservation. If it grows beyond the limit, the slowest readers
+// are disconnected first. The caller must hold mu and report what was disconnected.
+func (m *Memory) resize(r *Reservation, size int64) ([]Disconnection, error) {
+	n := size - r.size
+	excess := m.used + n - m.limitFor(size)
+	if n <= 0 || excess <= 0 {
+		m.add(r, n)
+		return nil, nil
+	}
+	disconnected := m.disconnectSlowest(excess)
+	if m.used+n > m.limitFor(size) {
+		return disconnected, &NoMemoryError{Kind: r.kind, Bytes: n, Limit: m.limit}
+	}
+	m.add(r, n)
+	return disconnected, nil
+}
+
+// limitFor returns the limit that applies to a reservation of the given size.
+func (m *Memory) limitFor(size int64) int64 {
+	if size > largeBytes {
+		return m.limit - m.limit/smallShareDivisor
+	}
+	return m.limit
+}
+
+// add changes the size of a reservation. The caller must hold mu.
+func (m *Memory) add(r *Reservation, n int64) {
+	r.size += n
+	m.used += n
+	m.byKind[r.kind] += n
+	m.peak = max(m.peak, m.used)
+}
+
+// link adds a reservation to the list. The caller must hold mu.
+func (m *Memory) link(r *Reservation) {
+	r.next = m.first
+	if r.next != nil {
+		r.next.previous = r
+	}
+	m.first = r
+}
+
+// unlink removes a reservation from the list. The caller must hold mu.
+func (m *Memory) unlink(r *Reservation) {
+	if r.previous != nil {
+		r.previous.next = r.next
+	} else {
+		m.first = r.next
+	}
+	if r.next != nil {
+		r.next.previous = r.previous
+	}
+	r.next, r.previous = nil, nil
+	r.released = true
+}
+
+func (m *Memory) report(disconnected []Disconnection) {
+	if m.onDisconnect == nil {
+		return
+	}
+	for _, d := range disconnected {
+		m.onDisconnect(d)
+	}
+}
--- a/internal/edge/answer.go
+++ b/internal/edge/answer.go
@@ -27,7 +27,7 @@
 	}
 	w.WriteHeader(answer.Status)
 	if r.Method != http.MethodHead {
-		_, _ = w.Write(answer.Body) // the caller may have disconnected
+		e.deliver(w, r, q, answer.Body)
 	}
 	took := time.Since(q.started)
 	e.counters.recordAnswer(q, answer.Status, took)
--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -186,6 +186,7 @@
 	if result == placement.Lost {
 		e.checkForCrash(q, endpoint)
 	}
+	q.noteNoMemory(err)
 	if err != nil && result != placement.Abandoned {
 		e.log.Info().Err(err).Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Str("try", result.String()).
 			Dur("took", now.Sub(started)).Msg("try failed")
@@ -221,6 +222,9 @@
 	case context.DeadlineExceeded:
 		return placement.Expired
 	}
+	if result, known := classifyMemory(err); known {
+		return result
+	}
 	var limitErr *upstream.ConnectionLimitError
 	var exchangeErr *upstream.ExchangeError
 	switch {
@@ -301,6 +305,9 @@
 		return refusal.New(http.StatusGatewayTimeout, refusal.DeadlineExceeded, refusal.Unknown,
 			"the endpoint gave no answer in time")
 	}
+	if q.responseNotHeld {
+		return responseNotHeldRefusal()
+	}
 	return noAnswerRefusal()
 }
 
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -4,85 +4,14 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/refusal"
 )
 
-// bodyMemoryDivisor is the divisor of Settings.MemoryBytes that gives the limit of
-// bodyMemory.
-const bodyMemoryDivisor = 4
-
-// minBodyChunk is the smallest step in bytes in which a body of unknown length reserves
-// memory.
-const minBodyChunk = 4096
-
-// bodyMemory limits the total size of the bodies that are held at a time. It is safe for
-// concurrent use.
-type bodyMemory struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NoBodyMemoryError reports a body for which no memory is left.
-type NoBodyMemoryError struct{ Limit int64 }
-
-// Error implements the error interface.
-func (e *NoBodyMemoryError) Error() string {
-	return fmt.Sprintf("all bodies together would be above the limit of %d bytes", e.Limit)
-}
-
-// reserve reserves n bytes or returns a *NoBodyMemoryError.
-func (m *bodyMemory) reserve(n int64) error {
-	if m.used.Add(n) <= m.limit {
-		return nil
-	}
-	m.used.Add(-n)
-	return &NoBodyMemoryError{Limit: m.limit}
-}
-
-func (m *bodyMemory) release(n int64) { m.used.Add(-n) }
-
-// read reads a body and returns the number of bytes that it reserved, also on failure. The
-// caller must release them. length is the stated length, or negative if unknown.
-func (m *bodyMemory) read(r io.Reader, length int64) (body []byte, reserved int64, err error) {
-	if length < 0 {
-		return m.readUnknownLength(r)
-	}
-	if err := m.reserve(length); err != nil {
-		return nil, 0, err
-	}
-	body = make([]byte, length)
-	_, err = io.ReadFull(r, body)
-	return body, length, err
-}
-
-// readUnknownLength reads a body whose end is known only when it is reached. It reserves
-// memory as the body grows.
-func (m *bodyMemory) readUnknownLength(r io.Reader) (body []byte, reserved int64, err error) {
-	for {
-		if len(body) == cap(body) {
-			step := int64(max(minBodyChunk, cap(body)/2))
-			if err := m.reserve(step); err != nil {
-				return nil, reserved, err
-			}
-			reserved += step
-			body = append(make([]byte, 0, reserved), body...)
-		}
-		n, err := r.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, reserved, nil
-		}
-		if err != nil {
-			return nil, reserved, err
-		}
-	}
-}
-
 // readBody reads the body of a request. The memory that it reserves is released with the
 // request.
 func (e *Edge) readBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, *refusal.Refusal) {
@@ -96,10 +25,9 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, reserved, err := e.bodyMemory.read(r.Body, r.ContentLength)
-	q.reservedBytes = reserved
+	body, err := e.holdBody(r, q)
 	var tooLarge *http.MaxBytesError
-	var noMemory *NoBodyMemoryError
+	var noMemory *bodymemory.NoMemoryError
 	switch {
 	case err == nil:
 		return body, nil
--- /dev/null
+++ b/internal/edge/body_memory.go
@@ -0,0 +1,136 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"lovagescale/internal/bodymemory"
+	"lovagescale/internal/placement"
+	"lovagescale/internal/refusal"
+	"lovagescale/internal/upstream"
+)
+
+// memoryCheckInterval is the interval of the checks for callers that read nothing and for
+// memory that can be returned to the operating system.
+const memoryCheckInterval = 250 * time.Millisecond
+
+// initMemory creates the memory for bodies with a limit in bytes.
+func (e *Edge) initMemory(limit int64) {
+	e.memory = bodymemory.New(limit)
+	e.memory.OnDisconnect(e.recordDisconnection)
+	e.responseSizes = bodymemory.NewSizes(limit)
+}
+
+// holdBody reads the body of a request into memory that is reserved until the request ends.
+func (e *Edge) holdBody(r *http.Request, q *request) ([]byte, error) {
+	held, err := e.memory.Reserve(bodymemory.RequestBody, 0)
+	if err != nil {
+		return nil, err
+	}
+	q.bodyHeld = held
+	held.SetOwner(q.owner())
+	return held.ReadBody(r.Body, r.ContentLength)
+}
+
+// reserveResponse reserves the memory that the response is expected to need, or refuses the
+// request before it is sent.
+func (e *Edge) reserveResponse(q *request) *refusal.Refusal {
+	held, err := e.memory.Reserve(bodymemory.Response, e.responseSizes.Expected(q.route.Name))
+	if err != nil {
+		q.cause = err
+		return refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun,
+			"no memory for the response").WithRetryAfter(jitter(unavailableRetryAfter))
+	}
+	held.SetOwner(q.owner())
+	q.responseHeld, q.outgoing.ResponseMemory = held, held
+	return nil
+}
+
+// owner returns the request as logs and the dump of the memory name it.
+func (q *request) owner() bodymemory.Owner {
+	return bodymemory.Owner{Request: q.caller.ID, Workspace: q.workspaceName(), Route: q.route.Name, Caller: q.callerAddress}
+}
+
+// releaseMemory releases the memory of the request, except that of a response which a
+// bodymemory.ResponseHolder has taken over.
+func (q *request) releaseMemory() {
+	q.bodyHeld.Release()
+	q.responseHeld.Release()
+}
+
+// deliver writes the body of the response to the caller. Its memory is released when the
+// caller has taken it.
+func (e *Edge) deliver(w http.ResponseWriter, r *http.Request, q *request, body []byte) {
+	e.responseSizes.Observe(q.route.Name, int64(len(body)))
+	q.outgoing.Body = nil // no further attempt follows
+	q.bodyHeld.Release()
+	held := q.responseHeld
+	q.responseHeld = nil
+	bodymemory.Deliver(r.Context(), w, body, held)
+}
+
+// classifyMemory returns the result of an attempt that failed for want of memory. Neither
+// says anything about the endpoint.
+func classifyMemory(err error) (result placement.Result, known bool) {
+	var bodyLimit *upstream.BodyLimitError
+	var noMemory *bodymemory.NoMemoryError
+	switch {
+	case errors.As(err, &bodyLimit):
+		return placement.Crowded, true
+	case errors.As(err, &noMemory):
+		return placement.Abandoned, true
+	}
+	return 0, false
+}
+
+// noteNoMemory records that a response could not be held, if that is the error of an
+// attempt.
+func (q *request) noteNoMemory(err error) {
+	var noMemory *bodymemory.NoMemoryError
+	if err != nil && errors.As(err, &noMemory) {
+		q.responseNotHeld, q.cause = true, err
+	}
+}
+
+// responseNotHeldRefusal returns the refusal of a request whose response was larger than
+// expected and did not fit. Its status does not promise that the request did not run.
+func responseNotHeldRefusal() *refusal.Refusal {
+	return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "no memory for the endpoint's answer")
+}
+
+// recordDisconnection counts and logs a caller that was disconnected.
+func (e *Edge) recordDisconnection(d bodymemory.Disconnection) {
+	metrics.GetOrRegisterCounter("edge.callers.disconnected."+string(d.Reason), e.registry).Inc(1)
+	e.log.Warn().Str("request", d.Owner.Request).Str("workspace", d.Owner.Workspace).Str("route", d.Owner.Route).
+		Str("caller", d.Owner.Caller).Str("reason", string(d.Reason)).Int64("held", d.Held).Int64("read", d.BytesRead).
+		Dur("age", d.Age).Dur("quiet", d.Quiet).Msg("caller was disconnected because it read its response too slowly")
+}
+
+// watchMemory disconnects stalled callers and returns the memory of a peak to the operating
+// system, until ctx ends.
+func (e *Edge) watchMemory(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, memoryCheckInterval)
+		e.memory.DisconnectStalled()
+		if e.memory.TrimDue() {
+			debug.FreeOSMemory()
+			metrics.GetOrRegisterCounter("edge.memory.trims", e.registry).Inc(1)
+		}
+	}
+}
+
+// setMemoryGauges sets the gauges of the memory for bodies.
+func (e *Edge) setMemoryGauges(set func(name string, value int64)) {
+	set("edge.bodies.bytes", e.memory.UsedBy(bodymemory.RequestBody))
+	description := e.memory.Describe()
+	set("edge.memory.limit", description.Limit)
+	set("edge.memory.used", description.Used)
+	for kind, used := range description.ByKind {
+		set("edge.memory."+kind, used)
+	}
+}
--- a/internal/edge/caller_conns.go
+++ b/internal/edge/caller_conns.go
@@ -24,6 +24,11 @@
 	// requestStartedAt is the time of the first byte of a request that is not being
 	// served yet, in Unix nanoseconds, or 0 before that byte.
 	requestStartedAt atomic.Int64
+	// written is the number of bytes written since the accept.
+	written atomic.Int64
+	// disconnected is set by Disconnect. No further request is read then, because its
+	// response could not be written.
+	disconnected atomic.Bool
 	// waitingSince is when the connection began to wait for a request. callerConns.mu
 	// guards it.
 	waitingSince time.Time
@@ -34,6 +39,9 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if c.disconnected.Load() {
+		return 0, net.ErrClosed
+	}
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		now := time.Now().UnixNano()
--- /dev/null
+++ b/internal/edge/caller_progress.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"net"
+	"syscall"
+)
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// BytesWritten implements bodymemory.Conn.
+func (c *callerConn) BytesWritten() int64 { return c.written.Load() }
+
+// BytesRead implements bodymemory.Conn with the kernel's count of acknowledged bytes. On a
+// connection without one it returns the bytes of the writes that have ended.
+func (c *callerConn) BytesRead() int64 {
+	conn := c.Conn
+	for {
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		conn = wrapper.NetConn()
+	}
+	if conn, ok := conn.(syscall.Conn); ok {
+		if acknowledged, ok := acknowledgedBytes(conn); ok {
+			return acknowledged
+		}
+	}
+	return c.written.Load()
+}
+
+// Disconnect implements bodymemory.Conn. Its blocked write fails, and the server closes the
+// connection. What the kernel still holds for the caller is dropped.
+func (c *callerConn) Disconnect() {
+	c.disconnected.Store(true)
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // fails only if closed
+	}
+	_ = c.SetDeadline(pastDeadline) // fails only if closed
+}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/placement"
 )
@@ -30,6 +31,8 @@
 	Endpoints   []placement.Description `json:"endpoints"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
+	// Memory is what this instance holds for callers.
+	Memory bodymemory.Description `json:"memory"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -97,6 +100,7 @@
 	}
 	d.Shares = e.balancer.Shares()
 	d.Quotas = e.pools.Shares()
+	d.Memory = e.memory.Describe()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -27,6 +27,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lovagescale/internal/allowance"
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/control"
 	"lovagescale/internal/fleet"
@@ -117,8 +118,10 @@
 	reach           *reachability.Tracker
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
-	bodyMemory bodyMemory
-	counters   counters
+	memory     *bodymemory.Memory
+	// responseSizes are the expected sizes of responses by route.
+	responseSizes *bodymemory.Sizes
+	counters      counters
 }
 
 // New returns an instance that is not yet listening.
@@ -151,8 +154,8 @@
 	e.bounds.Store(&s.Bounds)
 	e.seeds.Store(&s.Seeds)
 	e.position.Store(&store.Position{})
-	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
+	e.initMemory(bodymemory.LimitOf(s.MemoryBytes))
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/link"
@@ -71,6 +72,7 @@
 	case reply.Refused != nil:
 		return nil, reply.Refused, true
 	}
+	q.responseHeld.ForceSize(int64(len(reply.Body)))
 	return &upstream.Answer{Status: reply.Status, Header: reply.Header, Body: reply.Body}, nil, true
 }
 
@@ -121,7 +123,7 @@
 		return fleet.HandoverReply{NotTaken: true}, nil
 	}
 	q, refused := e.acceptHandover(c, message)
-	defer func() { e.bodyMemory.release(q.reservedBytes) }()
+	defer q.releaseMemory()
 	if refused != nil {
 		return fleet.HandoverReply{Refused: refused}, nil
 	}
@@ -145,10 +147,11 @@
 		catalog: c, started: time.Now(), handedOver: true,
 		outgoing: upstream.Request{ID: m.ID, Method: m.Method, Host: m.Host, Target: m.Target, Header: m.Header, Body: m.Body},
 	}
-	if err := e.bodyMemory.reserve(int64(len(m.Body))); err != nil {
+	held, err := e.memory.Reserve(bodymemory.RequestBody, int64(len(m.Body)))
+	if err != nil {
 		return q, noBodyMemory()
 	}
-	q.reservedBytes = int64(len(m.Body))
+	q.bodyHeld = held
 	route, found := c.Match(m.Host, pathOfTarget(m.Target))
 	workspace, known := c.Workspaces[m.Workspace]
 	if !found || (m.Workspace != "" && !known) {
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -121,7 +121,7 @@
 	set("edge.store.era", int64(e.position.Load().Era))
 	set("edge.store.revision", int64(e.position.Load().Revision))
 	set("edge.instances", e.instanceCount.Load())
-	set("edge.bodies.bytes", e.bodyMemory.used.Load())
+	e.setMemoryGauges(set)
 	if c := e.catalog.Load(); c != nil {
 		set("edge.configuration.version", int64(c.Version))
 	}
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/call"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/header"
@@ -26,11 +27,14 @@
 
 // request is a caller's request while the instance handles it.
 type request struct {
-	caller    CallerInfo
-	catalog   *catalog.Catalog
-	route     *catalog.Route
-	workspace *catalog.Workspace
-	upstream  string
+	caller CallerInfo
+	// callerAddress is the network address of the caller, or "" for a request of another
+	// instance.
+	callerAddress string
+	catalog       *catalog.Catalog
+	route         *catalog.Route
+	workspace     *catalog.Workspace
+	upstream      string
 	// region is the region in which the request is to run.
 	region string
 	// cause is why no endpoint could be chosen, if that is why the request was refused.
@@ -51,8 +55,10 @@
 	loan *quotapool.Loan
 	// runsAt is the instance to which this one handed the request over, or "".
 	runsAt string
-	// reservedBytes is the memory reserved for the body.
-	reservedBytes int64
+	// bodyHeld and responseHeld are the memory reserved for the body and for the response.
+	bodyHeld, responseHeld *bodymemory.Reservation
+	// responseNotHeld is set if an endpoint sent a response for which no memory was left.
+	responseNotHeld bool
 }
 
 // workspaceName returns the name of the workspace, or "" if the request needs no key.
@@ -70,7 +76,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, refused := e.readRequest(w, r)
-	defer func() { e.bodyMemory.release(q.reservedBytes) }()
+	defer q.releaseMemory()
 	if refused != nil {
 		refuseUnread(w, r, func() { e.writeRefusal(w, q, nil, refused) })
 		return
@@ -91,7 +97,7 @@
 // readRequest checks a request and prepares it for an endpoint. If it refuses the
 // request, it returns what it has read so far together with the refusal.
 func (e *Edge) readRequest(w http.ResponseWriter, r *http.Request) (*request, *refusal.Refusal) {
-	q := &request{caller: e.ports.Callers.ParseCallerInfo(r), started: time.Now()}
+	q := &request{caller: e.ports.Callers.ParseCallerInfo(r), callerAddress: r.RemoteAddr, started: time.Now()}
 	q.catalog = e.catalog.Load()
 	if q.catalog == nil {
 		return q, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
@@ -131,7 +137,7 @@
 	if q.route.Sticky {
 		q.affinityKey = placement.AffinityKey(q.upstream, q.route.Name, q.caller.ObjectName)
 	}
-	return nil
+	return e.reserveResponse(q)
 }
 
 // identify finds the route of a request and the workspace of its key.
--- a/internal/edge/request_test.go
+++ b/internal/edge/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/call"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/quarantine"
@@ -29,11 +31,12 @@
 	w.WriteHeader(r.Status)
 }
 
-// newServingEdge returns an instance with one route, /act/, and memory for bodies of 100 kB
-// in total.
+// newServingEdge returns an instance with one route, /act/, and memory for large bodies of
+// 100 kB in total.
 func newServingEdge() *Edge {
 	e := New(Settings{Instance: "one", Zone: "north-1", Region: "north", Zones: map[string]string{"north-1": "north"},
-		MemoryBytes: 100_000 * bodyMemoryDivisor, Bounds: DefaultBounds()}, Ports{Callers: plainCallers{}}, zerolog.Nop())
+		Bounds: DefaultBounds()}, Ports{Callers: plainCallers{}}, zerolog.Nop())
+	e.initMemory(100_000 * 8 / 7)
 	route := &catalog.Route{Name: "act", Host: "example.com", Prefix: "/act/", MaxAttempts: 1, Upstreams: []weighted.Weight{{Name: "files", Weight: 1}}}
 	e.catalog.Store(catalog.New(1, []*catalog.Route{route}, nil, nil, catalog.Limits{MaxBodyBytes: 80_000}))
 	return e
@@ -64,7 +67,7 @@
 	for _, known := range []bool{true, false} {
 		for range 3 {
 			g.Expect(post(e, "/act/poison", poison, known)).To(Equal(http.StatusServiceUnavailable))
-			g.Expect(e.bodyMemory.used.Load()).To(BeZero())
+			g.Expect(e.memory.Used()).To(BeZero())
 		}
 	}
 }
@@ -72,25 +75,32 @@
 func TestBodiesOfUnknownLengthReserveMemory(t *testing.T) {
 	g := NewWithT(t)
 	e := newServingEdge()
-	held, reserved, err := e.bodyMemory.read(strings.NewReader(strings.Repeat("x", 70_000)), -1)
+	read := func(body io.Reader) (*bodymemory.Reservation, []byte, error) {
+		reservation, err := e.memory.Reserve(bodymemory.RequestBody, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		content, err := reservation.ReadBody(body, -1)
+		return reservation, content, err
+	}
+	reservation, held, err := read(strings.NewReader(strings.Repeat("x", 70_000)))
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(held).To(HaveLen(70_000))
-	g.Expect(reserved).To(BeNumerically(">=", 70_000))
-	g.Expect(e.bodyMemory.used.Load()).To(Equal(reserved))
+	g.Expect(reservation.Size()).To(BeNumerically(">=", 70_000))
+	g.Expect(e.memory.Used()).To(Equal(reservation.Size()))
 	for _, known := range []bool{true, false} {
 		g.Expect(post(e, "/act/1", strings.Repeat("y", 70_000), known)).To(Equal(http.StatusServiceUnavailable), "no memory is left")
 	}
-	g.Expect(e.bodyMemory.used.Load()).To(Equal(reserved))
-	e.bodyMemory.release(reserved)
+	g.Expect(e.memory.Used()).To(Equal(reservation.Size()))
+	reservation.Release()
 
-	_, reserved, err = e.bodyMemory.read(iotest.ErrReader(http.ErrBodyReadAfterClose), -1)
+	reservation, _, err = read(iotest.ErrReader(http.ErrBodyReadAfterClose))
 	g.Expect(err).To(MatchError(http.ErrBodyReadAfterClose))
-	e.bodyMemory.release(reserved)
-	g.Expect(e.bodyMemory.used.Load()).To(BeZero())
+	reservation.Release()
+	g.Expect(e.memory.Used()).To(BeZero())
 
 	text := strings.Repeat("0123456789", 20)
-	read, reserved, err := e.bodyMemory.read(iotest.OneByteReader(strings.NewReader(text)), -1)
+	reservation, content, err := read(iotest.OneByteReader(strings.NewReader(text)))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(bytes.Equal(read, []byte(text))).To(BeTrue())
-	e.bodyMemory.release(reserved)
+	g.Expect(bytes.Equal(content, []byte(text))).To(BeTrue())
+	reservation.Release()
+	g.Expect(e.memory.Used()).To(BeZero())
 }
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"lovagescale/internal/bodymemory"
 )
 
 // Times of a planned stop.
@@ -25,11 +27,13 @@
 	server := &http.Server{
 		Handler:        e,
 		ConnState:      conns.track,
+		ConnContext:    bodymemory.ConnContext,
 		MaxHeaderBytes: maxReadHeaderBytes,
 	}
 	timeoutCtx, stopTimeouts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTimeouts()
 	go e.enforceConnTimeouts(timeoutCtx, conns)
+	go e.watchMemory(timeoutCtx)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(conns) }()
 	select {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lovagescale/internal/bodymemory"
 )
 
 // Headers, header values and paths of the default dialect.
@@ -133,6 +135,8 @@
 	Body   []byte
 	// Fresh asks for a new connection instead of an idle one.
 	Fresh bool
+	// ResponseMemory accounts for the body of the answer. It may be nil.
+	ResponseMemory *bodymemory.Reservation
 }
 
 // Answer is one complete answer.
@@ -153,6 +157,10 @@
 // ctx. When ctx ends, the connection is closed, which cancels the request at
 // the upstream. On failure it returns an *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, request *Request) (*Answer, error) {
+	if err := p.bodies.add(len(request.Body)); err != nil {
+		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
+	}
+	defer p.bodies.remove(len(request.Body))
 	c, err := p.acquire(ctx, request.Fresh)
 	if err != nil {
 		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
@@ -209,7 +217,7 @@
 	if !dialect.AllowUndelimited && !isDelimited(response, request.Method) {
 		return nil, false, PhaseVerify, &UndelimitedError{Status: response.StatusCode}
 	}
-	body, err := readBody(response)
+	body, err := readBody(response, request.ResponseMemory)
 	if err != nil {
 		return nil, false, PhaseRead, err
 	}
@@ -224,17 +232,16 @@
 }
 
 // readBody reads at most MaxAnswerBytes + 1 bytes of the body: the extra byte shows
-// that the body is too large.
-func readBody(response *http.Response) ([]byte, error) {
+// that the body is too large. A body for which memory has no room is not read and gives a
+// *bodymemory.NoMemoryError.
+func readBody(response *http.Response, memory *bodymemory.Reservation) ([]byte, error) {
 	if response.Body == http.NoBody {
 		return nil, nil
 	}
 	if response.ContentLength >= 0 && response.ContentLength <= MaxAnswerBytes {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
+		return memory.ReadBody(response.Body, response.ContentLength)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	return memory.ReadBody(io.LimitReader(response.Body, MaxAnswerBytes+1), -1)
 }
 
 // readFinalAnswer reads the final answer of an exchange and skips interim ones. A
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,6 +35,7 @@
 	dial    DialFunc
 	// idleTime is how long a connection may stay idle and still be reused.
 	idleTime time.Duration
+	bodies   bodiesInFlight
 
 	mu      sync.Mutex
 	maxIdle int
