--- /dev/null
+++ b/internal/upstream/bodies_test.go
@@ -0,0 +1,75 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"lovagescale/internal/bodymemory"
+	"lovagescale/internal/upstream"
+)
+
+var _ = Describe("memory of an exchange", func() {
+	send := func(pool *upstream.Pool, ctx context.Context, bytes int) chan error {
+		result := make(chan error, 1)
+		go func() {
+			_, err := pool.Exchange(ctx, &upstream.Request{ID: "r1", Method: "POST", Target: "/", Body: make([]byte, bytes)})
+			result <- err
+		}()
+		return result
+	}
+
+	// An endpoint crashes if the requests that it holds exceed its memory.
+	It("bounds the bodies in flight to one endpoint", func() {
+		address, connections := serveAnswers(false)
+		pool := upstream.NewPool(address, 1, 0)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		first := send(pool, ctx, upstream.MaxBodyBytesInFlight-1000)
+		Eventually(connections, "10s").Should(Receive())
+		var err error
+		Eventually(send(pool, ctx, 1001), "10s").Should(Receive(&err))
+		var limit *upstream.BodyLimitError
+		Expect(errors.As(err, &limit)).To(BeTrue())
+		var failed *upstream.ExchangeError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveRun()).To(BeFalse())
+		small := send(pool, ctx, 1000)
+		Eventually(connections, "10s").Should(Receive())
+		cancel()
+		Eventually(first, "10s").Should(Receive())
+		Eventually(small, "10s").Should(Receive())
+		alone, stop := context.WithCancel(context.Background())
+		defer stop()
+		send(pool, alone, upstream.MaxBodyBytesInFlight+1)
+		Eventually(connections, "10s").Should(Receive(), "a larger body is sent alone")
+	})
+
+	It("accounts for the body of the answer, whether its length is stated or not", func() {
+		chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
+		for _, raw := range []string{completeAnswer, chunked} {
+			memory := bodymemory.New(10_000)
+			held, err := memory.Reserve(bodymemory.Response, 6000)
+			Expect(err).NotTo(HaveOccurred())
+			address, _ := serveAnswers(false, raw)
+			request := &upstream.Request{ID: "r1", Method: "GET", Target: "/", ResponseMemory: held}
+			answer, err := upstream.NewPool(address, 1, 0).Exchange(context.Background(), request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(memory.Used()).To(BeEquivalentTo(cap(answer.Body)))
+		}
+	})
+
+	// An answer that does not fit was read without a limit.
+	It("ends the exchange if the answer does not fit", func() {
+		memory := bodymemory.New(10_000)
+		held, err := memory.Reserve(bodymemory.Response, 100)
+		Expect(err).NotTo(HaveOccurred())
+		address, _ := serveAnswers(false, "HTTP/1.1 200 OK\r\nContent-Length: 10001\r\nLovage-Request-Id: r1\r\n\r\n")
+		_, err = upstream.NewPool(address, 1, 0).Exchange(context.Background(), &upstream.Request{ID: "r1", Method: "GET", Target: "/", ResponseMemory: held})
+		var noMemory *bodymemory.NoMemoryError
+		Expect(errors.As(err, &noMemory)).To(BeTrue())
+		Expect(memory.Used()).To(BeEquivalentTo(100))
+	})
+})
