Describe the memory of bodies, and send one large body beside smaller ones

A body above 8 MiB would have kept all smaller bodies from its endpoint, and been kept by them: deployments with uploads of 64 MB would have been served worse. Such a body is now counted apart, one at a time for each endpoint.

--- a/internal/upstream/bodies_test.go
+++ b/internal/upstream/bodies_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -38,13 +39,18 @@
 		Expect(failed.MayHaveRun()).To(BeFalse())
 		small := send(pool, ctx, 1000)
 		Eventually(connections, "10s").Should(Receive())
+		larger := send(pool, ctx, upstream.MaxBodyBytesInFlight+1)
+		Eventually(connections, "10s").Should(Receive(), "one larger body is sent at a time")
+		Eventually(send(pool, ctx, upstream.MaxBodyBytesInFlight+1), "10s").Should(Receive(&err))
+		Expect(errors.As(err, &limit)).To(BeTrue())
 		cancel()
-		Eventually(first, "10s").Should(Receive())
-		Eventually(small, "10s").Should(Receive())
-		alone, stop := context.WithCancel(context.Background())
+		for _, result := range []chan error{first, small, larger} {
+			Eventually(result, "10s").Should(Receive())
+		}
+		again, stop := context.WithCancel(context.Background())
 		defer stop()
-		send(pool, alone, upstream.MaxBodyBytesInFlight+1)
-		Eventually(connections, "10s").Should(Receive(), "a larger body is sent alone")
+		send(pool, again, upstream.MaxBodyBytesInFlight)
+		Eventually(connections, "10s").Should(Receive(), "bodies whose exchange has ended do not count")
 	})
 
 	It("accounts for the body of the answer, whether its length is stated or not", func() {
@@ -67,7 +73,9 @@
 		held, err := memory.Reserve(bodymemory.Response, 100)
 		Expect(err).NotTo(HaveOccurred())
 		address, _ := serveAnswers(false, "HTTP/1.1 200 OK\r\nContent-Length: 10001\r\nLovage-Request-Id: r1\r\n\r\n")
-		_, err = upstream.NewPool(address, 1, 0).Exchange(context.Background(), &upstream.Request{ID: "r1", Method: "GET", Target: "/", ResponseMemory: held})
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		_, err = upstream.NewPool(address, 1, 0).Exchange(ctx, &upstream.Request{ID: "r1", Method: "GET", Target: "/", ResponseMemory: held})
 		var noMemory *bodymemory.NoMemoryError
 		Expect(errors.As(err, &noMemory)).To(BeTrue())
 		Expect(memory.Used()).To(BeEquivalentTo(100))
