--- a/internal/upstream/bodies_test.go
+++ b/internal/upstream/bodies_test.go
@@ -1,8 +1,12 @@
 package upstream_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -53,6 +57,32 @@
 		Eventually(connections, "10s").Should(Receive(), "bodies whose exchange has ended do not count")
 	})
 
+	// A copy of each body for its write doubled the memory of large bodies.
+	It("sends a large body without a copy of it", func() {
+		sent := bytes.Repeat([]byte("0123456789"), 400_000)
+		received := make(chan bool, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			match := true
+			for at, part := 0, make([]byte, 4096); ; {
+				n, err := r.Body.Read(part)
+				match = match && bytes.Equal(part[:n], sent[at:at+n])
+				at += n
+				if err != nil {
+					received <- match && at == len(sent)
+					return
+				}
+			}
+		}))
+		DeferCleanup(server.Close)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, err := upstream.NewPool(server.Listener.Addr().String(), 1, 0).Exchange(context.Background(), &upstream.Request{ID: "r1", Method: "POST", Target: "/", Body: sent})
+		runtime.ReadMemStats(&after)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(received).To(Receive(BeTrue()))
+		Expect(after.TotalAlloc - before.TotalAlloc).To(BeNumerically("<", len(sent)))
+	})
+
 	It("accounts for the body of the answer, whether its length is stated or not", func() {
 		chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"
 		for _, raw := range []string{completeAnswer, chunked} {
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -62,11 +62,20 @@
 	return d.EchoRequired && request.ID != "" && status >= 200 && status < 300
 }
 
-// encode returns the request's bytes on the wire. The target and the header
-// fields are written unchanged; the length of a body is always stated.
-func (r *Request) encode(ctx context.Context, address string, dialect *Dialect) []byte {
+// maxCopiedBodyBytes is the size above which a body is not copied behind its head: the copies
+// would double the memory of large bodies.
+const maxCopiedBodyBytes = 16 << 10
+
+// encode returns the request's bytes on the wire: the head, with the body behind it if that
+// is small, and the body to write after it otherwise. The target and the header fields are
+// written unchanged; the length of a body is always stated.
+func (r *Request) encode(ctx context.Context, address string, dialect *Dialect) (head, body []byte) {
 	const typicalHeaderBytes = 768
-	out := make([]byte, 0, typicalHeaderBytes+len(r.Body))
+	copied := len(r.Body)
+	if copied > maxCopiedBodyBytes {
+		copied = 0
+	}
+	out := make([]byte, 0, typicalHeaderBytes+copied)
 	out = append(out, r.Method...)
 	out = append(out, ' ')
 	out = append(out, r.Target...)
@@ -98,7 +107,7 @@
 		out = appendField(out, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
 	out = append(out, "\r\n"...)
-	return append(out, r.Body...)
+	return append(out, r.Body[:copied]...), r.Body[copied:]
 }
 
 // setsHeader reports whether encode sets the header itself, so that the
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
@@ -185,8 +186,8 @@
 // on a new connection fails before its first byte, the request was not sent, so
 // the failure counts as one of PhaseDial.
 func exchange(ctx context.Context, c *connection, address string, dialect *Dialect, request *Request) (answer *Answer, reusable bool, phase Phase, err error) {
-	encoded := request.encode(ctx, address, dialect)
-	written, err := c.conn.Write(encoded)
+	head, body := request.encode(ctx, address, dialect)
+	written, err := writeRequest(c.conn, head, body)
 	if err != nil && written == 0 && !c.reused {
 		return nil, false, PhaseDial, err
 	}
@@ -203,6 +204,16 @@
 	return answer, reusable && err == nil, phase, err
 }
 
+// writeRequest writes the head and the body of a request without copying them.
+func writeRequest(conn net.Conn, head, body []byte) (written int64, err error) {
+	if len(body) == 0 {
+		n, err := conn.Write(head)
+		return int64(n), err
+	}
+	buffers := net.Buffers{head, body}
+	return buffers.WriteTo(conn)
+}
+
 // readAnswer reads one final answer. With a *MismatchError, reusable tells whether
 // another answer may follow on the connection.
 func readAnswer(c *connection, dialect *Dialect, request *Request) (answer *Answer, reusable bool, phase Phase, err error) {
