--- a/internal/bodymemory/deliver.go
+++ b/internal/bodymemory/deliver.go
@@ -8,13 +8,20 @@
 
 type connKey struct{}
 
-// ConnContext returns a context from which Deliver finds the caller's connection, if it is a
-// Conn. It can be used as the ConnContext of an http.Server.
+// ConnContext returns a context from which Deliver finds the caller's connection, if that is
+// a Conn or wraps one and returns it from a method NetConn. It can be used as the ConnContext
+// of an http.Server.
 func ConnContext(ctx context.Context, conn net.Conn) context.Context {
-	if c, ok := conn.(Conn); ok {
-		return context.WithValue(ctx, connKey{}, c)
+	for {
+		if c, ok := conn.(Conn); ok {
+			return context.WithValue(ctx, connKey{}, c)
+		}
+		wrapper, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return ctx
+		}
+		conn = wrapper.NetConn()
 	}
-	return ctx
 }
 
 // ResponseHolder is implemented by an http.ResponseWriter that keeps a response until its
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -27,14 +27,11 @@
 
 // request is a caller's request while the instance handles it.
 type request struct {
-	caller CallerInfo
-	// callerAddress is the network address of the caller, or "" for a request of another
-	// instance.
-	callerAddress string
-	catalog       *catalog.Catalog
-	route         *catalog.Route
-	workspace     *catalog.Workspace
-	upstream      string
+	caller    CallerInfo
+	catalog   *catalog.Catalog
+	route     *catalog.Route
+	workspace *catalog.Workspace
+	upstream  string
 	// region is the region in which the request is to run.
 	region string
 	// cause is why no endpoint could be chosen, if that is why the request was refused.
@@ -59,6 +56,9 @@
 	bodyHeld, responseHeld *bodymemory.Reservation
 	// responseNotHeld is set if an endpoint sent a response for which no memory was left.
 	responseNotHeld bool
+	// callerAddress is the network address of the caller, or "" for a request of another
+	// instance.
+	callerAddress string
 }
 
 // workspaceName returns the name of the workspace, or "" if the request needs no key.
