--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagescale/internal/admission"
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
@@ -41,6 +42,8 @@
 	Admission []admission.Description `json:"admission"`
 	// Pipelines are the callers' connections with requests that were started early.
 	Pipelines []pipeline.Description `json:"pipelines"`
+	// Memory is what this instance holds for callers.
+	Memory bodymemory.Description `json:"memory"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -112,6 +115,7 @@
 	d.Quotas = e.pools.Shares()
 	d.Admission = e.sharing.gate.Describe()
 	d.Returns = e.returns.Describe(time.Now())
+	d.Memory = e.memory.Describe()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -28,6 +28,7 @@
 
 	"lovagescale/internal/admission"
 	"lovagescale/internal/allowance"
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/control"
 	"lovagescale/internal/fleet"
@@ -125,10 +126,12 @@
 	rateReturns     *returns.Spacing
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
-	bodyMemory bodyMemory
 	sharing    sharing
 	pipelines  atomic.Pointer[pipeline.Listener]
-	counters   counters
+	memory     *bodymemory.Memory
+	// responseSizes are the expected sizes of responses by route.
+	responseSizes *bodymemory.Sizes
+	counters      counters
 }
 
 // New returns an instance that is not yet listening.
@@ -166,9 +169,9 @@
 	e.bounds.Store(&s.Bounds)
 	e.seeds.Store(&s.Seeds)
 	e.position.Store(&store.Position{})
-	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
 	e.sharing.gate = admission.NewGate()
+	e.initMemory(bodymemory.LimitOf(s.MemoryBytes))
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -26,13 +26,14 @@
 	conns := newCallerConns(e.pipelined(listener))
 	server := &http.Server{
 		Handler:        pipeline.Handler(e, e.mayBegin),
-		ConnContext:    pipelineContext,
+		ConnContext:    callerContext,
 		ConnState:      conns.track,
 		MaxHeaderBytes: maxReadHeaderBytes,
 	}
 	timeoutCtx, stopTimeouts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTimeouts()
 	go e.enforceConnTimeouts(timeoutCtx, conns)
+	go e.watchMemory(timeoutCtx)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(conns) }()
 	select {
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -184,6 +184,9 @@
 	c.notify()
 }
 
+// NetConn returns the connection that this one wraps.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite closes the sending side of the connection if it supports that. No response
 // follows, so the requests that were started early are cancelled.
 func (c *conn) CloseWrite() error {
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -5,6 +5,8 @@
 	"maps"
 	"net/http"
 	"sync"
+
+	"lovagescale/internal/bodymemory"
 )
 
 // response is the http.ResponseWriter of a request that was started early. It holds what
@@ -30,6 +32,11 @@
 	body []byte
 	// reserved is the memory reserved for the body.
 	reserved int64
+	// heldBody is a body that the handler has handed over with its reservation held.
+	heldBody []byte
+	held     *bodymemory.Reservation
+	// targetCtx is the context of the request that the server reads.
+	targetCtx context.Context
 	// dropped is set when the response is not wanted any more.
 	dropped bool
 	// panicked is the value of a panic of the handler, or nil.
@@ -119,10 +126,25 @@
 	return len(data), nil, true
 }
 
+// HoldResponse implements bodymemory.ResponseHolder.
+func (w *response) HoldResponse(body []byte, held *bodymemory.Reservation) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writeHeader(http.StatusOK)
+	switch {
+	case w.target != nil:
+		bodymemory.Deliver(w.targetCtx, w.target, body, held)
+	case w.dropped:
+		held.Release()
+	default:
+		w.heldBody, w.held = body, held
+	}
+}
+
 // deliver passes the response to the server's writer and waits until the handler has
 // returned. If ctx ends before, cancel is called. A panic of the handler is raised again.
 func (w *response) deliver(ctx context.Context, target http.ResponseWriter, cancel context.CancelFunc, beforeHeader func(http.Header)) {
-	w.attach(target, beforeHeader)
+	w.attach(ctx, target, beforeHeader)
 	select {
 	case <-w.done:
 	case <-ctx.Done():
@@ -138,14 +160,17 @@
 }
 
 // attach passes on what the response holds; what follows goes to the target directly.
-func (w *response) attach(target http.ResponseWriter, beforeHeader func(http.Header)) {
+func (w *response) attach(ctx context.Context, target http.ResponseWriter, beforeHeader func(http.Header)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.target, w.beforeHeader = target, beforeHeader
+	w.targetCtx, w.target, w.beforeHeader = ctx, target, beforeHeader
 	w.passHeader()
 	if len(w.body) > 0 {
 		_, _ = target.Write(w.body) // fails if the caller has disconnected, which ends ctx
 	}
+	if w.heldBody != nil {
+		bodymemory.Deliver(ctx, target, w.heldBody, w.held)
+	}
 	w.release()
 	close(w.attached)
 }
@@ -160,7 +185,8 @@
 
 // release releases the body. The caller must hold mu.
 func (w *response) release() {
-	w.body = nil
+	w.body, w.heldBody = nil, nil
+	w.held.Release()
 	if w.reserved > 0 {
 		w.memory.Release(w.reserved)
 		w.reserved = 0
