--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -62,12 +62,14 @@
 		e.stats.RecordArrival(q.upstream, "")
 	}
 	e.retryBudget.RecordFirstAttempt(q.upstream)
+	e.compareWithShare(q)
 	var attempts []attempt
 	var failedAnswer *upstream.Answer
 	reached := 0
 	for {
 		endpoint, refused, err := e.chooseAndAdmit(ctx, q, attempts)
 		if refused != nil {
+			e.withdrawDemand(q)
 			return nil, attempts, refused
 		}
 		if err != nil && failedAnswer != nil {
@@ -150,14 +152,7 @@
 
 // chooseEndpoint returns an endpoint of the request's region that was not attempted yet.
 func (e *Edge) chooseEndpoint(q *request, attempts []attempt) (*placement.Endpoint, error) {
-	want := placement.Request{
-		Upstream: q.upstream, Region: q.region, Local: q.region == e.settings.Region,
-		AffinityKey: q.affinityKey, MaxUtilization: e.maxUtilization(q),
-	}
-	for _, a := range attempts {
-		want.Tried = append(want.Tried, a.endpoint)
-	}
-	return e.table.Load().Choose(time.Now(), want)
+	return e.table.Load().Choose(time.Now(), e.choice(q, attempts))
 }
 
 // attempt sends the request to one endpoint and records the result.
@@ -165,20 +160,22 @@
 	outgoing := q.outgoing
 	outgoing.Instance = endpoint.ID
 	started := time.Now()
+	expected := e.expectedCompletion(started, q, endpoint)
 	answer, err := endpoint.Pool.Exchange(ctx, &outgoing)
 	now := time.Now()
 	result := e.classify(ctx, answer, err)
 	e.counters.recordAttempt(result)
 	e.recordReach(now, endpoint, result)
+	var load placement.ReportedLoad
+	if answer != nil {
+		load = e.applyReportedLoad(now, endpoint, answer)
+	}
 	latencyRatio := 0.0
 	if result == placement.Answered {
 		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
+		e.recordCompletion(q, endpoint, expected, now.Sub(started), load)
 	}
-	if answer != nil {
-		if running, waiting, reported := e.ports.Callers.ParseReportedLoad(answer.Header); reported {
-			endpoint.SetReportedLoad(now, running+waiting)
-		}
-	}
+	e.recordSlotTime(q, endpoint, result, now.Sub(started), latencyRatio)
 	if answer != nil && result != placement.Misdirected { // such an answer is of another endpoint
 		e.applyStatements(now, q, endpoint, answer, result)
 	}
@@ -186,6 +183,7 @@
 	if result == placement.Lost {
 		e.checkForCrash(q, endpoint)
 	}
+	q.noteNoMemory(err)
 	if err != nil && result != placement.Abandoned {
 		e.log.Info().Err(err).Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Str("try", result.String()).
 			Dur("took", now.Sub(started)).Msg("try failed")
@@ -221,6 +219,9 @@
 	case context.DeadlineExceeded:
 		return placement.Expired
 	}
+	if result, known := classifyMemory(err); known {
+		return result
+	}
 	var limitErr *upstream.ConnectionLimitError
 	var exchangeErr *upstream.ExchangeError
 	switch {
@@ -282,7 +283,7 @@
 
 // noRoomRefusal returns the refusal of a request for which no endpoint could be chosen.
 func (e *Edge) noRoomRefusal(q *request, attempts []attempt, cause error) *refusal.Refusal {
-	q.cause = cause
+	q.cause = e.recordNoRoom(q, cause)
 	if anyMayHaveRun(attempts) {
 		return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown,
 			"the endpoint gave no answer and no other one has room")
@@ -301,6 +302,9 @@
 		return refusal.New(http.StatusGatewayTimeout, refusal.DeadlineExceeded, refusal.Unknown,
 			"the endpoint gave no answer in time")
 	}
+	if q.responseNotHeld {
+		return responseNotHeldRefusal()
+	}
 	return noAnswerRefusal()
 }
 
@@ -310,11 +314,16 @@
 	return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "the endpoint gave no answer")
 }
 
-// retryAfter returns the time after which a refused caller may retry. It is random, so
-// that the retries spread over the time in which the requests in flight end. If no
-// endpoint wants requests, it starts when the first one does again.
+// retryAfter returns the time after which a refused caller may retry. Where none can be
+// promised it is random, so that the retries spread over the time in which the requests in
+// flight end. If no endpoint wants requests, it starts when the first one does again.
 func (e *Edge) retryAfter(q *request) time.Duration {
-	return e.table.Load().PausedFor(time.Now(), q.upstream, q.region) + e.retrySpread(q)
+	now := time.Now()
+	pause := e.table.Load().PausedFor(now, q.upstream, q.region)
+	if wait := e.returnTime(now, q, pause); wait > 0 {
+		return wait
+	}
+	return pause + e.retrySpread(q)
 }
 
 // retrySpread returns a random time of about the upstream's service time.
@@ -327,10 +336,10 @@
 // maxUtilization returns the utilization up to which an endpoint of the request's region
 // may take the request.
 func (e *Edge) maxUtilization(q *request) float64 {
-	return placement.MaxUtilization(placement.RequestProfile{
+	return e.limitForReturns(time.Now(), q, q.limitByShare(placement.MaxUtilization(placement.RequestProfile{
 		Objective:    q.route.Objective,
 		ResponseTime: e.stats.ResponseTime(q.upstream, q.route.Name, q.region),
 		ServiceTime:  e.stats.ServiceTime(q.upstream),
 		Urgency:      q.catalog.Urgency(q.route, q.workspace),
-	})
+	})))
 }
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -6,8 +6,12 @@
 	"slices"
 	"time"
 
+	"lovagescale/internal/admission"
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/returns"
 )
 
 // Dump is the state dump of an instance for operators.
@@ -28,8 +32,18 @@
 	// Unreachable is set if this instance reaches no endpoint.
 	Unreachable bool                    `json:"reaches_no_endpoint"`
 	Endpoints   []placement.Description `json:"endpoints"`
+	// Objects are the numbers of objects and of their preferred endpoints.
+	Objects []placement.ObjectsDescription `json:"objects"`
+	// Returns are the times promised to refused callers.
+	Returns returns.Description `json:"returns"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
+	// Admission is how scarce slots are shared.
+	Admission []admission.Description `json:"admission"`
+	// Pipelines are the callers' connections with requests that were started early.
+	Pipelines []pipeline.Description `json:"pipelines"`
+	// Memory is what this instance holds for callers.
+	Memory bodymemory.Description `json:"memory"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -86,17 +100,22 @@
 		d.Era, d.Revision = position.Era, position.Revision
 		d.Evacuated = e.state.registry.Evacuated()
 		d.Peers = e.state.fleet.Peers()
+		d.Objects = e.objects.Describe()
 		d.Delegates = e.state.fleet.Delegates(now, e.settings.Region)
 		for _, endpoint := range e.table.Load().Endpoints() {
 			d.Endpoints = append(d.Endpoints, endpoint.Describe(now))
 		}
 	})
 	d.Traffic = e.peerTraffic(d.Peers)
+	d.Pipelines = e.pipelines.Load().Describe(time.Now())
 	if c := e.catalog.Load(); c != nil {
 		d.Version = c.Version
 	}
 	d.Shares = e.balancer.Shares()
 	d.Quotas = e.pools.Shares()
+	d.Admission = e.sharing.gate.Describe()
+	d.Returns = e.returns.Describe(time.Now())
+	d.Memory = e.memory.Describe()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -26,17 +26,21 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"lovagescale/internal/admission"
 	"lovagescale/internal/allowance"
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/control"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/link"
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/operator"
+	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
 	"lovagescale/internal/reachability"
+	"lovagescale/internal/returns"
 	"lovagescale/internal/store"
 	"lovagescale/internal/trafficstats"
 	"lovagescale/internal/upstream"
@@ -114,12 +118,20 @@
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
 	stats           *trafficstats.Stats
+	objects         *placement.Objects
+	runTimes        *placement.RunTimes
 	quarantine      *quarantineTable
 	reach           *reachability.Tracker
+	returns         *returns.Book
+	rateReturns     *returns.Spacing
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
-	bodyMemory bodyMemory
-	counters   counters
+	sharing    sharing
+	pipelines  atomic.Pointer[pipeline.Listener]
+	memory     *bodymemory.Memory
+	// responseSizes are the expected sizes of responses by route.
+	responseSizes *bodymemory.Sizes
+	counters      counters
 }
 
 // New returns an instance that is not yet listening.
@@ -146,15 +158,20 @@
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
 		stats:           trafficstats.New(),
+		objects:         placement.NewObjects(),
+		runTimes:        placement.NewRunTimes(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
 		reach:           reachability.NewTracker(time.Now()),
+		returns:         returns.NewBook(),
+		rateReturns:     returns.NewSpacing(),
 		eraBegun:        make(chan struct{}, 1),
 	}
 	e.bounds.Store(&s.Bounds)
 	e.seeds.Store(&s.Seeds)
 	e.position.Store(&store.Position{})
-	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
+	e.sharing.gate = admission.NewGate()
+	e.initMemory(bodymemory.LimitOf(s.MemoryBytes))
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"lovagescale/internal/pipeline"
 )
 
 // Times of a planned stop.
@@ -21,15 +23,17 @@
 // it is not ready, still accepts requests of callers that have not noticed, closes idle
 // connections, and finally waits for the requests in flight.
 func (e *Edge) serveCallers(ctx context.Context, listener net.Listener) error {
-	conns := newCallerConns(listener)
+	conns := newCallerConns(e.pipelined(listener))
 	server := &http.Server{
-		Handler:        e,
+		Handler:        pipeline.Handler(e, e.mayBegin),
+		ConnContext:    callerContext,
 		ConnState:      conns.track,
 		MaxHeaderBytes: maxReadHeaderBytes,
 	}
 	timeoutCtx, stopTimeouts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTimeouts()
 	go e.enforceConnTimeouts(timeoutCtx, conns)
+	go e.watchMemory(timeoutCtx)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(conns) }()
 	select {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -35,6 +35,7 @@
 	members := []Status{v.self}
 	sum := newActivitySum()
 	sum.add(own)
+	sum.speeds.add(own.Speeds, 0)
 	overdue := make(map[string]int64)
 	for _, p := range v.peers {
 		if p.status.Member.Region != v.self.Member.Region || !p.reportedWithin(now, SilentAfter) {
@@ -42,6 +43,7 @@
 		}
 		members = append(members, p.status)
 		sum.add(p.activity)
+		sum.speeds.add(p.activity.Speeds, now.Sub(p.reportedAt))
 		if silence := now.Sub(p.reportedAt); silence > overdueAfter {
 			overdue[p.status.Member.Instance] = silence.Milliseconds()
 		}
@@ -63,6 +65,7 @@
 	digest.DemandStale = demand.stale
 	demand.region.add(own.WorkspaceDemand)
 	digest.Activity.WorkspaceDemand = demand.region.demands()
+	v.addSlotDemand(now, &digest, own)
 	return digest
 }
 
@@ -78,9 +81,9 @@
 			continue
 		}
 		if !slices.Contains(report.UsedRegions, region) {
-			digest.Activity.EndpointLoads = nil
+			digest.Activity.EndpointLoads, digest.Activity.Speeds = nil, nil
 		}
-		digest.Activity.WorkspaceDemand = nil // the totals contain it
+		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand = nil, nil // the totals contain them
 		digests = append(digests, digest)
 	}
 	return omitKnownMembers(digests, report.MemberHashes)
@@ -103,7 +106,7 @@
 		if !found || region == exchange.Digest.Region || (known && age < digest.AgeMillis+relayMargin.Milliseconds()) {
 			continue
 		}
-		digest.Activity.WorkspaceDemand, digest.DemandStale = demand.demands, demand.stale
+		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand, digest.DemandStale = demand.demands, demand.slots, demand.stale
 		digests = append(digests, digest)
 	}
 	return omitKnownMembers(digests, exchange.MemberHashes)
@@ -208,6 +211,11 @@
 	DemandAge time.Duration
 	// UpstreamAnswers are the answers of the upstreams' endpoints, by upstream.
 	UpstreamAnswers map[string]UpstreamAnswers
+	// CallerAnswers are the answers to the instances of all regions, by the upstream and the
+	// region of the endpoints that gave them.
+	CallerAnswers map[AnswersKey]AnswerRates
+	// Objects are the largest estimates of the number of objects, by upstream and region.
+	Objects map[[2]string]float32
 }
 
 // DemandOutsideZone returns the demand of workspaces on all zones but this instance's.
@@ -224,6 +232,9 @@
 
 // add adds the activity of a region if sign is 1, and subtracts it if sign is -1.
 func (a *PeerActivity) add(region string, activity Activity, sign int) {
+	if sign > 0 {
+		objectCounts(a.Objects).add(activity.Objects)
+	}
 	for _, load := range activity.EndpointLoads {
 		a.EndpointLoads[load.Endpoint] += sign * load.InFlight
 	}
@@ -237,6 +248,7 @@
 		sum.Busy += float32(sign) * answers.Busy
 		a.UpstreamAnswers[answers.Upstream] = sum
 	}
+	callerAnswers(a.CallerAnswers).add(region, activity, sign)
 }
 
 // hasMembersIn reports whether an instance of the region is known.
@@ -249,6 +261,8 @@
 		EndpointLoads:   make(map[EndpointKey]int),
 		UpstreamDemand:  make(map[string][]UpstreamDemand),
 		UpstreamAnswers: make(map[string]UpstreamAnswers),
+		CallerAnswers:   make(map[AnswersKey]AnswerRates),
+		Objects:         make(map[[2]string]float32),
 	}
 	localRegion := v.self.Member.Region
 	delegate := v.IsDelegate(now)
@@ -279,6 +293,9 @@
 	strikes         map[uint64]quarantine.Strike
 	leaving         map[LeavingEndpoint]bool
 	limits          map[endpointRun]float32
+	remoteAnswers   remoteAnswersSum
+	objects         objectCounts
+	speeds          speedReports
 }
 
 // endpointRun identifies a run of an endpoint.
@@ -295,10 +312,14 @@
 		strikes:         make(map[uint64]quarantine.Strike),
 		leaving:         make(map[LeavingEndpoint]bool),
 		limits:          make(map[endpointRun]float32),
+		remoteAnswers:   make(remoteAnswersSum),
+		objects:         make(objectCounts),
+		speeds:          make(speedReports),
 	}
 }
 
 func (s *activitySum) add(a Activity) {
+	s.objects.add(a.Objects)
 	for _, load := range a.EndpointLoads {
 		s.endpointLoads[load.Endpoint] += load.InFlight
 	}
@@ -312,6 +333,7 @@
 		total.Busy += answers.Busy
 		s.upstreamAnswers[answers.Upstream] = total
 	}
+	s.remoteAnswers.add(a.RemoteAnswers)
 	for _, strike := range a.Strikes {
 		s.strikes[strike.ID] = strike
 	}
@@ -327,7 +349,7 @@
 }
 
 func (s *activitySum) activity() Activity {
-	var a Activity
+	a := Activity{Objects: s.objects.list(), Speeds: s.speeds.list()}
 	for _, endpoint := range slices.Sorted(maps.Keys(s.endpointLoads)) {
 		a.EndpointLoads = append(a.EndpointLoads, EndpointLoad{Endpoint: endpoint, InFlight: s.endpointLoads[endpoint]})
 	}
@@ -337,6 +359,7 @@
 	for _, answers := range s.upstreamAnswers {
 		a.UpstreamAnswers = append(a.UpstreamAnswers, answers)
 	}
+	a.RemoteAnswers = s.remoteAnswers.answers()
 	for _, strike := range s.strikes {
 		a.Strikes = append(a.Strikes, strike)
 	}
@@ -346,6 +369,7 @@
 	for run, perSecond := range s.limits {
 		a.Limits = append(a.Limits, EndpointLimit{Endpoint: run.endpoint, StartMillis: run.startMillis, PerSecond: perSecond})
 	}
+	a.RoundRates()
 	return a
 }
 
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -130,6 +130,17 @@
 	Leaving []LeavingEndpoint `msgpack:"l,omitempty"`
 	// Limits are the limits that endpoints name in their answers.
 	Limits []EndpointLimit `msgpack:"m,omitempty"`
+	// RemoteAnswers are the answers of endpoints in other regions. Instances of earlier builds
+	// omit them.
+	RemoteAnswers []RemoteAnswers `msgpack:"r,omitempty"`
+	// SlotDemand is the demand on slots. Its rows refer to WorkspaceDemand. Digests for members
+	// omit it.
+	SlotDemand []SlotDemand `msgpack:"o,omitempty"`
+	// Objects are the estimated numbers of objects of upstreams.
+	Objects []UpstreamObjects `msgpack:"j,omitempty"`
+	// Speeds are the recent speeds of endpoints that are not as usual. Digests for members
+	// omit those of regions that the member does not use.
+	Speeds []EndpointSpeed `msgpack:"v,omitempty"`
 }
 
 // EndpointLimit is the limit that a run of an endpoint names for all instances together.
@@ -166,6 +177,8 @@
 	OmitDigests bool `msgpack:"b,omitempty"`
 	// Packing is how the sender accepts the reply.
 	Packing Packing `msgpack:"p"`
+	// Packed holds the activity in place of Activity, see View.PackReport.
+	Packed []byte `msgpack:"k,omitempty"`
 }
 
 // Digest lists the members of a region and their combined activity.
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -80,7 +80,7 @@
 // whether that changed.
 func (e *Endpoint) SetNamedLimit(now time.Time, perSecond float64, named bool) bool {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	l := &e.limit
 	active := l.isActive(now)
 	if !named {
@@ -98,7 +98,7 @@
 // named to this one lately goes before.
 func (e *Endpoint) applyReportedLimit(now time.Time, perSecond float64) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	l := &e.limit
 	if now.Sub(l.absentAt) < limitAbsentTime || now.Sub(l.heardAt) < reportedLimitLifetime {
 		return
@@ -134,7 +134,7 @@
 // endpoint's limit, or 0 if it sends none.
 func (e *Endpoint) SetLimitInterval(now time.Time, interval time.Duration) {
 	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.unlock()
 	if e.limit.interval == 0 && interval > 0 {
 		e.limit.nextPermit = now.Add(interval) // the sender before this one may have used the last permit just now
 	}
@@ -159,14 +159,6 @@
 	return math.Min(float64(e.Slots), e.limit.perSecond*serviceTime.Seconds())
 }
 
-// permitAvailable reports whether the endpoint's limits allow a request of this instance
-// now: the rate of a cold endpoint, and the limit that the endpoint names.
-func (e *Endpoint) permitAvailable(now time.Time) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.permitted(now)
-}
-
 // takePermit takes the permits for a request. It returns false if one is not available.
 func (e *Endpoint) takePermit(now time.Time) bool {
 	e.mu.Lock()
@@ -183,7 +175,9 @@
 	return true
 }
 
-// permitted is permitAvailable for a caller that holds the lock.
+// permitted reports whether the endpoint's limits allow a request of this instance now: the
+// rate of a cold endpoint, and the limit that the endpoint names. The caller must hold the
+// lock.
 func (e *Endpoint) permitted(now time.Time) bool {
 	if e.coldLimiter.isActive(now) && !e.coldLimiter.permitAvailable(now) {
 		return false
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -5,11 +5,14 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"lovagescale/internal/bodymemory"
 )
 
 // Headers, header values and paths of the default dialect.
@@ -133,6 +136,8 @@
 	Body   []byte
 	// Fresh asks for a new connection instead of an idle one.
 	Fresh bool
+	// ResponseMemory accounts for the body of the answer. It may be nil.
+	ResponseMemory *bodymemory.Reservation
 }
 
 // Answer is one complete answer.
@@ -153,6 +158,10 @@
 // ctx. When ctx ends, the connection is closed, which cancels the request at
 // the upstream. On failure it returns an *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, request *Request) (*Answer, error) {
+	if err := p.bodies.add(len(request.Body)); err != nil {
+		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
+	}
+	defer p.bodies.remove(len(request.Body))
 	c, err := p.acquire(ctx, request.Fresh)
 	if err != nil {
 		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
@@ -177,8 +186,8 @@
 // on a new connection fails before its first byte, the request was not sent, so
 // the failure counts as one of PhaseDial.
 func exchange(ctx context.Context, c *connection, address string, dialect *Dialect, request *Request) (answer *Answer, reusable bool, phase Phase, err error) {
-	encoded := request.encode(ctx, address, dialect)
-	written, err := c.conn.Write(encoded)
+	head, body := request.encode(ctx, address, dialect)
+	written, err := writeRequest(c.conn, head, body)
 	if err != nil && written == 0 && !c.reused {
 		return nil, false, PhaseDial, err
 	}
@@ -195,6 +204,16 @@
 	return answer, reusable && err == nil, phase, err
 }
 
+// writeRequest writes the head and the body of a request without copying them.
+func writeRequest(conn net.Conn, head, body []byte) (written int64, err error) {
+	if len(body) == 0 {
+		n, err := conn.Write(head)
+		return int64(n), err
+	}
+	buffers := net.Buffers{head, body}
+	return buffers.WriteTo(conn)
+}
+
 // readAnswer reads one final answer. With a *MismatchError, reusable tells whether
 // another answer may follow on the connection.
 func readAnswer(c *connection, dialect *Dialect, request *Request) (answer *Answer, reusable bool, phase Phase, err error) {
@@ -209,7 +228,7 @@
 	if !dialect.AllowUndelimited && !isDelimited(response, request.Method) {
 		return nil, false, PhaseVerify, &UndelimitedError{Status: response.StatusCode}
 	}
-	body, err := readBody(response)
+	body, err := readBody(response, request.ResponseMemory)
 	if err != nil {
 		return nil, false, PhaseRead, err
 	}
@@ -224,17 +243,16 @@
 }
 
 // readBody reads at most MaxAnswerBytes + 1 bytes of the body: the extra byte shows
-// that the body is too large.
-func readBody(response *http.Response) ([]byte, error) {
+// that the body is too large. A body for which memory has no room is not read and gives a
+// *bodymemory.NoMemoryError.
+func readBody(response *http.Response, memory *bodymemory.Reservation) ([]byte, error) {
 	if response.Body == http.NoBody {
 		return nil, nil
 	}
 	if response.ContentLength >= 0 && response.ContentLength <= MaxAnswerBytes {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
+		return memory.ReadBody(response.Body, response.ContentLength)
 	}
-	return io.ReadAll(io.LimitReader(response.Body, MaxAnswerBytes+1))
+	return memory.ReadBody(io.LimitReader(response.Body, MaxAnswerBytes+1), -1)
 }
 
 // readFinalAnswer reads the final answer of an exchange and skips interim ones. A
