Mend what two reviews of the new parts found

Quota and budget: requests without a token count neither as first attempts nor as arrivals; one token for a waiting request, batches only ahead; a holder's silence pauses no workspace; no negative waits. Lookups name large instances only if they stand in two zones. Memory: a stated length of 2^63-1 overflowed the limit. Pipelines: connections linger while the process is stopping, so that no response is destroyed by a reset. An ended context sends nothing.

--- a/internal/admission/cell.go
+++ b/internal/admission/cell.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"lovagescale/internal/monotonic"
 )
 
 // Times and factors of the measurement of a workspace's demand.
@@ -142,14 +144,14 @@
 	if !c.quota.limited {
 		return true, NotScarce
 	}
-	nanos := now.UnixNano()
-	if nanos > c.untilNanos {
+	now64 := monotonic.Nanos(now)
+	if now64 > c.untilNanos {
 		return true, SharesOutdated
 	}
 	if random >= c.quota.fraction {
 		return false, AboveShare
 	}
-	if !c.takeToken(nanos) {
+	if !c.takeToken(now64) {
 		return false, DemandJumped
 	}
 	return true, WithinShare
@@ -219,7 +221,7 @@
 func (c *cell) applyQuota(q quota) {
 	wasLimited := c.quota.limited
 	rate := jumpMargin * q.perSecond
-	c.quota, c.untilNanos = q, q.until.UnixNano()
+	c.quota, c.untilNanos = q, monotonic.Nanos(q.until)
 	c.perNano = rate / float64(time.Second)
 	c.most = math.Max(burstTime.Seconds()*rate, burstRequests*c.cost)
 	if !wasLimited {
--- a/internal/allowance/quota.go
+++ b/internal/allowance/quota.go
@@ -47,8 +47,12 @@
 	extraBucketDepth = 16
 )
 
-// maxRetryAfter is the longest wait that is returned for a refused request.
-const maxRetryAfter = 2 * time.Second
+// minRetryAfter and maxRetryAfter bound the wait that is returned for a refused request.
+// The bucket may hold tokens when the window is what limits.
+const (
+	minRetryAfter = minPeriod
+	maxRetryAfter = 2 * time.Second
+)
 
 // Quotas holds this instance's shares of the workspaces' quotas. It is safe for
 // concurrent use.
@@ -134,7 +138,7 @@
 	}
 	missing := 1 - quota.limiter.TokensAt(now)
 	wait := time.Duration(missing / math.Max(float64(quota.limiter.Limit()), 1) * float64(time.Second))
-	return Admission{RetryAfter: min(wait, maxRetryAfter)}, false
+	return Admission{RetryAfter: min(max(wait, minRetryAfter), maxRetryAfter)}, false
 }
 
 // Shares returns this holder's shares of the workspaces' quotas.
--- a/internal/bodymemory/memory.go
+++ b/internal/bodymemory/memory.go
@@ -126,13 +126,13 @@
 // are disconnected first. The caller must hold mu and report what was disconnected.
 func (m *Memory) resize(r *Reservation, size int64) ([]Disconnection, error) {
 	n := size - r.size
-	excess := m.used + n - m.limitFor(size)
+	excess := n - (m.limitFor(size) - m.used) // a sum could overflow: callers state lengths up to 2^63-1
 	if n <= 0 || excess <= 0 {
 		m.add(r, n)
 		return nil, nil
 	}
 	disconnected := m.disconnectSlowest(excess)
-	if m.used+n > m.limitFor(size) {
+	if n > m.limitFor(size)-m.used {
 		return disconnected, &NoMemoryError{Kind: r.kind, Bytes: n, Limit: m.limit}
 	}
 	m.add(r, n)
--- a/internal/bodymemory/reader.go
+++ b/internal/bodymemory/reader.go
@@ -35,7 +35,7 @@
 	if !r.sampledAt.IsZero() && now.Sub(r.sampledAt) < sampleInterval {
 		return
 	}
-	bytesRead := max(r.conn.BytesRead()-r.writtenBefore, 0)
+	bytesRead := r.conn.BytesRead() - r.writtenBefore // negative while earlier responses are read
 	if r.sampledAt.IsZero() || bytesRead > r.bytesRead {
 		r.progressAt = now
 	}
--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -56,12 +56,6 @@
 func (e *Edge) runAttempts(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
 	allowedRegions, restricted := catalog.AllowedRegionsOf(q.route, q.workspace)
 	q.region = e.balancer.Next(q.upstream, q.affinityKey, allowedRegions, restricted)
-	if restricted {
-		e.stats.RecordArrival(q.upstream, q.region)
-	} else {
-		e.stats.RecordArrival(q.upstream, "")
-	}
-	e.retryBudget.RecordFirstAttempt(q.upstream)
 	e.compareWithShare(q)
 	var attempts []attempt
 	var failedAnswer *upstream.Answer
@@ -72,6 +66,12 @@
 			e.withdrawDemand(q)
 			return nil, attempts, refused
 		}
+		if len(attempts) == 0 {
+			e.recordArrival(q, restricted)
+		}
+		if err == nil && len(attempts) == 0 {
+			e.retryBudget.RecordFirstAttempt(q.upstream)
+		}
 		if err != nil && failedAnswer != nil {
 			return e.endpointAnswer(q, failedAnswer, attempts)
 		}
@@ -108,6 +108,16 @@
 	}
 }
 
+// recordArrival counts a request that its quota admits. restricted is set if it must run in
+// its region.
+func (e *Edge) recordArrival(q *request, restricted bool) {
+	if restricted {
+		e.stats.RecordArrival(q.upstream, q.region)
+	} else {
+		e.stats.RecordArrival(q.upstream, "")
+	}
+}
+
 // handOverNotRun hands a request over that found no endpoint here and has not run, if this
 // instance reaches none. taken is false if no instance took it.
 func (e *Edge) handOverNotRun(ctx context.Context, q *request, attempts []attempt, reached int) (answer *upstream.Answer, refused *refusal.Refusal, taken bool) {
@@ -167,7 +177,7 @@
 	e.counters.recordAttempt(result)
 	e.recordReach(now, endpoint, result)
 	var load placement.ReportedLoad
-	if answer != nil {
+	if answer != nil && result != placement.Misdirected {
 		load = e.applyReportedLoad(now, endpoint, answer)
 	}
 	latencyRatio := 0.0
@@ -295,6 +305,9 @@
 // failureRefusal returns the refusal of a request whose attempts gave no answer.
 func (e *Edge) failureRefusal(ctx context.Context, q *request, attempts []attempt) *refusal.Refusal {
 	if !anyMayHaveRun(attempts) {
+		if attempts[len(attempts)-1].result == placement.Full {
+			q.cause = e.recordNoRoom(q, q.cause)
+		}
 		return refusal.New(http.StatusServiceUnavailable, refusal.UpstreamUnreachable, refusal.NotRun,
 			"no endpoint took the request").WithRetryAfter(e.retryAfter(q))
 	}
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -131,8 +131,8 @@
 	return 0, true
 }
 
-// borrow takes a token of the workspace from the stash, or from the pools with some for the
-// stash.
+// borrow takes a token of the workspace from the stash, or one from the pools: several
+// requests that find the stash empty must not take a batch each.
 func (e *Edge) borrow(now time.Time, workspace *catalog.Workspace, send quotapool.SendFunc) quotapool.Loan {
 	if loan, found := e.stash.Take(now, workspace.Name); found {
 		return loan
@@ -140,9 +140,11 @@
 	if left := e.pools.RemainingPause(now, workspace.Name); left > 0 {
 		return quotapool.Loan{BorrowReply: fleet.BorrowReply{RetryAfterMillis: left.Milliseconds()}}
 	}
-	loan := e.pools.Borrow(now, workspace, quotapool.BatchSize(e.workspaceDemand.Rate(workspace.Name)), send)
+	loan := e.pools.Borrow(now, workspace, 1, send)
 	if !loan.Granted {
-		e.pools.Pause(now, workspace.Name, time.Duration(loan.RetryAfterMillis)*time.Millisecond)
+		if loan.Answered {
+			e.pools.Pause(now, workspace.Name, time.Duration(loan.RetryAfterMillis)*time.Millisecond)
+		}
 		return loan
 	}
 	e.counters.loans.Inc(1)
--- a/internal/edge/returns.go
+++ b/internal/edge/returns.go
@@ -78,6 +78,7 @@
 	if q.caller.Timeout <= 0 {
 		return earliest
 	}
+	e.returns.RecordRefusal(q.route.Name, q.caller.Timeout)
 	perSecond := q.workspace.Rate / float64(max(e.instanceCount.Load(), 1))
 	return e.rateReturns.Next(now, q.workspace.Name, perSecond, q.caller.Timeout-now.Sub(q.started), earliest, rand.Float64())
 }
--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -52,7 +52,7 @@
 		local = accepting
 	}
 	addresses := []string{}
-	for _, status := range steering.Select(preferReaching(local), Status.capacity) {
+	for _, status := range steering.Select(preferReaching(local), Status.instance) {
 		addresses = append(addresses, status.Member.Callers)
 	}
 	return addresses[:min(len(addresses), limit)]
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -68,6 +68,11 @@
 	Capacity *steering.Capacity `msgpack:"c,omitempty"`
 }
 
+// instance returns what the choice for lookups depends on.
+func (s Status) instance() steering.Instance {
+	return steering.Instance{Zone: s.Member.Zone, Capacity: s.capacity()}
+}
+
 // capacity returns what the member has for callers, the zero value if it is unknown.
 func (s Status) capacity() steering.Capacity {
 	if s.Capacity == nil {
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -200,10 +200,14 @@
 	return nil
 }
 
-// Close implements net.Conn. It cancels the requests that were started early.
+// Close implements net.Conn. It cancels the requests that were started early. A connection
+// on which bytes may be unread is closed after its caller has read the last response, since
+// the reset would destroy it; while the process is stopping nothing is read ahead, so that
+// requests may wait in the kernel.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	linger := (c.pipelined || c.buffer.len() > 0) && c.ended == nil && !c.reading // a read in progress must end now
+	mayHaveUnread := c.pipelined || c.buffer.len() > 0 || c.listener.options.Draining()
+	linger := mayHaveUnread && c.ended == nil && !c.reading // a read in progress must end now
 	c.end(net.ErrClosed, "the connection is closed")
 	c.mu.Unlock()
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && closer.CloseWrite() == nil {
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lovagescale/internal/monotonic"
 )
 
 // restriction is what restricts the use of an endpoint at the time of a choice.
@@ -131,7 +133,7 @@
 
 // compare compares the endpoints for a request.
 func (s *selection) compare(now time.Time, request Request, endpoints []*Endpoint) {
-	*s = selection{now: now, nowNano: now.UnixNano(), request: request}
+	*s = selection{now: now, nowNano: monotonic.Nanos(now), request: request}
 	s.preferred.size = min(max(request.Preferred, 1), MaxPreferred)
 	for _, e := range endpoints {
 		s.consider(e)
@@ -256,6 +258,9 @@
 	case 1:
 		return taking[0]
 	}
+	if taking[0].utilization < busyUtilization {
+		return taking[0]
+	}
 	return s.chooseOfTwo(taking[:n])
 }
 
@@ -277,6 +282,11 @@
 // instances that have the same information do not all choose the same endpoint.
 const utilizationScale = 0.5
 
+// busyUtilization is the utilization of the preferred endpoint with the highest rank from
+// which requests go to the others too. Below it a second endpoint would only cost a first
+// run for each object.
+const busyUtilization = 0.5
+
 // chooseOfTwo returns the better of two random ones of the candidates.
 func (s *selection) chooseOfTwo(candidates []candidate) candidate {
 	n := len(candidates)
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lovagescale/internal/monotonic"
 )
 
 const (
@@ -31,7 +33,7 @@
 // expected to end at the endpoint, if the endpoint has run a request for its object
 // recently.
 func (e *Endpoint) ExpectedCompletion(now time.Time, expected Expectation) time.Duration {
-	ahead := max(e.inFlight.Load()+e.countOthers(now.UnixNano())-1, 0)
+	ahead := max(e.inFlight.Load()+e.countOthers(monotonic.Nanos(now))-1, 0)
 	return toDuration((expectedWait(ahead, e.slots, expected.Mean) + expected.Warm.Seconds()) * e.SpeedFactor(now))
 }
 
--- a/internal/placement/completion_test.go
+++ b/internal/placement/completion_test.go
@@ -19,6 +19,7 @@
 	}
 	// preferredOf returns the two preferred endpoints of the object.
 	preferredOf := func(t *placement.Table) (a, b *placement.Endpoint) {
+		setBusy(t, 3)
 		var ends [2]*placement.Endpoint
 		for i, random := range []float64{0, 0.5} {
 			e, err := t.Choose(start, objectRequest(random))
@@ -56,7 +57,7 @@
 	// next report.
 	It("does not send the requests of all choosers to the same endpoint", func() {
 		for _, choosers := range []int{33, 195} {
-			share := shareOf(choosers, func(a, b *placement.Endpoint) { a.SetOthersInFlight(1); b.SetOthersInFlight(2) })
+			share := shareOf(choosers, func(a, b *placement.Endpoint) { a.SetOthersInFlight(3); b.SetOthersInFlight(4) })
 			Expect(share).To(BeNumerically(">", 0.6))
 			Expect(share).To(BeNumerically("<", 0.97))
 		}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"lovagescale/internal/monotonic"
 	"lovagescale/internal/upstream"
 )
 
@@ -57,7 +58,7 @@
 	until := int64(0)
 	for _, t := range [...]time.Time{e.pausedUntil, e.health.unavailableUntil, e.health.degradedUntil, e.coldLimiter.until, e.limit.until} {
 		if !t.IsZero() {
-			until = max(until, t.UnixNano())
+			until = max(until, monotonic.Nanos(t))
 		}
 	}
 	if e.departure != staying {
@@ -65,7 +66,7 @@
 	}
 	e.restrictedUntil.Store(until)
 	if !e.health.waitingSince.IsZero() {
-		e.waitingSince.Store(e.health.waitingSince.UnixNano())
+		e.waitingSince.Store(monotonic.Nanos(e.health.waitingSince))
 	}
 	e.mu.Unlock()
 }
--- a/internal/placement/objects_test.go
+++ b/internal/placement/objects_test.go
@@ -92,8 +92,8 @@
 		r.Preferred, r.Random = k, random
 		return r
 	}
-	// preferredOf returns the endpoints that take requests for an object while all are idle.
-	preferredOf := func(t *placement.Table, object uint64, k int) map[string]bool {
+	// takersOf returns the endpoints that take requests for an object.
+	takersOf := func(t *placement.Table, object uint64, k int) map[string]bool {
 		seen := map[string]bool{}
 		for i := range 40 {
 			e, err := t.Choose(start, objectRequest(object, k, float64(i)/40))
@@ -103,6 +103,21 @@
 		}
 		return seen
 	}
+	// preferredOf returns the endpoints that take requests for an object while all are busy.
+	preferredOf := func(t *placement.Table, object uint64, k int) map[string]bool {
+		setBusy(t, 3)
+		defer setBusy(t, 0)
+		return takersOf(t, object, k)
+	}
+
+	// A second endpoint costs a first run for each object, which gains nothing while the
+	// first one has free slots.
+	It("uses one endpoint while it is not busy", func() {
+		t := registryOf(20).Table()
+		for object := uint64(1); object <= 50; object++ {
+			Expect(takersOf(t, object, 2)).To(Equal(preferredOf(t, object, 1)))
+		}
+	})
 
 	It("uses exactly k endpoints, and those of a smaller k among them", func() {
 		t := registryOf(20).Table()
--- a/internal/placement/reported.go
+++ b/internal/placement/reported.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"sync/atomic"
 	"time"
+
+	"lovagescale/internal/monotonic"
 )
 
 // Bounds of what an endpoint reports of its load. A value beyond them is a fault of the
@@ -78,7 +80,7 @@
 
 // store stores a speed unless a later one is known.
 func (r *reportedSpeed) store(at time.Time, speed int) {
-	entry := uint64(at.UnixMilli())<<16 | uint64(speed)
+	entry := uint64(monotonic.Millis(at))<<16 | uint64(speed)
 	for {
 		known := r.latest.Load()
 		if known>>16 > entry>>16 || r.latest.CompareAndSwap(known, entry) {
@@ -103,13 +105,13 @@
 // the load without a speed that is not trusted.
 func (e *Endpoint) SetReportedLoad(now time.Time, load ReportedLoad) ReportedLoad {
 	e.reportedOthers.Store(max(int64(load.Running+load.Waiting)-e.inFlight.Load(), 0))
-	e.reportedAt.Store(now.UnixNano())
-	r, millis := &e.speed, now.UnixMilli()
+	e.reportedAt.Store(monotonic.Nanos(now))
+	r, at := &e.speed, monotonic.Millis(now)
 	if r.own.Swap(int64(load.Speed)) != int64(load.Speed) {
-		r.ownSince.Store(millis)
+		r.ownSince.Store(at)
 	}
-	r.ownAt.Store(millis)
-	frozen := load.Speed != UsualSpeed && millis-r.ownSince.Load() > frozenAfter.Milliseconds()
+	r.ownAt.Store(at)
+	frozen := load.Speed != UsualSpeed && at-r.ownSince.Load() > frozenAfter.Milliseconds()
 	if frozen {
 		load.Speed = 0
 	}
@@ -122,7 +124,7 @@
 // LogFault reports whether a faulty report of the endpoint is to be logged now.
 func (e *Endpoint) LogFault(now time.Time) bool {
 	last := e.speed.loggedAt.Load()
-	return now.UnixMilli()-last >= implausibleLogInterval.Milliseconds() && e.speed.loggedAt.CompareAndSwap(last, now.UnixMilli())
+	return monotonic.Millis(now)-last >= implausibleLogInterval.Milliseconds() && e.speed.loggedAt.CompareAndSwap(last, monotonic.Millis(now))
 }
 
 // SetPeerSpeed stores the speed that the endpoint reported to another instance at the
@@ -142,11 +144,11 @@
 	if int64(entry>>16) != heardAt {
 		return 0, 0, false // another instance told this one of it, or it counts as unknown
 	}
-	age = time.Duration(now.UnixMilli()-heardAt) * time.Millisecond
+	age = time.Duration(monotonic.Millis(now)-heardAt) * time.Millisecond
 	speed = int(entry & 0xffff)
 	unusual := speed < UsualSpeed-tolerance || speed > UsualSpeed+tolerance
 	return speed, age, unusual && age < speedLifetime
 }
 
 // SpeedFactor returns how many times as long as usual work is expected to take now.
-func (e *Endpoint) SpeedFactor(now time.Time) float64 { return e.speed.factor(now.UnixMilli()) }
+func (e *Endpoint) SpeedFactor(now time.Time) float64 { return e.speed.factor(monotonic.Millis(now)) }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -24,9 +24,12 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"lovagescale/internal/monotonic"
 )
 
 // Table holds the endpoints by upstream and region. It is immutable except for the state
@@ -172,10 +175,11 @@
 		if best == nil {
 			return nil, s.noRoom(len(endpoints))
 		}
-		if best.takePermit(now) { // another request may have taken the last permit
+		if best.takePermit(now) {
 			best.beginRequest(now)
 			return best, nil
 		}
+		request.Tried = append(slices.Clip(request.Tried), best) // another request has taken the last permit
 	}
 }
 
@@ -211,7 +215,7 @@
 	for _, e := range endpoints {
 		own := e.inFlight.Load()
 		if r := e.restriction(now, own); !r.absent && !r.limited {
-			load.inFlight += own + e.countOthers(now.UnixNano())
+			load.inFlight += own + e.countOthers(monotonic.Nanos(now))
 			load.slots += e.slots
 		}
 	}
--- a/internal/quotapool/pools.go
+++ b/internal/quotapool/pools.go
@@ -217,6 +217,9 @@
 	Lender fleet.Member
 	// LentAt is when the tokens were asked for.
 	LentAt time.Time
+	// Answered is set if the holder of this zone replied, or is this instance. Without a
+	// reply it is not known whether the pool has tokens.
+	Answered bool
 }
 
 // Borrow asks for a loan of up to n tokens, first in this zone and then in the other zones
@@ -252,7 +255,9 @@
 		}
 		borrow.Unresponsive = append(borrow.Unresponsive, holder.Instance)
 	}
-	return newLoan(now, p.lendFromFallback(now, workspace, 1), fleet.Member{})
+	loan := newLoan(now, p.lendFromFallback(now, workspace, 1), fleet.Member{})
+	loan.Answered = len(borrow.Unresponsive) == 0
+	return loan
 }
 
 // BorrowAhead asks the holder of this zone for up to n tokens for later requests. It asks
@@ -274,7 +279,7 @@
 	if reply.Granted && reply.Count == 0 {
 		reply.Count = 1
 	}
-	return Loan{BorrowReply: reply, Lender: lender, LentAt: askedAt}
+	return Loan{BorrowReply: reply, Lender: lender, LentAt: askedAt, Answered: true}
 }
 
 // RecordReply records that a holder replied.
--- a/internal/returns/book.go
+++ b/internal/returns/book.go
@@ -117,6 +117,14 @@
 	Earliest time.Duration
 }
 
+// RecordRefusal records that a request of the route with the timeout was refused for another
+// reason than capacity, and will return without a promise.
+func (b *Book) RecordRefusal(route string, timeout time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.route(route).recordRefusal(timeout)
+}
+
 // Promise returns the time after which a refused caller is to return. ok is false if no
 // place is free within the time that the caller waits at most; wait is then longer. A wait
 // of 0 says that nothing is known: returns on the route cannot be recognised, or there is
--- a/internal/returns/places.go
+++ b/internal/returns/places.go
@@ -31,10 +31,12 @@
 }
 
 // noPlace returns the time named to a caller for which no place is free. It is above
-// LongestWait and random, so that callers that follow it do not return at one moment.
+// LongestWait, for callers that would wait very long above maxPromise, and random, so that
+// callers that follow it do not return at one moment.
 func noPlace(timeLeft, earliest time.Duration, random float64) time.Duration {
-	m := margin(timeLeft)
-	return max(LongestWait(timeLeft), earliest) + m + time.Duration(random*float64(m))
+	longest := min(LongestWait(timeLeft), maxPromise)
+	m := margin(min(timeLeft, maxPromise))
+	return max(longest, earliest) + m + time.Duration(random*float64(m))
 }
 
 // places are the places that one instance assigns, at most one per interval.
--- a/internal/returns/spacing.go
+++ b/internal/returns/spacing.go
@@ -31,7 +31,7 @@
 	if p.next.Before(first) { // tokens that nobody waited for are there for anybody
 		p.next = first
 	}
-	if wait, ok := p.take(now, now.Add(LongestWait(timeLeft)), max(intervalOf(perSecond), time.Microsecond), random); ok {
+	if wait, ok := p.take(now, now.Add(min(LongestWait(timeLeft), maxPromise)), max(intervalOf(perSecond), time.Microsecond), random); ok {
 		return wait
 	}
 	return noPlace(timeLeft, earliest, random)
--- a/internal/steering/steering.go
+++ b/internal/steering/steering.go
@@ -4,7 +4,8 @@
 // one with a fast link, and their answers, its reports and its quota tokens would wait
 // behind large answers on that link.
 //
-// Failure modes: if too few large instances are left, all instances are named. An instance
+// Failure modes: if too few large instances are left, or only those of one zone, all instances are
+// named. An instance
 // whose capacity is not known is always named, as is each one where all are alike.
 package steering
 
@@ -31,14 +32,23 @@
 	minLargeFraction = 0.5
 )
 
-// Select returns the items that lookups name, in their order. capacityOf returns the
-// capacity of an item's instance.
-func Select[T any](items []T, capacityOf func(T) Capacity) []T {
-	largest := largestOf(items, capacityOf)
+// Instance is what the choice depends on.
+type Instance struct {
+	Zone     string
+	Capacity Capacity
+}
+
+// Select returns the items that lookups name, in their order. instanceOf returns an item's
+// instance.
+func Select[T any](items []T, instanceOf func(T) Instance) []T {
+	largest := largestOf(items, instanceOf)
 	var selected []T
+	zones, largeZones := make(map[string]bool), make(map[string]bool)
 	large, largeSum, sum := 0, 0.0, 0.0
 	for _, item := range items {
-		capacity := capacityOf(item)
+		instance := instanceOf(item)
+		capacity := instance.Capacity
+		zones[instance.Zone] = true
 		if !capacity.IsKnown() {
 			selected = append(selected, item)
 			continue
@@ -49,9 +59,11 @@
 			selected = append(selected, item)
 			large++
 			largeSum += relative
+			largeZones[instance.Zone] = true
 		}
 	}
-	if large < minLargeInstances || largeSum < minLargeFraction*sum {
+	oneZone := len(zones) > 1 && len(largeZones) < 2 // callers would know no instance if it fails
+	if large < minLargeInstances || oneZone || largeSum < minLargeFraction*sum {
 		return items
 	}
 	return selected
@@ -59,10 +71,10 @@
 
 // largestOf returns the largest link and the largest processor share of all items, which
 // may be those of different instances.
-func largestOf[T any](items []T, capacityOf func(T) Capacity) Capacity {
+func largestOf[T any](items []T, instanceOf func(T) Instance) Capacity {
 	var largest Capacity
 	for _, item := range items {
-		capacity := capacityOf(item)
+		capacity := instanceOf(item).Capacity
 		largest.LinkMbps = max(largest.LinkMbps, capacity.LinkMbps)
 		largest.Cores = max(largest.Cores, capacity.Cores)
 	}
--- a/internal/steering/steering_test.go
+++ b/internal/steering/steering_test.go
@@ -29,12 +29,22 @@
 		{"no instance", nil, nil},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			got := Select(test.given, func(c Capacity) Capacity { return c })
+			got := Select(test.given, func(c Capacity) Instance { return Instance{Capacity: c} })
 			NewWithT(t).Expect(got).To(Equal(test.want))
 		})
 	}
 }
 
+// Guards against lookups that name only the instances of a zone that has just failed.
+func TestLargeInstancesOfOneZoneAreNotEnough(t *testing.T) {
+	g := NewWithT(t)
+	north, south := Instance{"north-1", large}, Instance{"south-1", small}
+	both := []Instance{north, north, north, south}
+	itself := func(i Instance) Instance { return i }
+	g.Expect(Select(both, itself)).To(Equal(both))
+	g.Expect(Select([]Instance{north, north, {"south-1", large}, south}, itself)).To(HaveLen(3))
+}
+
 // Guards against slow links that are overloaded while fast ones are idle: with callers
 // spread evenly, the small instances got 64% of the bytes with 8% of the bandwidth.
 func TestBusiestLinkIsFarBelowThatOfEvenSpread(t *testing.T) {
@@ -49,5 +59,5 @@
 	}
 	g := NewWithT(t)
 	g.Expect(busiest(fleet)).To(BeNumerically(">", 0.4), "baseline: every instance is named")
-	g.Expect(busiest(Select(fleet, func(c Capacity) Capacity { return c }))).To(BeNumerically("<", 0.1))
+	g.Expect(busiest(Select(fleet, func(c Capacity) Instance { return Instance{Capacity: c} }))).To(BeNumerically("<", 0.1))
 }
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -158,6 +158,9 @@
 // ctx. When ctx ends, the connection is closed, which cancels the request at
 // the upstream. On failure it returns an *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, request *Request) (*Answer, error) {
+	if err := ctx.Err(); err != nil { // the write could win against the end of ctx
+		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
+	}
 	if err := p.bodies.add(len(request.Body)); err != nil {
 		return nil, &ExchangeError{Endpoint: p.address, Phase: PhaseDial, Cause: err}
 	}
