Send a second attempt of idempotent requests that run for unusually long

A request at an endpoint whose machine is slow, or whose run is one of the heavy tail, was answered late although other endpoints had free slots. The first answer counts, the other attempt is cancelled. A retry is taken from the budget, no further quota token.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -81,11 +81,10 @@
 			}
 			return nil, attempts, e.noRoomRefusal(q, attempts, err)
 		}
-		answer, result := e.attempt(ctx, q, endpoint)
-		attempts = append(attempts, attempt{endpoint, result})
-		if result != placement.Unreachable {
-			reached++
-		}
+		var answer *upstream.Answer
+		answer, attempts = e.attemptHedged(ctx, q, endpoint, attempts)
+		reached = countReached(attempts)
+		result := attempts[len(attempts)-1].result
 		if result == placement.Answered {
 			return e.endpointAnswer(q, answer, attempts)
 		}
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -8,6 +8,7 @@
 
 	"lovagescale/internal/admission"
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/hedge"
 	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/returns"
@@ -39,6 +40,8 @@
 	Traffic []PeerTraffic `json:"peer_traffic"`
 	// Admission is how scarce slots are shared.
 	Admission []admission.Description `json:"admission"`
+	// Hedges are the times by which most runs of the routes end.
+	Hedges []hedge.Description `json:"hedges"`
 	// Pipelines are the callers' connections with requests that were started early.
 	Pipelines []pipeline.Description `json:"pipelines"`
 }
@@ -111,6 +114,7 @@
 	d.Shares = e.balancer.Shares()
 	d.Quotas = e.pools.Shares()
 	d.Admission = e.sharing.gate.Describe()
+	d.Hedges = e.hedging.policy.Describe()
 	d.Returns = e.returns.Describe(time.Now())
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,6 +127,7 @@
 	probesDone atomic.Pointer[chan struct{}]
 	bodyMemory bodyMemory
 	sharing    sharing
+	hedging    hedging
 	pipelines  atomic.Pointer[pipeline.Listener]
 	counters   counters
 }
@@ -169,6 +170,7 @@
 	e.bodyMemory.limit = s.MemoryBytes / bodyMemoryDivisor
 	e.counters = newCounters(e.registry)
 	e.sharing.gate = admission.NewGate()
+	e.hedging = newHedging(e.registry)
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
--- /dev/null
+++ b/internal/edge/hedging.go
@@ -0,0 +1,196 @@
+package edge
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"lovagescale/internal/catalog"
+	"lovagescale/internal/hedge"
+	"lovagescale/internal/placement"
+	"lovagescale/internal/upstream"
+)
+
+// hedging connects package hedge.
+type hedging struct {
+	policy            *hedge.Policy
+	sent, won, wasted metrics.Counter
+	// noRoom and noBudget count the second attempts that were not made when their delay had
+	// passed, because no endpoint had a free slot or no retry was left.
+	noRoom, noBudget metrics.Counter
+}
+
+func newHedging(registry metrics.Registry) hedging {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("edge.hedge."+name, registry) }
+	return hedging{policy: hedge.NewPolicy(), sent: counter("sent"), won: counter("won"), wasted: counter("wasted"),
+		noRoom: counter("no_room"), noBudget: counter("no_budget")}
+}
+
+// secondAttempt is an attempt that starts while the first one still runs.
+type secondAttempt struct {
+	// sentTo is the endpoint to which the attempt was sent, or nil before.
+	sentTo atomic.Pointer[placement.Endpoint]
+	// decided is set by the first of both attempts that was answered.
+	decided atomic.Bool
+	// done is closed at the end of the attempt. answer and result are valid from then on.
+	done   chan struct{}
+	answer *upstream.Answer
+	result placement.Result
+}
+
+// attemptHedged sends the request to an endpoint and, if it runs for unusually long there, to
+// another one as well. The first answer without a failure counts, and the other attempt is
+// cancelled. It returns the answer of the attempt that decides on the request, and the earlier
+// attempts followed by its own, of which that one is the last.
+func (e *Edge) attemptHedged(ctx context.Context, q *request, endpoint *placement.Endpoint, earlier []attempt) (*upstream.Answer, []attempt) {
+	started := time.Now()
+	delay, possible := e.hedgeDelay(q, endpoint, earlier)
+	if !possible {
+		answer, result := e.attempt(ctx, q, endpoint)
+		e.observeRun(ctx, q, endpoint, result, time.Since(started))
+		return answer, append(earlier, attempt{endpoint, result})
+	}
+	// Both attempts share a context: the one that was answered no longer needs it.
+	bothCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	second := &secondAttempt{done: make(chan struct{})}
+	// The goroutine of a timer runs the second attempt, so that a request that ends before
+	// the delay costs none.
+	timer := time.AfterFunc(delay, func() {
+		defer close(second.done)
+		if e.runSecond(bothCtx, q, second, append(slices.Clip(earlier), attempt{endpoint, placement.Abandoned})) {
+			cancel()
+		}
+	})
+	answer, result := e.attempt(bothCtx, q, endpoint)
+	e.observeRun(ctx, q, endpoint, result, time.Since(started))
+	first := attempt{endpoint, result}
+	if timer.Stop() {
+		return answer, append(earlier, first)
+	}
+	if result == placement.Answered && second.decided.CompareAndSwap(false, true) {
+		if sentTo := second.sentTo.Load(); sentTo != nil {
+			earlier = append(earlier, attempt{sentTo, placement.Abandoned})
+		}
+		return answer, append(earlier, first)
+	}
+	<-second.done // a failure of one attempt waits for the other one
+	sentTo := second.sentTo.Load()
+	switch {
+	case sentTo == nil:
+		return answer, append(earlier, first)
+	case second.result == placement.Answered || moreDecisive(second.result, result):
+		return second.answer, append(earlier, first, attempt{sentTo, second.result})
+	}
+	return answer, append(earlier, attempt{sentTo, second.result}, first)
+}
+
+// hedgeDelay returns the time after which the attempt at an endpoint may be followed by a
+// second one, or false if there is to be none.
+func (e *Edge) hedgeDelay(q *request, endpoint *placement.Endpoint, earlier []attempt) (time.Duration, bool) {
+	if q.route.Kind != catalog.Idempotent || q.route.Objective <= 0 || q.handedOver || q.share.excess {
+		return 0, false
+	}
+	if countReached(earlier)+2 > q.maxAttempts || len(earlier)+2 > maxTotalAttempts {
+		return 0, false
+	}
+	expected, _ := e.runTimes.Expect(placement.Serving{Upstream: q.upstream, Region: endpoint.Region}, q.route.Name)
+	delay, known := e.hedging.policy.Delay(hedgeKey(q, endpoint), expected.Warm)
+	return delay, known && time.Until(q.deadline) > delay+max(expected.Warm, minTimeForRetry)
+}
+
+func hedgeKey(q *request, endpoint *placement.Endpoint) hedge.Key {
+	return hedge.Key{Upstream: q.upstream, Route: q.route.Name, Region: endpoint.Region}
+}
+
+// observeRun records how long an attempt ran. ctx is that of the request: a run that ended
+// because its caller disconnected tells nothing.
+func (e *Edge) observeRun(ctx context.Context, q *request, endpoint *placement.Endpoint, result placement.Result, took time.Duration) {
+	if q.route.Kind != catalog.Idempotent || q.route.Objective <= 0 {
+		return
+	}
+	switch result {
+	case placement.Answered, placement.Expired:
+	case placement.Abandoned: // for the other attempt
+		if ctx.Err() != nil {
+			return
+		}
+	default:
+		return
+	}
+	e.hedging.policy.Observe(hedgeKey(q, endpoint), took)
+}
+
+// runSecond makes the second attempt if an endpoint has a free slot and a retry is left. It
+// reports whether this attempt decides on the request. attempts are those made so far.
+func (e *Edge) runSecond(ctx context.Context, q *request, second *secondAttempt, attempts []attempt) bool {
+	if ctx.Err() != nil || e.reach.Partitioned() {
+		return false
+	}
+	endpoint := e.chooseSecond(q, attempts)
+	if endpoint == nil {
+		e.hedging.noRoom.Inc(1)
+		return false
+	}
+	if !e.retryBudget.TakeRetry(q.upstream) {
+		e.table.Load().End(time.Now(), endpoint, placement.Abandoned, 0)
+		e.hedging.noBudget.Inc(1)
+		return false
+	}
+	e.hedging.sent.Inc(1)
+	second.sentTo.Store(endpoint)
+	second.answer, second.result = e.attempt(ctx, q, endpoint)
+	won := second.result == placement.Answered && second.decided.CompareAndSwap(false, true)
+	if won {
+		e.hedging.won.Inc(1)
+	} else {
+		e.hedging.wasted.Inc(1)
+	}
+	return won
+}
+
+// chooseSecond returns an endpoint for the second attempt at which the request is expected to
+// end by its deadline, or nil.
+func (e *Edge) chooseSecond(q *request, attempts []attempt) *placement.Endpoint {
+	want := e.choice(q, attempts)
+	table := e.table.Load()
+	now := time.Now()
+	endpoint := table.ChooseSecond(now, want)
+	if endpoint == nil {
+		return nil
+	}
+	expected := want.Expected.Warm
+	if want.Preferred <= 1 {
+		expected = want.Expected.First
+	}
+	expected = time.Duration(float64(expected) * endpoint.SpeedFactor(now))
+	if q.deadline.Sub(now) > max(expected, minTimeForRetry) {
+		return endpoint
+	}
+	table.End(now, endpoint, placement.Abandoned, 0)
+	return nil
+}
+
+// decisiveness orders the results of two attempts without an answer by how much they say of
+// the request: an answer that reports a failure is worth returning, and an endpoint that may
+// have run the request matters more than one that did not.
+var decisiveness = [...]placement.Result{placement.Unreachable, placement.Crowded, placement.Misdirected,
+	placement.Full, placement.Lost, placement.Abandoned, placement.Expired, placement.Failed}
+
+func moreDecisive(a, b placement.Result) bool {
+	return slices.Index(decisiveness[:], a) > slices.Index(decisiveness[:], b)
+}
+
+// countReached returns the number of attempts at endpoints that were reachable.
+func countReached(attempts []attempt) int {
+	n := 0
+	for _, a := range attempts {
+		if a.result != placement.Unreachable {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -223,7 +223,8 @@
 	Lost
 	// Expired is an attempt without an answer by its deadline.
 	Expired
-	// Abandoned is an attempt whose caller disconnected.
+	// Abandoned is an attempt that this instance cancelled, because the caller disconnected
+	// or another attempt of the request was answered first.
 	Abandoned
 	// Crowded is an attempt that found no free connection in this instance's pool.
 	Crowded
