--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -127,6 +127,7 @@
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
 	sharing    sharing
+	hedging    hedging
 	pipelines  atomic.Pointer[pipeline.Listener]
 	memory     *bodymemory.Memory
 	// responseSizes are the expected sizes of responses by route.
@@ -172,6 +173,7 @@
 	e.counters = newCounters(e.registry)
 	e.sharing.gate = admission.NewGate()
 	e.initMemory(bodymemory.LimitOf(s.MemoryBytes))
+	e.hedging = newHedging(e.registry)
 	e.state = &state{
 		edge:      e,
 		mirror:    mirror.New(),
