--- a/internal/edge/endpoint_choice.go
+++ b/internal/edge/endpoint_choice.go
@@ -65,9 +65,9 @@
 	objects := s.edge.objects
 	objects.Tick(now)
 	own := objects.Estimates()
-	s.edge.table.Load().Regions(func(serving placement.Serving, endpoints int) {
+	s.edge.table.Load().Regions(func(serving placement.Serving, endpoints int, uneven bool) {
 		estimate := max(own[serving], float64(s.peerActivity.Objects[[2]string{serving.Upstream, serving.Region}]))
-		if change := objects.Update(now, serving, estimate, endpoints); change != nil {
+		if change := objects.Update(now, serving, estimate, endpoints, uneven); change != nil {
 			s.edge.log.Info().Str("upstream", serving.Upstream).Str("region", serving.Region).
 				Float64("objects", change.Objects).Int("endpoints", endpoints).
 				Int("from", change.From).Int("to", change.To).Msg("number of preferred endpoints of objects changed")
--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -34,6 +34,9 @@
 	// preferredDwell is how long an estimate must demand a change of the number of
 	// preferred endpoints: each change costs a first run for each object.
 	preferredDwell = 5 * time.Second
+	// unevenLifetime is how long the speeds of endpoints count as uneven after the last
+	// unusual one.
+	unevenLifetime = time.Minute
 	// minObjectRequests and minRequestsPerObject are the requests without which an
 	// estimate is not used: with fewer it varies by more than the limits differ.
 	minObjectRequests    = 30
@@ -64,6 +67,8 @@
 	// wantedSince.
 	wanted      int
 	wantedSince time.Time
+	// unevenAt is the last time at which an endpoint had reported an unusual speed.
+	unevenAt time.Time
 }
 
 // NewObjects returns the counts of an instance that has had no requests.
@@ -144,9 +149,11 @@
 }
 
 // Update decides anew how many preferred endpoints an object has, from the largest
-// estimate of all instances and the number of endpoints in the region. It returns nil if
-// nothing changed. Without an estimate the number stays.
-func (o *Objects) Update(now time.Time, serving Serving, objects float64, endpoints int) *PreferredChange {
+// estimate of all instances and the number of endpoints in the region. uneven is set if
+// an endpoint has reported an unusual speed: where all are alike, a second endpoint costs
+// more first runs than it gains. It returns nil if nothing changed. Without an estimate the
+// number stays.
+func (o *Objects) Update(now time.Time, serving Serving, objects float64, endpoints int, uneven bool) *PreferredChange {
 	if objects <= 0 || endpoints <= 0 {
 		return nil
 	}
@@ -156,7 +163,13 @@
 	}
 	s.objects = objects
 	current := int(s.preferred.Load())
-	wanted := min(wantedPreferred(current, objects/float64(endpoints)), endpoints)
+	if uneven {
+		s.unevenAt = now
+	}
+	wanted := 1
+	if !s.unevenAt.IsZero() && now.Sub(s.unevenAt) < unevenLifetime {
+		wanted = min(wantedPreferred(current, objects/float64(endpoints)), endpoints)
+	}
 	if wanted != s.wanted {
 		s.wanted, s.wantedSince = wanted, now
 	}
--- a/internal/placement/objects_test.go
+++ b/internal/placement/objects_test.go
@@ -24,7 +24,7 @@
 // updateUntil updates the number of preferred endpoints for some seconds.
 func updateUntil(o *placement.Objects, from, to time.Time, objects float64, endpoints int) (changes int) {
 	for now := from; now.Before(to); now = now.Add(250 * time.Millisecond) {
-		if o.Update(now, serving, objects, endpoints) != nil {
+		if o.Update(now, serving, objects, endpoints, true) != nil {
 			changes++
 		}
 	}
@@ -32,6 +32,23 @@
 }
 
 var _ = Describe("Objects", func() {
+	// Guards against first runs that a second endpoint costs where it gains nothing: endpoints
+	// that are all alike.
+	It("have one preferred endpoint unless endpoints report unusual speeds", func() {
+		o := placement.NewObjects()
+		update := func(from time.Time, uneven bool) {
+			for now := from; now.Before(from.Add(2 * time.Minute)); now = now.Add(time.Second) {
+				o.Update(now, serving, 20, 10, uneven)
+			}
+		}
+		update(start, false)
+		Expect(o.Preferred(serving)).To(Equal(1))
+		update(start.Add(2*time.Minute), true)
+		Expect(o.Preferred(serving)).To(Equal(2))
+		update(start.Add(4*time.Minute), false)
+		Expect(o.Preferred(serving)).To(Equal(1))
+	})
+
 	random := rand.New(rand.NewPCG(1, 2))
 
 	It("estimates the number of objects although each instance sees a part of the requests", func() {
--- a/internal/placement/reported.go
+++ b/internal/placement/reported.go
@@ -138,7 +138,6 @@
 // SpeedToReport returns the speed that other instances must learn from this one, with its
 // age. It reports false if the endpoint is about as fast as usual or the speed is old.
 func (e *Endpoint) SpeedToReport(now time.Time) (speed int, age time.Duration, ok bool) {
-	const tolerance = 20
 	entry := e.speed.latest.Load()
 	heardAt := e.speed.ownAt.Load()
 	if int64(entry>>16) != heardAt {
@@ -146,8 +145,20 @@
 	}
 	age = time.Duration(monotonic.Millis(now)-heardAt) * time.Millisecond
 	speed = int(entry & 0xffff)
-	unusual := speed < UsualSpeed-tolerance || speed > UsualSpeed+tolerance
-	return speed, age, unusual && age < speedLifetime
+	return speed, age, isUnusual(speed) && age < speedLifetime
+}
+
+// isUnusual reports whether a speed is not about as usual.
+func isUnusual(speed int) bool {
+	const tolerance = 20
+	return speed < UsualSpeed-tolerance || speed > UsualSpeed+tolerance
+}
+
+// isUneven reports whether the last speed that is known of the endpoint is not as usual,
+// however old it is.
+func (e *Endpoint) isUneven() bool {
+	speed := int(e.speed.latest.Load() & 0xffff)
+	return speed != 0 && isUnusual(speed)
 }
 
 // SpeedFactor returns how many times as long as usual work is expected to take now.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -155,11 +155,12 @@
 		e.Upstream, e.Region, e.Usable, e.Registered, e.ColdWaiting, e.LimitWaiting, e.PreferredUtilization, e.MaxUtilization, late)
 }
 
-// Regions calls visit with the number of endpoints of each upstream and region.
-func (t *Table) Regions(visit func(serving Serving, endpoints int)) {
+// Regions calls visit with the number of endpoints of each upstream and region, and whether
+// one of them has reported a speed that is not as usual.
+func (t *Table) Regions(visit func(serving Serving, endpoints int, uneven bool)) {
 	for name, regions := range t.upstreams {
 		for region, endpoints := range regions {
-			visit(Serving{Upstream: name, Region: region}, len(endpoints))
+			visit(Serving{Upstream: name, Region: region}, len(endpoints), slices.ContainsFunc(endpoints, (*Endpoint).isUneven))
 		}
 	}
 }
