Hedge only where the second attempt can end within the objective

A second attempt at an endpoint that has not run the object is a first run. On deployments whose first runs exceed the objective it only costs slots.

--- a/internal/edge/hedging.go
+++ b/internal/edge/hedging.go
@@ -105,9 +105,13 @@
 		return 0, false
 	}
 	serving := placement.Serving{Upstream: q.upstream, Region: endpoint.Region}
+	preferred := e.objects.Preferred(serving)
 	times, _ := e.runTimes.Expect(serving, q.route.Name)
-	expected := hedge.Expectation{Warm: times.Warm, Second: e.secondTime(q, times, e.objects.Preferred(serving)), Objective: q.route.Objective}
+	expected := hedge.Expectation{Warm: times.Warm, Second: e.secondTime(q, times, preferred), Objective: q.route.Objective}
 	delay, known := e.hedging.policy.Delay(hedgeKey(q, endpoint), expected)
+	if q.affinityKey != 0 && preferred < 2 && delay+expected.Second > q.route.Objective {
+		return 0, false // a first run that ends too late only costs slots
+	}
 	return delay, known && time.Until(q.deadline) > delay+max(expected.Second, minTimeForRetry)
 }
 
