--- a/internal/placement/objects_test.go
+++ b/internal/placement/objects_test.go
@@ -21,6 +21,13 @@
 	}
 }
 
+// setBusy sets the requests of other instances at each endpoint, which has four slots.
+func setBusy(t *placement.Table, inFlight int) {
+	for _, e := range t.Endpoints() {
+		e.SetOthersInFlight(inFlight)
+	}
+}
+
 // updateUntil updates the number of preferred endpoints for some seconds.
 func updateUntil(o *placement.Objects, from, to time.Time, objects float64, endpoints int) (changes int) {
 	for now := from; now.Before(to); now = now.Add(250 * time.Millisecond) {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -43,13 +43,6 @@
 	return r
 }
 
-// setBusy sets the requests of other instances at each endpoint, which has four slots.
-func setBusy(t *placement.Table, inFlight int) {
-	for _, e := range t.Endpoints() {
-		e.SetOthersInFlight(inFlight)
-	}
-}
-
 func request(affinityKey uint64) placement.Request {
 	return placement.Request{Upstream: "files", Region: "north", Local: true, AffinityKey: affinityKey, MaxUtilization: 1.5}
 }
