--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -156,11 +156,15 @@
 }
 
 // Regions calls visit with the number of endpoints of each upstream and region, and whether
-// one of them has reported a speed that is not as usual.
+// an endpoint of the upstream in any region has reported a speed that is not as usual.
 func (t *Table) Regions(visit func(serving Serving, endpoints int, uneven bool)) {
 	for name, regions := range t.upstreams {
+		uneven := false
+		for _, endpoints := range regions {
+			uneven = uneven || slices.ContainsFunc(endpoints, (*Endpoint).isUneven)
+		}
 		for region, endpoints := range regions {
-			visit(Serving{Upstream: name, Region: region}, len(endpoints), slices.ContainsFunc(endpoints, (*Endpoint).isUneven))
+			visit(Serving{Upstream: name, Region: region}, len(endpoints), uneven)
 		}
 	}
 }
