--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -23,12 +23,12 @@
 	// quantile is the fraction of the runs that end before the delay.
 	quantile = 0.95
 	// leastQuantile is the one for a second attempt that would otherwise end after the route's
-	// objective. With 0.8, no runs could be helped in the comparison where a third of them
-	// are long; the retry budget bounds the second attempts there.
+	// objective. It leaves room for routes on which up to a third of the runs are long; the
+	// retry budget bounds the second attempts there.
 	leastQuantile = 0.7
 	// secondFactor is the time left within the objective for a second attempt, as a multiple of
-	// its usual time. On noise and a heavy tail with first runs, 1 served 84.4% of the requests
-	// within the objective, 1.25 87.1%, 1.5 87.3% and 2 85.1%.
+	// its usual time. Less leaves no time for a short wait at the second endpoint, more sends
+	// requests twice that would have ended by themselves.
 	secondFactor = 1.5
 	// warmFactor is the least delay as a multiple of the usual time of warm runs. In a route
 	// whose runs differ little, the quantile alone would be close to the usual time, and the
--- a/internal/placement/completion.go
+++ b/internal/placement/completion.go
@@ -10,15 +10,12 @@
 const (
 	// waitWeight is the weight of the requests ahead in the comparison of two endpoints. A
 	// request waits only if all slots are taken, but the known number is old, so that each
-	// request ahead makes it more likely that they are. In trials with reports 350 ms to
-	// 1 s old, 1.5 served the most requests within their objective, 0.5 the fewest; so did
-	// the other extreme, to count only the requests above the number of slots.
+	// request ahead makes it more likely that they are.
 	waitWeight = 1.5
 	// completionScale is the difference of expected completion, as a multiple of the mean
 	// run, from which the earlier of two endpoints takes all requests, see
 	// utilizationScale. A smaller one reacts more to speeds, a larger one less to old
-	// reports: 0.5 served 0.2% more requests within their objective with reports 350 ms
-	// old, 0.8 served 0.8% more with reports 1 s old.
+	// reports.
 	completionScale = 0.8
 )
 
--- a/internal/placement/objects.go
+++ b/internal/placement/objects.go
@@ -19,10 +19,9 @@
 var (
 	// raiseObjects are the objects for each endpoint up to which the number of preferred
 	// endpoints rises to 2, lowerObjects those above which it falls below 2. In between it
-	// stays, so that an estimate near a limit changes nothing. In trials with endpoints that
-	// keep 10 to 13 objects warm, two preferred endpoints served more requests within their
-	// objective up to about 6 objects; above, first runs cost more than the better
-	// distribution gains.
+	// stays, so that an estimate near a limit changes nothing. Endpoints that keep
+	// some ten objects warm have first runs for good if they hold more than that with two
+	// preferred endpoints for each object.
 	raiseObjects = [...]float64{2: 6}
 	lowerObjects = [...]float64{2: 7}
 )
