--- a/internal/admission/describe.go
+++ b/internal/admission/describe.go
@@ -44,7 +44,7 @@
 	defer u.mu.Unlock()
 	d := Description{Upstream: name, Scarce: u.division.scarce, Until: u.division.until, Used: u.division.capacity,
 		Demand: u.division.demand, Refused: u.division.refused}
-	u.cells.Load().each(func(key cellKey, c *cell) {
+	u.flows.Load().each(func(key flowKey, c *flow) {
 		if q := c.currentQuota(); q.limited && q.fraction < 1 {
 			d.Limited = append(d.Limited, LimitedWorkspace{Workspace: key.workspace, Class: key.class, Demand: q.demand, Share: q.share, Within: q.fraction})
 		}
--- a/internal/admission/division.go
+++ b/internal/admission/division.go
@@ -96,13 +96,13 @@
 	return fleet.SlotUse{}
 }
 
-// quota returns the quota of a cell. own is its present demand at this instance, so that a
+// quota returns the quota of a flow. own is its present demand at this instance, so that a
 // jump counts before it has been reported.
 //
 // A workspace is limited only as far as it would get more than its share first come, first
 // served, where all get the same fraction of their demand. Workspaces that are alike are
 // therefore not limited at all, and the endpoints' queues refuse what is too much.
-func (d *division) quota(key cellKey, own float64) quota {
+func (d *division) quota(key flowKey, own float64) quota {
 	if !d.scarce || key.workspace == "" {
 		return quota{}
 	}
--- a/internal/admission/cell.go
+++ b/internal/admission/flow.go
@@ -40,11 +40,11 @@
 	}
 }
 
-// cells are the cells of an upstream by workspace. A workspace has few classes, so that they
-// are compared one by one. It is immutable except for the state of its cells.
-type cells map[string][]*cell
+// flows are the flows of an upstream by workspace. A workspace has few classes, so that they
+// are compared one by one. It is immutable except for the state of its flows.
+type flows map[string][]*flow
 
-func (m cells) find(key cellKey) *cell {
+func (m flows) find(key flowKey) *flow {
 	for _, c := range m[key.workspace] {
 		if c.class == key.class {
 			return c
@@ -53,25 +53,25 @@
 	return nil
 }
 
-func (m cells) each(visit func(key cellKey, c *cell)) {
+func (m flows) each(visit func(key flowKey, c *flow)) {
 	for workspace, list := range m {
 		for _, c := range list {
-			visit(cellKey{workspace, c.class}, c)
+			visit(flowKey{workspace, c.class}, c)
 		}
 	}
 }
 
-// with returns the cells and a further one.
-func (m cells) with(workspace string, c *cell) *cells {
+// with returns the flows and a further one.
+func (m flows) with(workspace string, c *flow) *flows {
 	more := maps.Clone(m)
 	more[workspace] = append(slices.Clone(m[workspace]), c)
 	return &more
 }
 
-// tick ends a measuring period and returns the cells that are in use.
-func (m cells) tick(elapsed time.Duration) *cells {
-	kept, idle := make(cells, len(m)), false
-	m.each(func(key cellKey, c *cell) {
+// tick ends a measuring period and returns the flows that are in use.
+func (m flows) tick(elapsed time.Duration) *flows {
+	kept, idle := make(flows, len(m)), false
+	m.each(func(key flowKey, c *flow) {
 		if c.tick(elapsed) {
 			kept[key.workspace] = append(kept[key.workspace], c)
 		} else {
@@ -85,9 +85,9 @@
 }
 
 // meanCost returns the mean slot time of the requests, in seconds.
-func (m cells) meanCost() float64 {
+func (m flows) meanCost() float64 {
 	sum, count := 0.0, 0
-	m.each(func(_ cellKey, c *cell) {
+	m.each(func(_ flowKey, c *flow) {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		sum, count = sum+c.cost, count+1
@@ -98,14 +98,14 @@
 	return sum / float64(count)
 }
 
-// cellKey identifies the requests of one workspace and class at an upstream.
-type cellKey struct {
+// flowKey identifies the requests of one workspace and class at an upstream.
+type flowKey struct {
 	workspace string
 	class     int
 }
 
-// cell holds the demand and the share of one workspace and class at this instance.
-type cell struct {
+// flow holds the demand and the share of one workspace and class at this instance.
+type flow struct {
 	class int
 	mu    sync.Mutex
 	// demand is the slot time of arriving requests, used that of requests that endpoints ran,
@@ -137,7 +137,7 @@
 }
 
 // admit counts a request and compares it with the share.
-func (c *cell) admit(now time.Time, random float64) (bool, Reason) {
+func (c *flow) admit(now time.Time, random float64) (bool, Reason) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand.amount += c.cost
@@ -159,7 +159,7 @@
 
 // takeToken takes the slot time of a request. The balance may become negative, so that
 // requests that are large in comparison with the share are not starved.
-func (c *cell) takeToken(now int64) bool {
+func (c *flow) takeToken(now int64) bool {
 	if elapsed := now - c.refilledAt; elapsed > 0 {
 		c.tokens += float64(elapsed) * c.perNano
 		c.refilledAt = now
@@ -174,8 +174,8 @@
 	return true
 }
 
-// tick ends a measuring period and reports whether the cell is still in use.
-func (c *cell) tick(elapsed time.Duration) bool {
+// tick ends a measuring period and reports whether the flow is still in use.
+func (c *flow) tick(elapsed time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand.tick(elapsed)
@@ -184,20 +184,20 @@
 	return c.demand.rate >= idleDemand || c.used.rate >= idleDemand
 }
 
-func (c *cell) recordUse(slotTime time.Duration) {
+func (c *flow) recordUse(slotTime time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.used.amount += slotTime.Seconds()
 	c.cost += costSmoothing * (slotTime.Seconds() - c.cost)
 }
 
-func (c *cell) withdraw() {
+func (c *flow) withdraw() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.demand.amount -= c.cost
 }
 
-func (c *cell) recordRefusal() {
+func (c *flow) recordRefusal() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.refused.amount += c.cost
@@ -205,20 +205,20 @@
 
 // rates returns the demand, use and refused slots. Requests that are withdrawn in the period
 // after their arrival can make the measured demand negative.
-func (c *cell) rates() (demand, used, refused float64) {
+func (c *flow) rates() (demand, used, refused float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return math.Max(c.demand.rate, 0), c.used.rate, c.refused.rate
 }
 
-func (c *cell) setQuota(q quota) {
+func (c *flow) setQuota(q quota) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.applyQuota(q)
 }
 
-// applyQuota sets the quota. The caller must hold c.mu or be the only one to know the cell.
-func (c *cell) applyQuota(q quota) {
+// applyQuota sets the quota. The caller must hold c.mu or be the only one to know the flow.
+func (c *flow) applyQuota(q quota) {
 	wasLimited := c.quota.limited
 	rate := jumpMargin * q.perSecond
 	c.quota, c.untilNanos = q, monotonic.Nanos(q.until)
@@ -229,7 +229,7 @@
 	}
 }
 
-func (c *cell) currentQuota() quota {
+func (c *flow) currentQuota() quota {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.quota
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -88,18 +88,18 @@
 	return g
 }
 
-// upstreamGate holds the cells of one upstream.
+// upstreamGate holds the flows of one upstream.
 type upstreamGate struct {
-	// cells is replaced when cells are added or removed, so that requests read it without a
+	// flows is replaced when flows are added or removed, so that requests read it without a
 	// lock.
-	cells    atomic.Pointer[cells]
+	flows    atomic.Pointer[flows]
 	mu       sync.Mutex
 	division division
 }
 
 func newUpstreamGate() *upstreamGate {
 	u := &upstreamGate{}
-	u.cells.Store(&cells{})
+	u.flows.Store(&flows{})
 	return u
 }
 
@@ -107,28 +107,28 @@
 // it may only use a free slot. random is between 0 and 1. Requests without a workspace are
 // always within it.
 func (g *Gate) Admit(now time.Time, upstream, workspace string, class int, random float64) (bool, Reason) {
-	return g.cell(upstream, workspace, class).admit(now, random)
+	return g.flow(upstream, workspace, class).admit(now, random)
 }
 
 // RecordUse records that a request occupied a slot.
 func (g *Gate) RecordUse(upstream, workspace string, class int, slotTime time.Duration) {
-	g.cell(upstream, workspace, class).recordUse(slotTime)
+	g.flow(upstream, workspace, class).recordUse(slotTime)
 }
 
 // RecordRefusal records that no endpoint had room for a request.
 func (g *Gate) RecordRefusal(upstream, workspace string, class int) {
-	g.cell(upstream, workspace, class).recordRefusal()
+	g.flow(upstream, workspace, class).recordRefusal()
 }
 
 // Withdraw takes a request that its workspace's quota refused from the demand.
 func (g *Gate) Withdraw(upstream, workspace string, class int) {
-	g.cell(upstream, workspace, class).withdraw()
+	g.flow(upstream, workspace, class).withdraw()
 }
 
 // Share returns the demand of a workspace for a class and its share, in slots of the whole
 // fleet, as of the last Update.
 func (g *Gate) Share(upstream, workspace string, class int) (demand, share float64) {
-	q := g.cell(upstream, workspace, class).currentQuota()
+	q := g.flow(upstream, workspace, class).currentQuota()
 	return q.demand, q.share
 }
 
@@ -148,20 +148,20 @@
 	return upstreams[name]
 }
 
-func (g *Gate) cell(upstream, workspace string, class int) *cell {
-	u, key := g.upstream(upstream), cellKey{workspace, class}
-	if c := u.cells.Load().find(key); c != nil {
+func (g *Gate) flow(upstream, workspace string, class int) *flow {
+	u, key := g.upstream(upstream), flowKey{workspace, class}
+	if c := u.flows.Load().find(key); c != nil {
 		return c
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	known := u.cells.Load()
+	known := u.flows.Load()
 	if c := known.find(key); c != nil {
 		return c
 	}
-	c := &cell{class: class, cost: known.meanCost()}
+	c := &flow{class: class, cost: known.meanCost()}
 	c.applyQuota(u.division.quota(key, 0))
-	u.cells.Store(known.with(workspace, c))
+	u.flows.Store(known.with(workspace, c))
 	return c
 }
 
@@ -169,7 +169,7 @@
 func (g *Gate) Tick(elapsed time.Duration) {
 	for _, u := range *g.upstreams.Load() {
 		u.mu.Lock()
-		u.cells.Store(u.cells.Load().tick(elapsed))
+		u.flows.Store(u.flows.Load().tick(elapsed))
 		u.mu.Unlock()
 	}
 }
@@ -178,7 +178,7 @@
 func (g *Gate) Use() fleet.SlotSums {
 	sums := make(fleet.SlotSums)
 	for name, u := range *g.upstreams.Load() {
-		u.cells.Load().each(func(key cellKey, c *cell) {
+		u.flows.Load().each(func(key flowKey, c *flow) {
 			demand, used, refused := c.rates()
 			sums.Add(name, key.class, key.workspace, demand, used, refused)
 		})
@@ -196,7 +196,7 @@
 	}
 }
 
-// apply sets the quotas of all cells, unless slots were not scarce before and are not now.
+// apply sets the quotas of all flows, unless slots were not scarce before and are not now.
 func (u *upstreamGate) apply(d division) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -205,7 +205,7 @@
 	if unchanged {
 		return
 	}
-	u.cells.Load().each(func(key cellKey, c *cell) {
+	u.flows.Load().each(func(key flowKey, c *flow) {
 		demand, _, _ := c.rates()
 		c.setQuota(d.quota(key, demand))
 	})
--- a/internal/edge/caller_conns.go
+++ b/internal/callerconn/callerconn.go
@@ -1,4 +1,11 @@
-package edge
+// Package callerconn tracks the connections of callers: when they were last read from, which
+// wait for a request, and how much of a response a caller has taken.
+//
+// Failure modes: a connection that is quiet for longer than its timeout gets no further
+// reads, after which the HTTP server closes it. A caller that reads too slowly can be
+// disconnected, see package bodymemory. What a caller has taken is known only on Linux;
+// elsewhere the bytes of finished writes count.
+package callerconn
 
 import (
 	"net"
@@ -15,8 +22,8 @@
 
 var pastDeadline = time.Unix(1, 0)
 
-// callerConn is a caller's connection with the times of its reads.
-type callerConn struct {
+// Conn is a caller's connection with the times of its reads.
+type Conn struct {
 	net.Conn
 	// lastReadAt is the time of the last read that returned bytes, or of the accept
 	// before the first one, in Unix nanoseconds.
@@ -29,16 +36,16 @@
 	// disconnected is set by Disconnect. No further request is read then, because its
 	// response could not be written.
 	disconnected atomic.Bool
-	// waitingSince is when the connection began to wait for a request. callerConns.mu
+	// waitingSince is when the connection began to wait for a request. Listener.mu
 	// guards it.
 	waitingSince time.Time
-	// expired is set after expire has stopped reads from the connection. callerConns.mu
+	// expired is set after expire has stopped reads from the connection. Listener.mu
 	// guards it.
 	expired bool
 }
 
 // Read implements net.Conn.
-func (c *callerConn) Read(p []byte) (int, error) {
+func (c *Conn) Read(p []byte) (int, error) {
 	if c.disconnected.Load() {
 		return 0, net.ErrClosed
 	}
@@ -54,49 +61,49 @@
 // CloseWrite closes the sending side of the connection if it supports that. The server
 // calls it before it drops an unread body, so that a reset does not destroy the answer
 // that was sent already.
-func (c *callerConn) CloseWrite() error {
+func (c *Conn) CloseWrite() error {
 	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return conn.CloseWrite()
 	}
 	return nil
 }
 
-// callerConns is a listener that tracks the open connections of callers. It is safe for
+// Listener is a listener that tracks the open connections of callers. It is safe for
 // concurrent use.
-type callerConns struct {
+type Listener struct {
 	net.Listener
 	// closeListener closes the listener once: both a planned stop and then the server
 	// close it.
 	closeListener func() error
 	mu            sync.Mutex
-	states        map[*callerConn]http.ConnState
+	states        map[*Conn]http.ConnState
 }
 
-func newCallerConns(listener net.Listener) *callerConns {
-	return &callerConns{
+func NewListener(listener net.Listener) *Listener {
+	return &Listener{
 		Listener:      listener,
 		closeListener: sync.OnceValue(listener.Close),
-		states:        make(map[*callerConn]http.ConnState),
+		states:        make(map[*Conn]http.ConnState),
 	}
 }
 
 // Close implements net.Listener. Further calls return the result of the first one.
-func (c *callerConns) Close() error { return c.closeListener() }
+func (c *Listener) Close() error { return c.closeListener() }
 
 // Accept implements net.Listener.
-func (c *callerConns) Accept() (net.Conn, error) {
+func (c *Listener) Accept() (net.Conn, error) {
 	conn, err := c.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	accepted := &callerConn{Conn: conn}
+	accepted := &Conn{Conn: conn}
 	accepted.lastReadAt.Store(time.Now().UnixNano())
 	return accepted, nil
 }
 
-// track is the ConnState callback of the http.Server.
-func (c *callerConns) track(conn net.Conn, state http.ConnState) {
-	accepted, ok := conn.(*callerConn)
+// Track is the ConnState callback of the http.Server.
+func (c *Listener) Track(conn net.Conn, state http.ConnState) {
+	accepted, ok := conn.(*Conn)
 	if !ok {
 		return
 	}
@@ -117,12 +124,12 @@
 	}
 }
 
-// expireIdle stops reads from the connections that have no request in flight and from
+// ExpireIdle stops reads from the connections that have no request in flight and from
 // which nothing was read for minIdleTime, and returns the number of open connections. The
 // server closes such a connection if it is waiting for a request. If the server has just
 // read a request from it, the connection continues, because track removes the deadline
 // when the request begins. Closing the connection here would race with that.
-func (c *callerConns) expireIdle(now time.Time) int {
+func (c *Listener) ExpireIdle(now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for conn, state := range c.states {
@@ -134,8 +141,8 @@
 	return len(c.states)
 }
 
-// expire stops reads from the connection. The caller must hold callerConns.mu.
-func (c *callerConn) expire() {
+// expire stops reads from the connection. The caller must hold Listener.mu.
+func (c *Conn) expire() {
 	c.expired = true
 	_ = c.SetReadDeadline(pastDeadline) // fails only if closed, which reads report
 }
--- a/internal/edge/caller_conns_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"errors"
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -14,10 +15,15 @@
 	"lovagescale/internal/catalog"
 )
 
+func TestCallerConn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "callerconn")
+}
+
 var _ = Describe("callers' connections", func() {
 	var (
-		conns *callerConns
-		conn  *callerConn
+		conns *Listener
+		conn  *Conn
 		now   time.Time
 	)
 	BeforeEach(func() {
@@ -25,9 +31,9 @@
 		DeferCleanup(callerSide.Close)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		conns = newCallerConns(listener)
+		conns = NewListener(listener)
 		DeferCleanup(conns.Close)
-		conn = &callerConn{Conn: serverSide}
+		conn = &Conn{Conn: serverSide}
 		now = time.UnixMilli(1_000_000)
 		conn.lastReadAt.Store(now.UnixNano())
 	})
@@ -47,76 +53,76 @@
 	}
 
 	It("stops reads from an idle connection, but not from one that was read a moment ago", func() {
-		conns.track(conn, http.StateIdle)
-		Expect(conns.expireIdle(now.Add(minIdleTime/2))).To(Equal(1), "the goroutine of its request may not have run yet")
+		conns.Track(conn, http.StateIdle)
+		Expect(conns.ExpireIdle(now.Add(minIdleTime/2))).To(Equal(1), "the goroutine of its request may not have run yet")
 		Expect(conn.expired).To(BeFalse())
-		conns.expireIdle(now.Add(minIdleTime))
+		conns.ExpireIdle(now.Add(minIdleTime))
 		Expect(readsStopped()).To(BeTrue())
-		conns.track(conn, http.StateClosed)
-		Expect(conns.expireIdle(now.Add(minIdleTime))).To(BeZero())
+		conns.Track(conn, http.StateClosed)
+		Expect(conns.ExpireIdle(now.Add(minIdleTime))).To(BeZero())
 	})
 
 	It("stops reads from a connection that never sent a byte", func() {
-		conns.track(conn, http.StateNew)
-		conns.expireIdle(now.Add(minIdleTime))
+		conns.Track(conn, http.StateNew)
+		conns.ExpireIdle(now.Add(minIdleTime))
 		Expect(readsStopped()).To(BeTrue())
 	})
 
 	It("lets a connection continue whose request was read before reads were stopped", func() {
-		conns.track(conn, http.StateIdle)
-		conns.expireIdle(now.Add(minIdleTime))
-		conns.track(conn, http.StateActive)
+		conns.Track(conn, http.StateIdle)
+		conns.ExpireIdle(now.Add(minIdleTime))
+		conns.Track(conn, http.StateActive)
 		Expect(readsStopped()).To(BeFalse())
 	})
 
 	It("waits for a connection with a request in flight", func() {
-		conns.track(conn, http.StateIdle)
-		conns.track(conn, http.StateActive)
-		Expect(conns.expireIdle(now.Add(time.Minute))).To(Equal(1))
+		conns.Track(conn, http.StateIdle)
+		conns.Track(conn, http.StateActive)
+		Expect(conns.ExpireIdle(now.Add(time.Minute))).To(Equal(1))
 		Expect(conn.expired).To(BeFalse())
 	})
 
 	Context("with timeouts", func() {
-		timeouts := connTimeouts{header: 3 * time.Second, idle: 15 * time.Second}
+		timeouts := Timeouts{header: 3 * time.Second, idle: 15 * time.Second}
 		var waitingSince time.Time
 		BeforeEach(func() {
-			conns.track(conn, http.StateIdle)
+			conns.Track(conn, http.StateIdle)
 			waitingSince = conn.waitingSince
 		})
 
 		It("stops reads from a connection without a request for longer than the idle timeout", func() {
-			Expect(conns.expireTimedOut(waitingSince.Add(timeouts.idle), waitingSince, timeouts)).To(BeZero())
-			Expect(conns.expireTimedOut(waitingSince.Add(timeouts.idle+time.Millisecond), waitingSince, timeouts)).To(Equal(1))
+			Expect(conns.ExpireTimedOut(waitingSince.Add(timeouts.idle), waitingSince, timeouts)).To(BeZero())
+			Expect(conns.ExpireTimedOut(waitingSince.Add(timeouts.idle+time.Millisecond), waitingSince, timeouts)).To(Equal(1))
 			Expect(readsStopped()).To(BeTrue())
-			Expect(conns.expireTimedOut(waitingSince.Add(time.Minute), waitingSince, timeouts)).To(BeZero(), "its reads were stopped already")
+			Expect(conns.ExpireTimedOut(waitingSince.Add(time.Minute), waitingSince, timeouts)).To(BeZero(), "its reads were stopped already")
 		})
 
 		It("stops reads from a connection that sends its headers byte by byte for longer than the header timeout", func() {
 			startedAt := waitingSince.Add(5 * time.Second)
 			conn.requestStartedAt.Store(startedAt.UnixNano())
 			conn.lastReadAt.Store(startedAt.Add(timeouts.header).UnixNano())
-			Expect(conns.expireTimedOut(startedAt.Add(timeouts.header), waitingSince, timeouts)).To(BeZero())
-			Expect(conns.expireTimedOut(startedAt.Add(timeouts.header+time.Millisecond), waitingSince, timeouts)).To(Equal(1))
+			Expect(conns.ExpireTimedOut(startedAt.Add(timeouts.header), waitingSince, timeouts)).To(BeZero())
+			Expect(conns.ExpireTimedOut(startedAt.Add(timeouts.header+time.Millisecond), waitingSince, timeouts)).To(Equal(1))
 		})
 
 		It("does not count the time in which the process was paused and read nothing", func() {
 			resumedAt := waitingSince.Add(time.Minute)
-			Expect(conns.expireTimedOut(resumedAt.Add(timeouts.idle), resumedAt, timeouts)).To(BeZero())
-			Expect(conns.expireTimedOut(resumedAt.Add(timeouts.idle+time.Millisecond), resumedAt, timeouts)).To(Equal(1))
+			Expect(conns.ExpireTimedOut(resumedAt.Add(timeouts.idle), resumedAt, timeouts)).To(BeZero())
+			Expect(conns.ExpireTimedOut(resumedAt.Add(timeouts.idle+time.Millisecond), resumedAt, timeouts)).To(Equal(1))
 		})
 
 		It("ignores a connection with a request in flight and measures from its end", func() {
-			conns.track(conn, http.StateActive)
-			Expect(conns.expireTimedOut(waitingSince.Add(time.Hour), waitingSince, timeouts)).To(BeZero())
+			conns.Track(conn, http.StateActive)
+			Expect(conns.ExpireTimedOut(waitingSince.Add(time.Hour), waitingSince, timeouts)).To(BeZero())
 			conn.requestStartedAt.Store(waitingSince.UnixNano())
-			conns.track(conn, http.StateIdle)
-			Expect(conns.expireTimedOut(conn.waitingSince.Add(timeouts.idle), waitingSince, timeouts)).To(BeZero())
+			conns.Track(conn, http.StateIdle)
+			Expect(conns.ExpireTimedOut(conn.waitingSince.Add(timeouts.idle), waitingSince, timeouts)).To(BeZero())
 		})
 
 		It("uses the operator's timeouts, or the default ones", func() {
-			Expect(connTimeoutsOf(nil)).To(Equal(connTimeouts{defaultHeaderTimeout, defaultIdleTimeout}))
+			Expect(TimeoutsOf(nil)).To(Equal(Timeouts{defaultHeaderTimeout, defaultIdleTimeout}))
 			c := catalog.New(1, nil, nil, nil, catalog.Limits{HeaderTimeout: time.Second, IdleTimeout: time.Minute})
-			Expect(connTimeoutsOf(c)).To(Equal(connTimeouts{time.Second, time.Minute}))
+			Expect(TimeoutsOf(c)).To(Equal(Timeouts{time.Second, time.Minute}))
 		})
 	})
 
@@ -142,7 +148,7 @@
 	It("records the time of a read", func() {
 		serverSide, callerSide := net.Pipe()
 		DeferCleanup(callerSide.Close)
-		received := &callerConn{Conn: serverSide}
+		received := &Conn{Conn: serverSide}
 		go func() { _, _ = callerSide.Write([]byte("GET")) }()
 		n, err := received.Read(make([]byte, 8))
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/edge/caller_progress.go
+++ b/internal/callerconn/progress.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"net"
@@ -6,18 +6,18 @@
 )
 
 // Write implements net.Conn.
-func (c *callerConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	return n, err
 }
 
 // BytesWritten implements bodymemory.Conn.
-func (c *callerConn) BytesWritten() int64 { return c.written.Load() }
+func (c *Conn) BytesWritten() int64 { return c.written.Load() }
 
 // BytesRead implements bodymemory.Conn with the kernel's count of acknowledged bytes. On a
 // connection without one it returns the bytes of the writes that have ended.
-func (c *callerConn) BytesRead() int64 {
+func (c *Conn) BytesRead() int64 {
 	if conn, ok := c.innermost().(syscall.Conn); ok {
 		if acknowledged, ok := acknowledgedBytes(conn); ok {
 			return acknowledged
@@ -27,7 +27,7 @@
 }
 
 // innermost returns the connection of the network below all wrappers.
-func (c *callerConn) innermost() net.Conn {
+func (c *Conn) innermost() net.Conn {
 	conn := c.Conn
 	for {
 		wrapper, ok := conn.(interface{ NetConn() net.Conn })
@@ -40,7 +40,7 @@
 
 // Disconnect implements bodymemory.Conn. Its blocked write fails, and the server closes the
 // connection. What the kernel still holds for the caller is dropped.
-func (c *callerConn) Disconnect() {
+func (c *Conn) Disconnect() {
 	c.disconnected.Store(true)
 	if conn, ok := c.innermost().(interface{ SetLinger(seconds int) error }); ok {
 		_ = conn.SetLinger(0) // fails only if closed
--- a/internal/edge/caller_progress_linux.go
+++ b/internal/callerconn/progress_linux.go
@@ -1,4 +1,4 @@
-package edge
+package callerconn
 
 import (
 	"syscall"
--- a/internal/edge/caller_progress_other.go
+++ b/internal/callerconn/progress_other.go
@@ -1,6 +1,6 @@
 //go:build !linux
 
-package edge
+package callerconn
 
 import "syscall"
 
--- a/internal/edge/conn_timeouts.go
+++ b/internal/callerconn/timeouts.go
@@ -1,7 +1,6 @@
-package edge
+package callerconn
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -18,16 +17,13 @@
 	defaultIdleTimeout = 2 * time.Minute
 )
 
-// timeoutCheckInterval is the interval of the timeout checks of callers' connections.
-const timeoutCheckInterval = 250 * time.Millisecond
-
-// connTimeouts are how long a connection without a request in flight may wait for the
+// Timeouts are how long a connection without a request in flight may wait for the
 // rest of a request's headers, or for the next request.
-type connTimeouts struct{ header, idle time.Duration }
+type Timeouts struct{ header, idle time.Duration }
 
-// connTimeoutsOf returns the operator's timeouts, or the default ones.
-func connTimeoutsOf(c *catalog.Catalog) connTimeouts {
-	timeouts := connTimeouts{header: defaultHeaderTimeout, idle: defaultIdleTimeout}
+// TimeoutsOf returns the operator's timeouts, or the default ones.
+func TimeoutsOf(c *catalog.Catalog) Timeouts {
+	timeouts := Timeouts{header: defaultHeaderTimeout, idle: defaultIdleTimeout}
 	if c != nil && c.Limits.HeaderTimeout > 0 {
 		timeouts.header = c.Limits.HeaderTimeout
 	}
@@ -37,28 +33,10 @@
 	return timeouts
 }
 
-// enforceConnTimeouts closes connections that exceed their timeouts, until ctx ends.
-func (e *Edge) enforceConnTimeouts(ctx context.Context, conns *callerConns) {
-	lastCheckAt := time.Now()
-	resumedAt := lastCheckAt
-	for ctx.Err() == nil {
-		sleep(ctx, timeoutCheckInterval)
-		now := time.Now()
-		if now.Sub(lastCheckAt) > 2*timeoutCheckInterval {
-			resumedAt = now // bytes that arrived during the pause are not read yet
-		}
-		lastCheckAt = now
-		if expired := conns.expireTimedOut(now, resumedAt, connTimeoutsOf(e.catalog.Load())); expired > 0 {
-			e.counters.timedOutConns.Inc(int64(expired))
-			e.log.Info().Int("connections", expired).Msg("callers' connections were quiet for too long")
-		}
-	}
-}
-
-// expireTimedOut stops reads from the connections that exceed the timeout for a request
+// ExpireTimedOut stops reads from the connections that exceed the timeout for a request
 // or for the rest of its headers, and returns their number. Time before resumedAt, which
 // is the end of the process's last pause, does not count.
-func (c *callerConns) expireTimedOut(now, resumedAt time.Time, timeouts connTimeouts) int {
+func (c *Listener) ExpireTimedOut(now, resumedAt time.Time, timeouts Timeouts) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	expired := 0
@@ -74,7 +52,7 @@
 
 // timedOut reports whether the connection exceeds its timeout: the header timeout if the
 // first byte of a request was read, otherwise the idle timeout.
-func (c *callerConn) timedOut(now, resumedAt time.Time, timeouts connTimeouts) bool {
+func (c *Conn) timedOut(now, resumedAt time.Time, timeouts Timeouts) bool {
 	since, limit := c.waitingSince, timeouts.idle
 	if startedAt := c.requestStartedAt.Load(); startedAt != 0 {
 		since, limit = time.Unix(0, startedAt), timeouts.header
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -12,7 +12,7 @@
 	"lovagescale/internal/hedge"
 	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
-	"lovagescale/internal/returns"
+	"lovagescale/internal/retryafter"
 )
 
 // Dump is the state dump of an instance for operators.
@@ -36,7 +36,7 @@
 	// Objects are the numbers of objects and of their preferred endpoints.
 	Objects []placement.ObjectsDescription `json:"objects"`
 	// Returns are the times promised to refused callers.
-	Returns returns.Description `json:"returns"`
+	Returns retryafter.Description `json:"returns"`
 	// Traffic is what this instance has sent to others and got as replies since its start.
 	Traffic []PeerTraffic `json:"peer_traffic"`
 	// Admission is how scarce slots are shared.
@@ -118,7 +118,7 @@
 	d.Quotas = e.pools.Shares()
 	d.Admission = e.sharing.gate.Describe()
 	d.Hedges = e.hedging.policy.Describe()
-	d.Returns = e.returns.Describe(time.Now())
+	d.Returns = e.retrySchedule.Describe(time.Now())
 	d.Memory = e.memory.Describe()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,7 +40,7 @@
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
 	"lovagescale/internal/reachability"
-	"lovagescale/internal/returns"
+	"lovagescale/internal/retryafter"
 	"lovagescale/internal/store"
 	"lovagescale/internal/trafficstats"
 	"lovagescale/internal/upstream"
@@ -113,7 +113,7 @@
 
 	workspaceDemand *allowance.DemandMeter
 	pools           *quotapool.Pools
-	stash           *quotapool.Stash
+	tokens          *quotapool.TokenCache
 	retryBudget     *allowance.RetryBudget
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
@@ -122,8 +122,8 @@
 	runTimes        *placement.RunTimes
 	quarantine      *quarantineTable
 	reach           *reachability.Tracker
-	returns         *returns.Book
-	rateReturns     *returns.Spacing
+	retrySchedule   *retryafter.Schedule
+	rateReturns     *retryafter.Spacing
 	// probesDone is closed when the last probes of endpoints have ended.
 	probesDone atomic.Pointer[chan struct{}]
 	sharing    sharing
@@ -154,7 +154,7 @@
 		handoverPeers:   link.NewPeers(),
 		workspaceDemand: allowance.NewDemandMeter(),
 		pools:           quotapool.New(self, s.Bounds.QuotaWindow, tickInterval),
-		stash:           quotapool.NewStash(),
+		tokens:          quotapool.NewTokenCache(),
 		retryBudget:     allowance.NewRetryBudget(s.Bounds.retryOptions()),
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
@@ -163,8 +163,8 @@
 		runTimes:        placement.NewRunTimes(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
 		reach:           reachability.NewTracker(time.Now()),
-		returns:         returns.NewBook(),
-		rateReturns:     returns.NewSpacing(),
+		retrySchedule:   retryafter.NewSchedule(),
+		rateReturns:     retryafter.NewSpacing(),
 		eraBegun:        make(chan struct{}, 1),
 	}
 	e.bounds.Store(&s.Bounds)
--- a/internal/edge/pipelining.go
+++ b/internal/edge/pipelining.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"lovagescale/internal/bodymemory"
+	"lovagescale/internal/callerconn"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/pipeline"
 )
@@ -41,7 +42,7 @@
 
 // callerContext is the ConnContext callback of the http.Server.
 func callerContext(ctx context.Context, conn net.Conn) context.Context {
-	if accepted, ok := conn.(*callerConn); ok {
+	if accepted, ok := conn.(*callerconn.Conn); ok {
 		ctx = pipeline.ConnContext(ctx, accepted.Conn)
 	}
 	return bodymemory.ConnContext(ctx, conn)
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -17,9 +17,9 @@
 const (
 	// borrowTimeout bounds how long a request waits for the reply of one holder of a pool.
 	borrowTimeout = 120 * time.Millisecond
-	// borrowAheadTimeout bounds a loan for which no request waits. A reply that comes later
+	// prefetchTimeout bounds a loan for which no request waits. A reply that comes later
 	// has lent tokens that nobody spends.
-	borrowAheadTimeout = 500 * time.Millisecond
+	prefetchTimeout = 500 * time.Millisecond
 )
 
 // needsToken reports whether the request must take a quota token before it is sent on.
@@ -35,7 +35,7 @@
 		if admitted {
 			return nil
 		}
-		wait := e.startupWait(time.Now(), q, retryAfter)
+		wait := e.tokenWait(time.Now(), q, retryAfter)
 		if wait <= 0 || ctx.Err() != nil {
 			return e.rateRefusal(q, retryAfter)
 		}
@@ -50,7 +50,7 @@
 	for {
 		if q.needsToken() {
 			left := e.pools.RemainingPause(time.Now(), q.workspace.Name)
-			if left > 0 && e.startupWait(time.Now(), q, left) <= 0 && !e.stash.Holds(q.workspace.Name) {
+			if left > 0 && e.tokenWait(time.Now(), q, left) <= 0 && !e.tokens.Holds(q.workspace.Name) {
 				return nil, e.rateRefusal(q, left), nil
 			}
 		}
@@ -63,7 +63,7 @@
 			return endpoint, nil, nil
 		}
 		e.table.Load().End(time.Now(), endpoint, placement.Abandoned, 0)
-		wait := e.startupWait(time.Now(), q, retryAfter)
+		wait := e.tokenWait(time.Now(), q, retryAfter)
 		if wait <= 0 || ctx.Err() != nil {
 			return nil, e.rateRefusal(q, retryAfter), nil
 		}
@@ -108,9 +108,9 @@
 	return wait
 }
 
-// startupWait returns how long the request waits for a token before the next try, or 0 if
-// it is refused.
-func (e *Edge) startupWait(now time.Time, q *request, retryAfter time.Duration) time.Duration {
+// tokenWait returns how long the request waits for a token before the next try, or 0 if it
+// is refused.
+func (e *Edge) tokenWait(now time.Time, q *request, retryAfter time.Duration) time.Duration {
 	return startupWait(now.Sub(e.startedAt), now.Sub(q.started), maxQuotaWait(q.route), retryAfter)
 }
 
@@ -127,14 +127,14 @@
 		return time.Duration(loan.RetryAfterMillis) * time.Millisecond, false
 	}
 	q.loan = &loan
-	e.borrowAhead(q.workspace)
+	e.prefetchTokens(q.workspace)
 	return 0, true
 }
 
-// borrow takes a token of the workspace from the stash, or one from the pools: several
-// requests that find the stash empty must not take a batch each.
+// borrow takes a token of the workspace from the cache, or one from the pools: several
+// requests that find the cache empty must not take a batch each.
 func (e *Edge) borrow(now time.Time, workspace *catalog.Workspace, send quotapool.SendFunc) quotapool.Loan {
-	if loan, found := e.stash.Take(now, workspace.Name); found {
+	if loan, found := e.tokens.Take(now, workspace.Name); found {
 		return loan
 	}
 	if left := e.pools.RemainingPause(now, workspace.Name); left > 0 {
@@ -148,42 +148,41 @@
 		return loan
 	}
 	e.counters.loans.Inc(1)
-	e.stash.Put(workspace.Name, loan, loan.Count-1)
 	return loan
 }
 
-// borrowAhead refills the stash of the workspace if it runs low.
-func (e *Edge) borrowAhead(workspace *catalog.Workspace) {
-	n := e.stash.BeginRefill(workspace.Name, e.workspaceDemand.Rate(workspace.Name))
+// prefetchTokens refills the cached tokens of the workspace if it runs low.
+func (e *Edge) prefetchTokens(workspace *catalog.Workspace) {
+	n := e.tokens.BeginRefill(workspace.Name, e.workspaceDemand.Rate(workspace.Name))
 	if n == 0 {
 		return
 	}
 	go func() {
-		defer e.stash.EndRefill(workspace.Name)
-		loan := e.pools.BorrowAhead(time.Now(), workspace, n, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
-			return e.sendBorrow(context.Background(), holder, borrow, borrowAheadTimeout)
+		defer e.tokens.EndRefill(workspace.Name)
+		loan := e.pools.Prefetch(time.Now(), workspace, n, func(holder fleet.Member, borrow fleet.Borrow) (fleet.BorrowReply, bool) {
+			return e.sendBorrow(context.Background(), holder, borrow, prefetchTimeout)
 		})
 		if loan.Granted {
 			e.counters.loans.Inc(1)
-			e.stash.Put(workspace.Name, loan, loan.Count)
+			e.tokens.Put(workspace.Name, loan, loan.Count)
 		}
 	}()
 }
 
-// returnToken puts the quota token of a request that did not run into the stash, from where
+// returnToken puts the quota token of a request that did not run into the cache, from where
 // another request takes it or it goes back to its lender.
 func (e *Edge) returnToken(q *request) {
 	if q.loan == nil {
 		return
 	}
-	e.stash.Put(q.workspace.Name, *q.loan, 1)
+	e.tokens.Put(q.workspace.Name, *q.loan, 1)
 	q.loan = nil
 	e.counters.returnedLoans.Inc(1)
 }
 
 // returnUnspentTokens gives tokens back to their lenders that have stayed unspent.
 func (e *Edge) returnUnspentTokens(now time.Time) {
-	for _, unspent := range e.stash.TakeExpired(now) {
+	for _, unspent := range e.tokens.TakeExpired(now) {
 		if unspent.Lender.Instance == "" {
 			e.pools.TakeBack(now, unspent.Return)
 			continue
@@ -195,7 +194,7 @@
 // sendReturn gives tokens back to another instance. A return that is lost is not repeated:
 // the lender could not tell a repeated one from another.
 func (e *Edge) sendReturn(unspent quotapool.LoanReturn) {
-	ctx, cancel := context.WithTimeout(context.Background(), borrowAheadTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), prefetchTimeout)
 	defer cancel()
 	var reply fleet.ReturnReply
 	if err := e.peers.Client(unspent.Lender.Link).Call(ctx, fleet.TypeReturn, unspent.Return, &reply); err != nil {
--- a/internal/edge/quota_simulation_test.go
+++ b/internal/edge/quota_simulation_test.go
@@ -187,7 +187,7 @@
 	return loan.Granted
 }
 
-// borrow takes a token as an instance does, with a stash if requests may not run.
+// borrow takes a token as an instance does, with a cache if requests may not run.
 func (sim *quotaSimulation) borrow(e *Edge, workspace *catalog.Workspace, send quotapool.SendFunc) quotapool.Loan {
 	if sim.notRunFraction == 0 {
 		return e.pools.Borrow(sim.now, workspace, 1, send)
@@ -195,7 +195,7 @@
 	return e.borrow(sim.now, workspace, send)
 }
 
-// deliverReturns puts the tokens that are due into the stashes of their instances, and
+// deliverReturns puts the tokens that are due into the cachees of their instances, and
 // gives those that have stayed there back to their lenders. Those whose message is lost are
 // not sent again.
 func (sim *quotaSimulation) deliverReturns() {
@@ -203,14 +203,14 @@
 		if sim.now.Before(r.dueAt) {
 			return false
 		}
-		r.instance.stash.Put("azul", r.loan, 1)
+		r.instance.tokens.Put("azul", r.loan, 1)
 		return true
 	})
 	for i, e := range sim.instances {
 		if !sim.isUp(i) {
 			continue
 		}
-		for _, unspent := range e.stash.TakeExpired(sim.now) {
+		for _, unspent := range e.tokens.TakeExpired(sim.now) {
 			lender := i
 			if unspent.Lender.Instance != "" {
 				lender = sim.index(unspent.Lender.Instance)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -56,7 +56,7 @@
 	promisedPlace bool
 	// runsAt is the instance to which this one handed the request over, or "".
 	runsAt string
-	share  shareVerdict
+	share  shareDecision
 	// bodyHeld and responseHeld are the memory reserved for the body and for the response.
 	bodyHeld, responseHeld *bodymemory.Reservation
 	// responseNotHeld is set if an endpoint sent a response for which no memory was left.
--- a/internal/edge/returns.go
+++ b/internal/edge/retry_after.go
@@ -6,7 +6,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"lovagescale/internal/returns"
+	"lovagescale/internal/retryafter"
 )
 
 const (
@@ -26,14 +26,14 @@
 	if q.handedOver {
 		return // its timeout is what the other instance left of it
 	}
-	origin := e.returns.Observe(q.route.Name, q.caller.Timeout)
-	if origin == returns.Returning {
-		q.promisedPlace = e.returns.Redeem(now, q.upstream, q.route.Name, q.caller.Timeout)
+	origin := e.retrySchedule.Observe(q.route.Name, q.caller.Timeout)
+	if origin == retryafter.Returning {
+		q.promisedPlace = e.retrySchedule.Redeem(now, q.upstream, q.route.Name, q.caller.Timeout)
 	}
 	switch {
 	case q.promisedPlace:
 		e.countReturn("with_place")
-	case origin == returns.Returning || origin == returns.Early:
+	case origin == retryafter.Returning || origin == retryafter.Early:
 		e.countReturn("without_place")
 	}
 }
@@ -45,7 +45,7 @@
 	if q.promisedPlace {
 		return max(limit, min(limit+returnAllowance, maxReturnUtilization))
 	}
-	return limit - e.returns.ReservedFraction(now, q.upstream)
+	return limit - e.retrySchedule.ReservedFraction(now, q.upstream)
 }
 
 // returnTime returns the time after which the caller of a refused request is to return, or
@@ -59,7 +59,7 @@
 	if q.handedOver || q.caller.Timeout <= 0 {
 		return 0
 	}
-	wait, promised := e.returns.Promise(now, returns.Refused{
+	wait, promised := e.retrySchedule.Promise(now, retryafter.Refused{
 		Upstream: q.upstream, Route: q.route.Name, Timeout: q.caller.Timeout,
 		TimeLeft: q.caller.Timeout - now.Sub(q.started), Earliest: pause,
 	}, rand.Float64())
@@ -78,7 +78,7 @@
 	if q.caller.Timeout <= 0 {
 		return earliest
 	}
-	e.returns.RecordRefusal(q.route.Name, q.caller.Timeout)
+	e.retrySchedule.RecordRefusal(q.route.Name, q.caller.Timeout)
 	perSecond := q.workspace.Rate / float64(max(e.instanceCount.Load(), 1))
 	return e.rateReturns.Next(now, q.workspace.Name, perSecond, q.caller.Timeout-now.Sub(q.started), earliest, rand.Float64())
 }
@@ -92,14 +92,14 @@
 // instances, see demandByRegion.
 func (s *state) updateReturnCapacity(now time.Time, upstream string, slots, unpinned, pinned map[string]float64) {
 	e := s.edge
-	for _, change := range e.returns.Changes() {
+	for _, change := range e.retrySchedule.Changes() {
 		e.log.Info().Str("route", change.Route).Dur("usual_timeout", change.Usual).Bool("recognised", change.Usual > 0).
 			Msg("recognition of returning callers has changed")
 	}
 	if !s.fleet.Acknowledged() && e.hasOtherSeeds() {
 		return // other instances are not known yet, and this one's part neither
 	}
-	capacity := returns.Capacity{ServiceTime: e.stats.ServiceTime(upstream)}
+	capacity := retryafter.Capacity{ServiceTime: e.stats.ServiceTime(upstream)}
 	for _, d := range e.stats.UpstreamDemand() {
 		if d.Upstream == upstream {
 			capacity.Demand += float64(d.Rate)
@@ -110,8 +110,8 @@
 		capacity.Slots += n
 		capacity.Excess += max(utilization[region]-maxReturnUtilization, 0) * n
 	}
-	capacity.Share = returns.ShareOf(capacity.Demand, sum(unpinned)+sum(pinned), int(e.instanceCount.Load()))
-	e.returns.SetCapacity(now, upstream, capacity)
+	capacity.Share = retryafter.ShareOf(capacity.Demand, sum(unpinned)+sum(pinned), int(e.instanceCount.Load()))
+	e.retrySchedule.SetCapacity(now, upstream, capacity)
 }
 
 func sum(rates map[string]float64) float64 {
--- a/internal/edge/returns_test.go
+++ b/internal/edge/retry_after_test.go
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"lovagescale/internal/catalog"
-	"lovagescale/internal/returns"
+	"lovagescale/internal/retryafter"
 )
 
 // Guards against a connection of the book to requests that loses its effect: a caller that
@@ -25,7 +25,7 @@
 	for range 40 {
 		e.observeReturn(now, first)
 	}
-	e.returns.SetCapacity(now, "files", returns.Capacity{Slots: 20, ServiceTime: 200 * time.Millisecond, Share: 1})
+	e.retrySchedule.SetCapacity(now, "files", retryafter.Capacity{Slots: 20, ServiceTime: 200 * time.Millisecond, Share: 1})
 	wait := e.returnTime(now, first, 0)
 	g.Expect(wait).To(BeNumerically(">=", minRetryAfter))
 	g.Expect(wait).To(BeNumerically("<", timeout/3))
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -24,8 +24,8 @@
 	use fleet.SlotSums
 }
 
-// shareVerdict is what the gate decided on a request.
-type shareVerdict struct {
+// shareDecision is what the gate decided on a request.
+type shareDecision struct {
 	// excess is set if the request is beyond the share of its workspace.
 	excess bool
 	reason admission.Reason
@@ -57,7 +57,7 @@
 // compareWithShare counts a request and compares it with the share of its workspace.
 func (e *Edge) compareWithShare(q *request) {
 	within, reason := e.sharing.gate.Admit(time.Now(), q.upstream, q.workspaceName(), q.class(), rand.Float64())
-	q.share = shareVerdict{excess: !within, reason: reason, random: rand.Float64()}
+	q.share = shareDecision{excess: !within, reason: reason, random: rand.Float64()}
 	if !within {
 		e.counters.countSeries("edge.admission", q.upstream, "excess")
 	}
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -103,7 +103,7 @@
 	g.Expect(q.limitByShare(1.4)).To(Equal(1.4))
 	cause := errors.New("no room")
 	g.Expect(e.recordNoRoom(q, cause)).To(Equal(cause))
-	q.share = shareVerdict{excess: true, reason: admission.AboveShare}
+	q.share = shareDecision{excess: true, reason: admission.AboveShare}
 	g.Expect(q.limitByShare(1.4)).To(Equal(1.0))
 	var exceeds *ExceedsShareError
 	g.Expect(e.recordNoRoom(q, cause)).To(BeAssignableToTypeOf(exceeds))
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"lovagescale/internal/callerconn"
 	"lovagescale/internal/pipeline"
 )
 
@@ -23,11 +24,11 @@
 // it is not ready, still accepts requests of callers that have not noticed, closes idle
 // connections, and finally waits for the requests in flight.
 func (e *Edge) serveCallers(ctx context.Context, listener net.Listener) error {
-	conns := newCallerConns(e.pipelined(listener))
+	conns := callerconn.NewListener(e.pipelined(listener))
 	server := &http.Server{
 		Handler:        pipeline.Handler(e, e.mayBegin),
 		ConnContext:    callerContext,
-		ConnState:      conns.track,
+		ConnState:      conns.Track,
 		MaxHeaderBytes: maxReadHeaderBytes,
 	}
 	timeoutCtx, stopTimeouts := context.WithCancel(context.WithoutCancel(ctx))
@@ -59,15 +60,16 @@
 const drainPollInterval = 50 * time.Millisecond
 
 // drain stops accepting connections and waits until ctx ends for the requests in flight,
-// also those of other instances. It returns the number of those that are not done. It does not use the server's
-// own Shutdown, which closes a connection as idle even if its request was just read.
-func (e *Edge) drain(ctx context.Context, conns *callerConns) int {
+// also those of other instances. It returns the number of those that are not done. It does
+// not use the server's own Shutdown, which closes a connection as idle even if its request
+// was just read.
+func (e *Edge) drain(ctx context.Context, conns *callerconn.Listener) int {
 	if err := conns.Close(); err != nil {
 		e.log.Warn().Err(err).Str("address", conns.Addr().String()).Msg("callers' port could not be closed; draining anyway")
 	}
 	sleep(ctx, drainPollInterval) // so that connections accepted just now are counted too
 	for {
-		open := conns.expireIdle(time.Now()) + int(e.handoversInFlight.Load())
+		open := conns.ExpireIdle(time.Now()) + int(e.handoversInFlight.Load())
 		if open == 0 || ctx.Err() != nil {
 			return open
 		}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -192,11 +192,11 @@
 	}
 }
 
-// tickPools ends a period of the quotas. After a pause of the process, stashed tokens count
+// tickPools ends a period of the quotas. After a pause of the process, cached tokens count
 // as spent.
 func (s *state) tickPools(now time.Time, elapsed time.Duration) {
 	if s.edge.pools.Tick(now, elapsed) {
-		s.edge.stash.Clear()
+		s.edge.tokens.Clear()
 	}
 	s.edge.returnUnspentTokens(now)
 }
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -259,12 +259,12 @@
 	// RetryAfterMillis is the time after which a request that was not granted may be
 	// admitted.
 	RetryAfterMillis int64 `msgpack:"t"`
-	// Token identifies the token that was lent. It is empty in replies of builds that do
+	// Token identifies the tokens that were lent. It is empty in replies of builds that do
 	// not take tokens back.
 	Token Token `msgpack:"k,omitempty"`
 }
 
-// Token identifies a token that an instance lent.
+// Token identifies the tokens that an instance lent in one period.
 type Token struct {
 	//lint:ignore U1000 read by the msgpack library
 	_msgpack struct{} `msgpack:",as_array"`
--- a/internal/quotapool/pools.go
+++ b/internal/quotapool/pools.go
@@ -260,9 +260,9 @@
 	return loan
 }
 
-// BorrowAhead asks the holder of this zone for up to n tokens for later requests. It asks
+// Prefetch asks the holder of this zone for up to n tokens for later requests. It asks
 // nobody if this instance is the holder.
-func (p *Pools) BorrowAhead(now time.Time, workspace *catalog.Workspace, n int, send SendFunc) Loan {
+func (p *Pools) Prefetch(now time.Time, workspace *catalog.Workspace, n int, send SendFunc) Loan {
 	candidates := p.holderCandidates(p.zone, workspace.Name)
 	if len(candidates) == 0 || candidates[0].Instance == p.self {
 		return Loan{}
--- a/internal/quotapool/stash.go
+++ b/internal/quotapool/token_cache.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// stashTime is the time for whose demand an instance borrows tokens ahead. A request
+	// prefetchTime is the time for whose demand an instance borrows tokens ahead. A request
 	// then waits for no other instance, whose link may be busy with large answers.
-	stashTime = 250 * time.Millisecond
-	// stashLifetime is how long a token may stay unspent. Tokens that are spent later than
-	// they were lent stretch the window of the quota by this time.
-	stashLifetime = 500 * time.Millisecond
+	prefetchTime = 250 * time.Millisecond
+	// cachedLifetime is how long a token may stay unspent. It is short, because a window of
+	// the quota may hold that much more than was lent in it.
+	cachedLifetime = 500 * time.Millisecond
 	// maxBatch bounds the tokens of one loan.
 	maxBatch = 32
 )
@@ -22,32 +22,32 @@
 // BatchSize returns the number of tokens to borrow at once for a workspace with the given
 // demand on this instance, in requests per second.
 func BatchSize(demand float64) int {
-	return min(max(int(demand*stashTime.Seconds()), 1), maxBatch)
+	return min(max(int(demand*prefetchTime.Seconds()), 1), maxBatch)
 }
 
-// Stash holds tokens that this instance borrowed ahead, by workspace. It is safe for
+// TokenCache holds tokens that this instance borrowed ahead, by workspace. It is safe for
 // concurrent use.
-type Stash struct {
+type TokenCache struct {
 	mu     sync.Mutex
-	tokens map[string][]stashedToken
+	tokens map[string][]cachedToken
 	// refilling are the workspaces for which a loan is under way.
 	refilling map[string]bool
 }
 
-type stashedToken struct {
+type cachedToken struct {
 	loan Loan
 	// until is when the token goes back to its lender.
 	until time.Time
 }
 
-// NewStash returns a stash without tokens.
-func NewStash() *Stash {
-	return &Stash{tokens: make(map[string][]stashedToken), refilling: make(map[string]bool)}
+// NewTokenCache returns a cache without tokens.
+func NewTokenCache() *TokenCache {
+	return &TokenCache{tokens: make(map[string][]cachedToken), refilling: make(map[string]bool)}
 }
 
-// Take takes the token of the workspace that expires first. It returns false if there is
-// none.
-func (s *Stash) Take(now time.Time, workspace string) (Loan, bool) {
+// Take takes the token of the workspace that was put first, of those that have not expired.
+// It returns false if there is none.
+func (s *TokenCache) Take(now time.Time, workspace string) (Loan, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	tokens := s.tokens[workspace]
@@ -61,25 +61,25 @@
 }
 
 // Holds reports whether there are tokens of the workspace.
-func (s *Stash) Holds(workspace string) bool {
+func (s *TokenCache) Holds(workspace string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.tokens[workspace]) > 0
 }
 
-// Put stores tokens of a loan. A token that was lent stashLifetime ago only waits to be
+// Put stores tokens of a loan. A token that was lent cachedLifetime ago only waits to be
 // returned.
-func (s *Stash) Put(workspace string, loan Loan, count int) {
+func (s *TokenCache) Put(workspace string, loan Loan, count int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for range count {
-		s.tokens[workspace] = append(s.tokens[workspace], stashedToken{loan: loan, until: loan.LentAt.Add(stashLifetime)})
+		s.tokens[workspace] = append(s.tokens[workspace], cachedToken{loan: loan, until: loan.LentAt.Add(cachedLifetime)})
 	}
 }
 
 // BeginRefill returns the number of tokens to borrow if fewer than half of a batch are
 // left and no loan is under way, otherwise 0. The caller must then call EndRefill.
-func (s *Stash) BeginRefill(workspace string, demand float64) int {
+func (s *TokenCache) BeginRefill(workspace string, demand float64) int {
 	batch := BatchSize(demand)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -91,7 +91,7 @@
 }
 
 // EndRefill ends what BeginRefill began.
-func (s *Stash) EndRefill(workspace string) {
+func (s *TokenCache) EndRefill(workspace string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.refilling, workspace)
@@ -106,7 +106,7 @@
 
 // TakeExpired removes the tokens that stayed unspent and returns them, with the tokens of
 // one period together.
-func (s *Stash) TakeExpired(now time.Time) []LoanReturn {
+func (s *TokenCache) TakeExpired(now time.Time) []LoanReturn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var returns []LoanReturn
@@ -143,7 +143,7 @@
 
 // Clear drops all tokens without returning them: after a pause of the process their
 // lenders count them as spent long ago.
-func (s *Stash) Clear() {
+func (s *TokenCache) Clear() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.tokens)
--- a/internal/returns/places.go
+++ b/internal/retryafter/places.go
@@ -1,4 +1,4 @@
-package returns
+package retryafter
 
 import (
 	"math"
--- a/internal/returns/returns_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -1,4 +1,4 @@
-package returns
+package retryafter
 
 import (
 	"math/rand/v2"
@@ -19,8 +19,8 @@
 var refusedFirst = Refused{Upstream: "u", Route: "r", Timeout: 3 * second, TimeLeft: 3 * second}
 
 // newBookOfRoute returns a book that recognises returns on the route of refusedFirst.
-func newBookOfRoute() *Book {
-	b := NewBook()
+func newBookOfRoute() *Schedule {
+	b := NewSchedule()
 	for range minTimeoutSamples {
 		b.Observe("r", 3*second)
 	}
@@ -148,7 +148,7 @@
 // get a place as were promised, and maxDebt more once.
 func TestPretendedReturnsGetNoMorePlacesThanPromised(t *testing.T) {
 	g := NewWithT(t)
-	b, promised, redeemed := NewBook(), 0, 0
+	b, promised, redeemed := NewSchedule(), 0, 0
 	for tick := range 4000 { // of 10 ms
 		now := at(time.Duration(tick) * 10 * time.Millisecond)
 		b.SetCapacity(now, "u", Capacity{Slots: 100, ServiceTime: second, Share: 0.1, Demand: 100})
@@ -168,7 +168,7 @@
 // Guards against callers with shorter timeouts of their own that are taken for returns.
 func TestDifferingTimeoutsAreNotRecognised(t *testing.T) {
 	g := NewWithT(t)
-	b, random := NewBook(), rand.New(rand.NewPCG(6, 1))
+	b, random := NewSchedule(), rand.New(rand.NewPCG(6, 1))
 	for i := range 400 {
 		two := 3 * second // two groups of callers, without refusals
 		if i%5 < 2 {
--- a/internal/returns/book.go
+++ b/internal/retryafter/schedule.go
@@ -1,7 +1,7 @@
-// Package returns names the times after which refused callers find capacity, and
+// Package retryafter names the times after which refused callers find capacity, and
 // recognises the callers that return in them.
 //
-// A Book holds, for each upstream, the places that this instance promised: moments at
+// A Schedule holds, for each upstream, the places that this instance promised: moments at
 // which a returning request is expected to find a free slot. An instance promises its part
 // of the expected capacity, so that the promises of all instances do not exceed it. A
 // caller may return to any instance. Each instance therefore admits as many returns as it
@@ -10,7 +10,7 @@
 // Failure modes: a restart loses the book; callers with promises of it then count as new
 // at that instance. Without a known capacity nothing is promised. On a route whose callers
 // use differing timeouts nothing is promised, reserved or recognised.
-package returns
+package retryafter
 
 import (
 	"math"
@@ -44,8 +44,8 @@
 	maxOutstanding = 4096
 )
 
-// Book holds the promises of one instance. It is safe for concurrent use.
-type Book struct {
+// Schedule holds the promises of one instance. It is safe for concurrent use.
+type Schedule struct {
 	mu        sync.Mutex
 	upstreams map[string]*ledger
 	routes    map[string]*timeouts
@@ -69,13 +69,13 @@
 // promise is a place that was assigned at the time madeAt.
 type promise struct{ madeAt, at time.Time }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{upstreams: make(map[string]*ledger), routes: make(map[string]*timeouts)}
+// NewSchedule returns an empty book.
+func NewSchedule() *Schedule {
+	return &Schedule{upstreams: make(map[string]*ledger), routes: make(map[string]*timeouts)}
 }
 
 // SetCapacity sets the expected capacity of an upstream. It counts for capacityLifetime.
-func (b *Book) SetCapacity(now time.Time, upstream string, c Capacity) {
+func (b *Schedule) SetCapacity(now time.Time, upstream string, c Capacity) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l, found := b.upstreams[upstream]
@@ -87,7 +87,7 @@
 }
 
 // Observe records the timeout that a caller stated and returns the origin of its request.
-func (b *Book) Observe(route string, timeout time.Duration) Origin {
+func (b *Schedule) Observe(route string, timeout time.Duration) Origin {
 	if timeout <= 0 {
 		return Unknown
 	}
@@ -97,7 +97,7 @@
 }
 
 // route returns the timeouts of a route. The caller must hold b.mu.
-func (b *Book) route(name string) *timeouts {
+func (b *Schedule) route(name string) *timeouts {
 	t, found := b.routes[name]
 	if !found {
 		t = &timeouts{}
@@ -119,7 +119,7 @@
 
 // RecordRefusal records that a request of the route with the timeout was refused for another
 // reason than capacity, and will return without a promise.
-func (b *Book) RecordRefusal(route string, timeout time.Duration) {
+func (b *Schedule) RecordRefusal(route string, timeout time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.route(route).recordRefusal(timeout)
@@ -130,7 +130,7 @@
 // of 0 says that nothing is known: returns on the route cannot be recognised, or there is
 // no capacity known. Only first requests get a place, since a caller is expected to return
 // once. random is in [0, 1).
-func (b *Book) Promise(now time.Time, r Refused, random float64) (wait time.Duration, ok bool) {
+func (b *Schedule) Promise(now time.Time, r Refused, random float64) (wait time.Duration, ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	route := b.route(r.Route)
@@ -195,7 +195,7 @@
 // Redeem admits a returning request with the given timeout to a place. It returns false if
 // the request is to be treated as a new one: it is not Returning, it is early for the
 // promises that are due, or as many returns were admitted as promises became due.
-func (b *Book) Redeem(now time.Time, upstream, route string, timeout time.Duration) bool {
+func (b *Schedule) Redeem(now time.Time, upstream, route string, timeout time.Duration) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l, found := b.upstreams[upstream]
@@ -242,7 +242,7 @@
 // ReservedFraction returns the fraction of the upstream's slots that new requests leave
 // free for returning ones now: the promises that are due, of this instance's part of the
 // slots. If all instances leave it free, the slots suffice for the promises of all.
-func (b *Book) ReservedFraction(now time.Time, upstream string) float64 {
+func (b *Schedule) ReservedFraction(now time.Time, upstream string) float64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l, found := b.upstreams[upstream]
@@ -262,7 +262,7 @@
 }
 
 // Changes returns the routes whose recognition began or ended since the last call.
-func (b *Book) Changes() []RouteChange {
+func (b *Schedule) Changes() []RouteChange {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var changes []RouteChange
@@ -297,7 +297,7 @@
 }
 
 // Describe returns the book's state.
-func (b *Book) Describe(now time.Time) Description {
+func (b *Schedule) Describe(now time.Time) Description {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	d := Description{UsualTimeoutMillis: make(map[string]int64)}
--- a/internal/returns/simulation_test.go
+++ b/internal/retryafter/simulation_test.go
@@ -1,4 +1,4 @@
-package returns
+package retryafter
 
 import (
 	"container/heap"
@@ -42,7 +42,7 @@
 // endpoints with four slots. Every request belongs to one endpoint.
 type simulation struct {
 	random  *rand.Rand
-	books   []*Book
+	books   []*Schedule
 	demand  []float64 // moving average of the arrivals per second, by instance
 	counts  []int
 	ends    [][]time.Duration // of the requests in flight, by endpoint
@@ -76,10 +76,10 @@
 
 func newSimulation(seed uint64, instances, endpoints int, service, timeout time.Duration) *simulation {
 	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), service: service, timeout: timeout, ends: make([][]time.Duration, endpoints),
-		books: make([]*Book, instances), demand: make([]float64, instances), counts: make([]int, instances),
+		books: make([]*Schedule, instances), demand: make([]float64, instances), counts: make([]int, instances),
 		returned: make(map[time.Duration]int), promised: make(map[time.Duration]int)}
 	for i := range s.books {
-		s.books[i] = NewBook()
+		s.books[i] = NewSchedule()
 	}
 	return s
 }
@@ -166,7 +166,7 @@
 }
 
 // refuse lets the caller return after the time that the book names.
-func (s *simulation) refuse(c *simCaller, book *Book, timeout time.Duration) {
+func (s *simulation) refuse(c *simCaller, book *Schedule, timeout time.Duration) {
 	pause := max(s.opensAt-c.at, 0)
 	wait, promised := book.Promise(at(c.at), Refused{Upstream: "u", Route: "r", Timeout: timeout, TimeLeft: timeout, Earliest: pause}, s.random.Float64())
 	switch {
