--- a/internal/allowance/return_test.go
+++ b/internal/allowance/return_test.go
@@ -64,4 +64,21 @@
 		}
 		Expect(credited).To(Equal(len(taken)))
 	})
+
+	// The bucket holds tokens while the window is full: the time until the next token was
+	// negative, so that every request asked the pool again at once.
+	It("leaves a wait above 0 for requests that the window refuses", func() {
+		c := catalogOf(20, 20)
+		quotas := allowance.NewQuotas(window)
+		for step := range 400 {
+			now := start.Add(time.Duration(step) * 50 * time.Millisecond)
+			quotas.Tick(50 * time.Millisecond)
+			quotas.Divide(now, c, allowance.Division{Demand: constantDemands(200, 0), Holders: 1})
+			for range 10 {
+				if admission, ok := quotas.Admit(now, c.Workspaces["azul"]); !ok {
+					Expect(admission.RetryAfter).To(BeNumerically(">", 0))
+				}
+			}
+		}
+	})
 })
--- a/internal/bodymemory/memory_test.go
+++ b/internal/bodymemory/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -193,3 +194,30 @@
 		}
 	})
 }
+
+// The sum of what is used and of a length near 2^63 was negative, so that the length was
+// reserved and no later reservation was limited.
+func TestLengthNearTheLargestNumberIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	m, _, _ := newTestMemory(8 << 20)
+	held := mustReserve(g, m, RequestBody, 100)
+	g.Expect(held.SetSize(math.MaxInt64)).To(BeAssignableToTypeOf(&NoMemoryError{}))
+	g.Expect(m.Used()).To(BeEquivalentTo(100))
+	_, err := m.Reserve(RequestBody, math.MaxInt64)
+	g.Expect(err).To(BeAssignableToTypeOf(&NoMemoryError{}))
+}
+
+// A caller that still reads an earlier response of its connection was taken for one that reads
+// nothing, since only bytes of the present response counted.
+func TestReadingAnEarlierResponseIsProgress(t *testing.T) {
+	g := NewWithT(t)
+	m, now, disconnections := newTestMemory(1000)
+	conn := &fakeConn{written: 1_000_000}
+	mustReserve(g, m, Response, 900).StartReading(conn)
+	for range 40 {
+		*now = now.Add(sampleInterval)
+		conn.read += 10_000
+		m.DisconnectStalled()
+	}
+	g.Expect(*disconnections).To(BeEmpty())
+}
--- a/internal/retryafter/retryafter_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -217,3 +217,16 @@
 	g.Expect(s.Next(at(0), "w", 4, 3*second, 200*time.Millisecond, 0.5)).To(BeNumerically(">", LongestWait(3*second)))
 	g.Expect(s.Next(at(10*second), "w", 4, 3*second, 0, 0.5)).To(Equal(minPromise), "tokens that were not waited for remain")
 }
+
+// A caller that states an hour as its timeout was told to return after 22 minutes, and the
+// places up to then were assigned before those of other callers of its workspace.
+func TestNamedTimesAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSpacing()
+	longest := maxPromise + 2*margin(maxPromise)
+	for range 300 {
+		g.Expect(s.Next(at(0), "w", 1, time.Hour, 0, 0.9)).To(BeNumerically("<=", longest))
+	}
+	g.Expect(noPlace(time.Hour, 0, 0.9)).To(BeNumerically("<=", longest))
+	g.Expect(noPlace(3*second, 0, 0)).To(BeNumerically(">", LongestWait(3*second)), "no place is free in the caller's time")
+}
--- a/internal/upstream/bodies_test.go
+++ b/internal/upstream/bodies_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -111,3 +113,27 @@
 		Expect(memory.Used()).To(BeEquivalentTo(100))
 	})
 })
+
+var _ = Describe("an exchange whose context has ended", func() {
+	// The write on an idle connection won against the deadline that the end of the context
+	// sets, so that the request ran for a caller that had disconnected.
+	It("sends nothing on an idle connection", func() {
+		var requests atomic.Int32
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			requests.Add(1)
+			w.Header().Set(upstream.HeaderRequestID, r.Header.Get(upstream.HeaderRequestID))
+		}))
+		DeferCleanup(server.Close)
+		pool := upstream.NewPool(strings.TrimPrefix(server.URL, "http://"), 1, 0)
+		request := &upstream.Request{ID: "r1", Method: "POST", Target: "/"}
+		_, err := pool.Exchange(context.Background(), request)
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err = pool.Exchange(ctx, request)
+		var failed *upstream.ExchangeError
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.MayHaveRun()).To(BeFalse())
+		Consistently(requests.Load, "100ms").Should(BeEquivalentTo(1))
+	})
+})
