--- a/internal/edge/quota_pools_test.go
+++ b/internal/edge/quota_pools_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"lovagescale/internal/catalog"
+	"lovagescale/internal/refusal"
 )
 
 func TestEdge(t *testing.T) {
@@ -56,3 +58,22 @@
 		Expect(admitted(alone, now)).To(BeNumerically("~", 20, 1), "there is no other instance")
 	})
 })
+
+// Requests that their quota refuses added to the retry budget and to the demand that moves
+// requests between regions, as if they had been sent.
+func TestRequestsWithoutTokenCountAsNoArrivals(t *testing.T) {
+	g := NewWithT(t)
+	e, q, _ := newHedgeable(g)
+	e.startedAt = time.Now().Add(-time.Minute)
+	workspace := &catalog.Workspace{Name: "verde", Rate: 1, Burst: 1}
+	for range 100 {
+		refusedRequest := *q
+		refusedRequest.workspace = workspace
+		_, _, refused := e.runAttempts(context.Background(), &refusedRequest)
+		g.Expect(refused.Kind).To(Equal(refusal.RateExceeded))
+	}
+	e.stats.Tick(time.Second)
+	g.Expect(e.stats.UpstreamDemand()).To(BeEmpty())
+	g.Expect(e.retryBudget.TakeRetry("files")).To(BeFalse())
+	g.Expect(e.table.Load().Endpoint("i-1").InFlight()+e.table.Load().Endpoint("i-2").InFlight()).To(Equal(1), "the slot of the request from the set-up")
+}
