Log who shares an endpoint's limit, and dump when the limit was heard

The lines of an instance could not tell whether a limit ended by an answer or by time, which instances believed themselves to be senders, and on which view of the members. A line now gives the senders, the shares, the members that may share and those that may be running, at each change; another one says that a limit no longer counts. The dump has the age of the last answer that named the limit and the interval of this instance. No decision is changed.

--- a/internal/edge/endpoint_limits.go
+++ b/internal/edge/endpoint_limits.go
@@ -41,6 +41,7 @@
 	for id, endpoint := range s.edge.table.Load().Endpoints() {
 		perSecond, named := endpoint.Limit(now)
 		if !named {
+			s.limitLog.recordEnd(s.edge.log, id)
 			continue
 		}
 		if sharing == nil {
@@ -52,6 +53,7 @@
 			interval = placement.LimitInterval(perSecond, shares)
 		}
 		endpoint.SetLimitInterval(now, interval)
+		s.limitLog.record(s.edge.log, id, newLimitShare(sharing, endpoint.Region, perSecond, senders, shares, interval > 0))
 	}
 }
 
--- /dev/null
+++ b/internal/edge/limit_log.go
@@ -0,0 +1,61 @@
+package edge
+
+import (
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/fleet"
+)
+
+// limitShare is what this instance believes of an endpoint's limit: the limit, which
+// instances share it, and the members on which that rests.
+type limitShare struct {
+	perSecond float64
+	// senders are the names of the sharing instances, separated by spaces.
+	senders string
+	shares  int
+	sends   bool
+	// reachable is the number of instances of the endpoint's region that may share, known
+	// that of those that may be running.
+	reachable, known int
+}
+
+func newLimitShare(sharing *fleet.LimitSharing, region string, perSecond float64, senders []fleet.Member, shares int, sends bool) limitShare {
+	names := make([]string, 0, len(senders))
+	for _, sender := range senders {
+		names = append(names, sender.Instance)
+	}
+	share := limitShare{perSecond: perSecond, senders: strings.Join(names, " "), shares: shares, sends: sends}
+	share.reachable, share.known = sharing.Counts(region)
+	return share
+}
+
+// limitLog logs changes of what this instance believes of endpoints' limits, by endpoint.
+// Instances that do not send under a limit log only its begin and its end.
+type limitLog map[string]limitShare
+
+// record logs the share if it differs from the one before.
+func (l *limitLog) record(log zerolog.Logger, endpoint string, share limitShare) {
+	if *l == nil {
+		*l = make(limitLog)
+	}
+	last, known := (*l)[endpoint]
+	(*l)[endpoint] = share
+	sending := share.sends || last.sends
+	if known && (!sending || (last.sends == share.sends && last.senders == share.senders && last.shares == share.shares)) {
+		return
+	}
+	log.Info().Str("endpoint", endpoint).Float64("limit_per_second", share.perSecond).Bool("sends", share.sends).
+		Str("senders", share.senders).Int("shares", share.shares).Int("reachable", share.reachable).Int("known", share.known).
+		Msg("endpoint's limit is shared out")
+}
+
+// recordEnd logs that the endpoint's limit no longer counts here, unless none did.
+func (l *limitLog) recordEnd(log zerolog.Logger, endpoint string) {
+	if last, known := (*l)[endpoint]; known {
+		delete(*l, endpoint)
+		log.Info().Str("endpoint", endpoint).Float64("limit_per_second", last.perSecond).Bool("sent", last.sends).
+			Msg("endpoint's limit no longer counts here")
+	}
+}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -61,6 +61,7 @@
 	// firstReportAt is the time of the instance's first report.
 	firstReportAt time.Time
 	tableChanged  bool
+	limitLog      limitLog
 }
 
 // applyChanges applies the changes of the given keys of the mirror.
--- a/internal/fleet/senders.go
+++ b/internal/fleet/senders.go
@@ -41,6 +41,12 @@
 	return senders, max(len(senders), min(n, l.known[region]))
 }
 
+// Counts returns how many instances of a region may share limits now, and how many may be
+// running.
+func (l *LimitSharing) Counts(region string) (sharing, known int) {
+	return len(l.byRegion[region]), l.known[region]
+}
+
 // ColdSenders returns the instances that share the rate of a cold endpoint in a region, at
 // most n. They are of that region; silent ones count too.
 func (v *View) ColdSenders(region, endpoint string, n int) []Member {
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -268,6 +268,11 @@
 	// LimitPerSecond is the rate that the endpoint takes from all instances together;
 	// absent without a limit.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
+	// LimitHeardMillis is the time since an answer to this instance last named the limit;
+	// absent if none did. LimitIntervalMillis is the time between two requests of this
+	// instance under the limit, or 0 if only others send requests.
+	LimitHeardMillis    *int64 `json:"limit_heard_ms,omitempty"`
+	LimitIntervalMillis int64  `json:"limit_interval_ms,omitempty"`
 }
 
 // Describe returns the endpoint's state for the dump.
@@ -285,6 +290,11 @@
 	if e.limit.isActive(now) {
 		perSecond := e.limit.perSecond
 		d.LimitPerSecond = &perSecond
+		d.LimitIntervalMillis = e.limit.interval.Milliseconds()
+	}
+	if !e.limit.heardAt.IsZero() {
+		heard := now.Sub(e.limit.heardAt).Milliseconds()
+		d.LimitHeardMillis = &heard
 	}
 	return d
 }
