Let an endpoint's limit stand until an answer shows its end

Callers' requests reached an endpoint above the limit that it had named: 55 in 4 s of 23 allowed, from 8 instances, after 14 s without demand (TestNamedLimitStandsWithoutDemand, red before). The same happens without a quiet time where the instances that share a limit have no callers for the endpoint.

Cause: a limit counted for 10 s after the last answer that named it and 4 s after the last report, then ended on all instances at the same moment, while the endpoint went on naming it. The class: a restriction that ends by itself where news of it stops.

A limit now stands until an answer to a later request names none. Instances report the end as well as the limit. Statements carry stamps, which are the time of day but always above the stamps that an instance knew before, so that the later of two statements wins whatever way news of them takes and whatever the clocks show. After the end the rate doubles each second for 5 s. An instance that does not share the limit and has heard nothing of it for 10 s tries a request now and then, 0.4 a second over all instances, never saved up: else an endpoint whose sharing instances have no requests for it would get nothing for ever. The state is a slice of its own, internal/namedlimit.

Instances of earlier builds read the limits as before; their reports have no order and are passed over, so that an instance beside them learns of a limit with its first answer.

TestNamedLimitStandsWithoutDemand passes with 12, 14, 20 and 60 s.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"lovagescale/internal/catalog"
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/upstream"
@@ -169,6 +170,7 @@
 	outgoing := q.outgoing
 	outgoing.Instance = endpoint.ID
 	started := time.Now()
+	sent := endpoint.StampRequest(started)
 	expected := e.expectedCompletion(started, q, endpoint)
 	answer, err := endpoint.Pool.Exchange(ctx, &outgoing)
 	now := time.Now()
@@ -186,7 +188,7 @@
 	}
 	e.recordSlotTime(q, endpoint, result, now.Sub(started), latencyRatio)
 	if answer != nil && result != placement.Misdirected { // such an answer is of another endpoint
-		e.applyStatements(now, started, q, endpoint, answer, result)
+		e.applyStatements(now, sent, q, endpoint, answer, result)
 	}
 	e.table.Load().End(now, endpoint, result, latencyRatio)
 	if result == placement.Lost {
@@ -201,9 +203,9 @@
 }
 
 // applyStatements applies what an endpoint states in its answer about further requests:
-// that it is leaving, for how long it wants none, or how many it takes. sentAt is when the
-// request was sent.
-func (e *Edge) applyStatements(now, sentAt time.Time, q *request, endpoint *placement.Endpoint, answer *upstream.Answer, result placement.Result) {
+// that it is leaving, for how long it wants none, or how many it takes. sent is the stamp of
+// the request.
+func (e *Edge) applyStatements(now time.Time, sent namedlimit.Stamp, q *request, endpoint *placement.Endpoint, answer *upstream.Answer, result placement.Result) {
 	if e.ports.Upstreams.Leaving(answer.Header) && endpoint.SetLeaving() {
 		e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Msg("endpoint is leaving and gets no further requests")
 	}
@@ -215,7 +217,7 @@
 		endpoint.Pause(now.Add(pause))
 		e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Dur("pause", pause).Msg("endpoint wants no requests")
 	}
-	e.applyLimit(now, sentAt, q, endpoint, answer, result)
+	e.applyLimit(now, sent, q, endpoint, answer, result)
 }
 
 // classify returns the result of an attempt.
--- a/internal/edge/endpoint_limits.go
+++ b/internal/edge/endpoint_limits.go
@@ -1,17 +1,21 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/upstream"
 )
 
-// applyLimit applies the limit that an endpoint names in its answer, or that it names
-// none. Only an answer of its normal work shows that the limit has ended.
-func (e *Edge) applyLimit(now, sentAt time.Time, q *request, endpoint *placement.Endpoint, answer *upstream.Answer, result placement.Result) {
+// applyLimit applies the limit that an endpoint names in its answer, or that it names none,
+// to the request with the given stamp. Only an answer of its normal work shows that the limit
+// has ended.
+func (e *Edge) applyLimit(now time.Time, sent namedlimit.Stamp, q *request, endpoint *placement.Endpoint, answer *upstream.Answer, result placement.Result) {
 	perSecond, named, err := e.ports.Upstreams.Limit(answer.Header)
 	if err != nil {
 		e.log.Warn().Err(err).Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Msg("endpoint's statement cannot be used")
@@ -20,14 +24,18 @@
 	if !named && result != placement.Answered {
 		return
 	}
-	if !endpoint.SetNamedLimit(now, sentAt, perSecond, named) {
-		return
+	if change := endpoint.HearLimit(now, sent, perSecond, named); change != namedlimit.Unchanged {
+		logLimitChange(e.log.Info().Str("request", q.caller.ID), endpoint.ID, perSecond, change)
 	}
-	event := e.log.Info().Str("request", q.caller.ID).Str("endpoint", endpoint.ID)
-	if named {
-		event.Float64("limit_per_second", perSecond).Msg("endpoint names a limit")
-	} else {
-		event.Msg("endpoint names no limit any more")
+}
+
+// applyLimitNews applies what other instances know of the limits of endpoints.
+func (s *state) applyLimitNews(now time.Time, reported []fleet.EndpointLimitNews) {
+	for _, news := range reported {
+		change := s.registry.ApplyLimitNews(now, news.Endpoint, news.StartMillis, news.News())
+		if change != namedlimit.Unchanged {
+			logLimitChange(s.edge.log.Info().Bool("reported", true), news.Endpoint, float64(news.PerSecond), change)
+		}
 	}
 }
 
@@ -38,22 +46,25 @@
 func (s *state) divideEndpointLimits(now time.Time) {
 	self := s.fleet.Self()
 	var sharing *fleet.LimitSharing
-	for id, endpoint := range s.edge.table.Load().Endpoints() {
-		perSecond, named := endpoint.Limit(now)
-		if !named {
+	table := s.edge.table.Load()
+	s.limitLog.forget(func(id string) bool { return table.Endpoint(id) == nil })
+	for id, endpoint := range table.Endpoints() {
+		rate, inForce := endpoint.Limit(now)
+		if !inForce {
 			s.limitLog.recordEnd(s.edge.log, id)
 			continue
 		}
 		if sharing == nil {
 			sharing = s.fleet.LimitSharing(now)
 		}
-		senders, shares := sharing.Senders(endpoint.Region, id, placement.LimitSenders(perSecond))
-		interval := time.Duration(0)
+		senders, shares := sharing.Senders(endpoint.Region, id, namedlimit.Senders(rate))
+		var interval time.Duration
 		if slices.Contains(senders, self) {
-			interval = placement.LimitInterval(perSecond, shares)
+			interval = namedlimit.Interval(rate, shares)
 		}
 		endpoint.SetLimitInterval(now, interval)
-		s.limitLog.record(s.edge.log, id, newLimitShare(sharing, endpoint.Region, perSecond, senders, shares, interval > 0))
+		endpoint.ProbeLimit(now, tickInterval, s.fleet.Size(), rand.Float64())
+		s.limitLog.record(s.edge.log, id, newLimitShare(sharing, endpoint.Region, rate, senders, shares, interval > 0))
 	}
 }
 
@@ -74,13 +85,14 @@
 	return policy
 }
 
-// endpointLimits returns the limits that other instances must learn from this one.
-func endpointLimits(now time.Time, endpoints map[string]*placement.Endpoint) []fleet.EndpointLimit {
-	var limits []fleet.EndpointLimit
+// addLimits adds what other instances must learn from this one of the limits of endpoints. The
+// delegates of a region pass on all limits that stand, so that instances that start learn of
+// them.
+func (s *state) addLimits(now time.Time, activity *fleet.Activity, endpoints map[string]*placement.Endpoint) {
+	isDelegate := sync.OnceValue(func() bool { return s.fleet.IsDelegate(now) })
 	for id, endpoint := range endpoints {
-		if perSecond, ok := endpoint.LimitToReport(now); ok {
-			limits = append(limits, fleet.EndpointLimit{Endpoint: id, StartMillis: endpoint.StartMillis, PerSecond: float32(perSecond)})
+		if news, isNew := endpoint.LimitNews(now); isNew || (news.Stands() && isDelegate()) {
+			activity.AddLimit(id, endpoint.StartMillis, news)
 		}
 	}
-	return limits
 }
--- a/internal/edge/limit_incident_test.go
+++ b/internal/edge/limit_incident_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"lovagescale/internal/fleet"
-	"lovagescale/internal/placement"
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/steering"
 )
 
@@ -22,7 +22,6 @@
 // Guards against a limit that ends by time on all instances at the same moment because no
 // request has reached the endpoint for a while.
 func TestNamedLimitStandsWithoutDemand(t *testing.T) {
-	skipKnownRed(t)
 	for _, quiet := range []time.Duration{12 * time.Second, 14 * time.Second, 20 * time.Second, time.Minute} {
 		t.Run(fmt.Sprint(quiet, " without demand"), func(t *testing.T) {
 			const limit = 3
@@ -100,7 +99,7 @@
 	for _, e := range sim.instances {
 		members = append(members, e.state.fleet.Self())
 	}
-	senders := fleet.Preferred(members, limitedEndpoint.ID, placement.LimitSenders(1))
+	senders := fleet.Preferred(members, limitedEndpoint.ID, namedlimit.Senders(1))
 	var large []int
 	for i, e := range sim.instances {
 		capacity := steering.Capacity{LinkMbps: 10, Cores: 0.16}
--- a/internal/edge/limit_log.go
+++ b/internal/edge/limit_log.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"maps"
 	"strings"
 
 	"github.com/rs/zerolog"
 
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/namedlimit"
 )
 
 // limitShare is what this instance believes of an endpoint's limit: the limit, which
@@ -31,6 +33,12 @@
 	return share
 }
 
+// hasSenders reports whether the limit is shared as in last. While the rate rises after the end
+// of a limit, it counts as shared alike.
+func (s limitShare) hasSenders(last limitShare) bool {
+	return s.perSecond > last.perSecond || (s.senders == last.senders && s.shares == last.shares)
+}
+
 // limitLog logs changes of what this instance believes of endpoints' limits, by endpoint.
 // Instances that do not send under a limit log only its begin and its end.
 type limitLog map[string]limitShare
@@ -42,8 +50,7 @@
 	}
 	last, known := (*l)[endpoint]
 	(*l)[endpoint] = share
-	sending := share.sends || last.sends
-	if known && (!sending || (last.sends == share.sends && last.senders == share.senders && last.shares == share.shares)) {
+	if known && last.sends == share.sends && (!share.sends || share.hasSenders(last)) {
 		return
 	}
 	log.Info().Str("endpoint", endpoint).Float64("limit_per_second", share.perSecond).Bool("sends", share.sends).
@@ -51,6 +58,11 @@
 		Msg("endpoint's limit is shared out")
 }
 
+// forget drops the endpoints that are gone.
+func (l *limitLog) forget(isGone func(endpoint string) bool) {
+	maps.DeleteFunc(*l, func(endpoint string, _ limitShare) bool { return isGone(endpoint) })
+}
+
 // recordEnd logs that the endpoint's limit no longer counts here, unless none did.
 func (l *limitLog) recordEnd(log zerolog.Logger, endpoint string) {
 	if last, known := (*l)[endpoint]; known {
@@ -59,3 +71,13 @@
 			Msg("endpoint's limit no longer counts here")
 	}
 }
+
+// logLimitChange logs how news changed what this instance believes of an endpoint's limit.
+func logLimitChange(event *zerolog.Event, endpoint string, perSecond float64, change namedlimit.Change) {
+	event = event.Str("endpoint", endpoint)
+	if change == namedlimit.Ended {
+		event.Msg("endpoint names no limit any more")
+		return
+	}
+	event.Float64("limit_per_second", perSecond).Msg("endpoint names a limit")
+}
--- a/internal/edge/limit_simulation_test.go
+++ b/internal/edge/limit_simulation_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"lovagescale/internal/catalog"
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/upstream"
 )
@@ -41,7 +42,7 @@
 
 type pendingAnswer struct {
 	at       time.Time
-	sentAt   time.Time
+	sent     namedlimit.Stamp
 	instance *Edge
 	from     int
 	endpoint *placement.Endpoint
@@ -133,7 +134,7 @@
 		return
 	}
 	sim.arrivals = append(sim.arrivals, limitArrival{sim.now, from})
-	answer := pendingAnswer{sim.now.Add(serviceTime), sim.now, e, from, endpoint, sim.limit}
+	answer := pendingAnswer{sim.now.Add(serviceTime), endpoint.StampRequest(sim.now), e, from, endpoint, sim.limit}
 	position := len(sim.pending)
 	for position > 0 && sim.pending[position-1].at.After(answer.at) {
 		position--
@@ -176,7 +177,7 @@
 	for len(sim.pending) > 0 && !sim.pending[0].at.After(sim.now) {
 		answer := sim.pending[0]
 		sim.pending = sim.pending[1:]
-		answer.endpoint.SetNamedLimit(sim.now, answer.sentAt, answer.limit, answer.limit > 0)
+		answer.endpoint.HearLimit(sim.now, answer.sent, answer.limit, answer.limit > 0)
 		answer.instance.table.Load().End(sim.now, answer.endpoint, placement.Answered, 1)
 		if answer.limit > 0 && sim.toldAt[answer.from].IsZero() && sim.instances[answer.from] == answer.instance {
 			sim.toldAt[answer.from] = sim.now
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -175,7 +175,7 @@
 	}
 	s.addSlotDemand(&activity)
 	endpoints := s.edge.table.Load().Endpoints()
-	activity.Limits = endpointLimits(now, endpoints)
+	s.addLimits(now, &activity, endpoints)
 	activity.Speeds = endpointSpeeds(now, endpoints)
 	for id, endpoint := range endpoints {
 		if n := endpoint.InFlight(); n > 0 {
@@ -305,9 +305,6 @@
 func (s *state) applyDigest(now time.Time, digest fleet.Digest, own fleet.Activity) {
 	s.fleet.ApplyDigest(now, digest, own)
 	s.applySpeeds(now.Add(-time.Duration(digest.AgeMillis)*time.Millisecond), digest.Activity.Speeds)
-	if !digest.IsCurrent() {
-		digest.Activity.Limits = nil // may have ended since
-	}
 	s.applyWarnings(now, digest.Activity)
 }
 
@@ -318,9 +315,7 @@
 	for _, endpoint := range activity.Leaving {
 		s.registry.SetLeaving(endpoint.Endpoint, endpoint.StartMillis)
 	}
-	for _, limit := range activity.Limits {
-		s.registry.ApplyReportedLimit(now, limit.Endpoint, limit.StartMillis, float64(limit.PerSecond))
-	}
+	s.applyLimitNews(now, activity.LimitNews)
 }
 
 // handleReport handles a report from an instance of the region.
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -293,6 +293,7 @@
 	strikes         map[uint64]quarantine.Strike
 	leaving         map[LeavingEndpoint]bool
 	limits          map[endpointRun]float32
+	limitNews       limitNewsSum
 	remoteAnswers   remoteAnswersSum
 	objects         objectCounts
 	speeds          speedReports
@@ -312,6 +313,7 @@
 		strikes:         make(map[uint64]quarantine.Strike),
 		leaving:         make(map[LeavingEndpoint]bool),
 		limits:          make(map[endpointRun]float32),
+		limitNews:       make(limitNewsSum),
 		remoteAnswers:   make(remoteAnswersSum),
 		objects:         make(objectCounts),
 		speeds:          make(speedReports),
@@ -340,6 +342,7 @@
 	for _, endpoint := range a.Leaving {
 		s.leaving[endpoint] = true
 	}
+	s.limitNews.add(a.LimitNews)
 	for _, limit := range a.Limits {
 		run := endpointRun{limit.Endpoint, limit.StartMillis}
 		if known, found := s.limits[run]; !found || limit.PerSecond < known {
@@ -366,6 +369,7 @@
 	for endpoint := range s.leaving {
 		a.Leaving = append(a.Leaving, endpoint)
 	}
+	a.LimitNews = s.limitNews.list()
 	for run, perSecond := range s.limits {
 		a.Limits = append(a.Limits, EndpointLimit{Endpoint: run.endpoint, StartMillis: run.startMillis, PerSecond: perSecond})
 	}
--- a/internal/fleet/messages.go
+++ b/internal/fleet/messages.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"lovagescale/internal/mirror"
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/steering"
 	"lovagescale/internal/store"
@@ -133,8 +134,10 @@
 	WorkspaceDemand []WorkspaceDemand `msgpack:"w,omitempty"`
 	// Leaving are the endpoints that stated in an answer that they are leaving.
 	Leaving []LeavingEndpoint `msgpack:"l,omitempty"`
-	// Limits are the limits that endpoints name in their answers.
-	Limits []EndpointLimit `msgpack:"m,omitempty"`
+	// LimitNews is what is known of the limits that endpoints name in their answers. Limits are
+	// those that stand, for builds that know no LimitNews.
+	LimitNews []EndpointLimitNews `msgpack:"n,omitempty"`
+	Limits    []EndpointLimit     `msgpack:"m,omitempty"`
 	// RemoteAnswers are the answers of endpoints in other regions. Instances of earlier builds
 	// omit them.
 	RemoteAnswers []RemoteAnswers `msgpack:"r,omitempty"`
@@ -159,6 +162,18 @@
 	PerSecond float32
 }
 
+// EndpointLimitNews is what is known of the limit that a run of an endpoint names.
+type EndpointLimitNews struct {
+	Endpoint string `msgpack:"e"`
+	// StartMillis is the start of the run in Unix milliseconds.
+	StartMillis int64 `msgpack:"s"`
+	// PerSecond is the limit in requests per second.
+	PerSecond float32 `msgpack:"r"`
+	// Named and Ended are the stamps of the last statements that are known.
+	Named namedlimit.Stamp `msgpack:"n,omitempty"`
+	Ended namedlimit.Stamp `msgpack:"x,omitempty"`
+}
+
 // LeavingEndpoint is a run of an endpoint that is leaving.
 type LeavingEndpoint struct {
 	//lint:ignore U1000 read by the msgpack library
@@ -204,9 +219,6 @@
 	DemandStale bool `msgpack:"o,omitempty"`
 }
 
-// IsCurrent reports whether what the digest tells of endpoints still counts.
-func (d *Digest) IsCurrent() bool { return d.AgeMillis <= digestLifetime.Milliseconds() }
-
 // Reply is the reply to a Report and to an Exchange. To a Report it holds the digests of
 // all regions and the totals, unless the report asks to omit them; to an Exchange it
 // holds the digests that the sender lacks.
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -25,7 +25,7 @@
 func (e *Endpoint) restriction(now time.Time, own int64) restriction {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := restriction{absent: e.absent(now), limited: e.limit.isActive(now), cold: e.coldLimiter.isActive(now), permitted: e.permitted(now)}
+	r := restriction{absent: e.absent(now), limited: e.limit.InForce(now), cold: e.coldLimiter.isActive(now), permitted: e.permitted(now)}
 	if !r.absent {
 		r.status = e.health.status(now, int(own))
 	}
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagescale/internal/monotonic"
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/upstream"
 )
 
@@ -50,7 +51,7 @@
 	departure   departure
 	// pausedUntil is the time until which the endpoint wants no requests of this instance.
 	pausedUntil time.Time
-	limit       namedLimit
+	limit       namedlimit.Limit
 }
 
 // unlock releases the lock after a change. It publishes until when the state under the lock
@@ -58,12 +59,12 @@
 // choice takes the lock of restricted endpoints only.
 func (e *Endpoint) unlock() {
 	until := int64(0)
-	for _, t := range [...]time.Time{e.pausedUntil, e.health.unavailableUntil, e.health.degradedUntil, e.coldLimiter.until, e.limit.until} {
+	for _, t := range [...]time.Time{e.pausedUntil, e.health.unavailableUntil, e.health.degradedUntil, e.coldLimiter.until, e.limit.ReleasedAt()} {
 		if !t.IsZero() {
 			until = max(until, monotonic.Nanos(t))
 		}
 	}
-	if e.departure != staying {
+	if e.departure != staying || e.limit.Stands() {
 		until = math.MaxInt64
 	}
 	e.restrictedUntil.Store(until)
@@ -265,11 +266,11 @@
 	PauseMillis int64 `json:"pause_ms"`
 	// SpeedPercent is how long work is expected to take, in percent of the usual time.
 	SpeedPercent int `json:"speed_percent"`
-	// LimitPerSecond is the rate that the endpoint takes from all instances together;
-	// absent without a limit.
+	// LimitPerSecond is the rate that the endpoint takes from all instances together, which
+	// rises for a time after the end of its limit; absent without a limit.
 	LimitPerSecond *float64 `json:"limit_per_second,omitempty"`
-	// LimitHeardMillis is the time since an answer to this instance last named the limit;
-	// absent if none did. LimitIntervalMillis is the time between two requests of this
+	// LimitHeardMillis is the time since this instance last learned of an answer that named the
+	// limit; absent if there was none. LimitIntervalMillis is the time between two requests of this
 	// instance under the limit, or 0 if only others send requests.
 	LimitHeardMillis    *int64 `json:"limit_heard_ms,omitempty"`
 	LimitIntervalMillis int64  `json:"limit_interval_ms,omitempty"`
@@ -287,14 +288,14 @@
 		SpeedPercent: int(math.Round(UsualSpeed * e.SpeedFactor(now))),
 		Leaving:      e.departure != staying, PauseMillis: max(e.pausedUntil.Sub(now), 0).Milliseconds(),
 	}
-	if e.limit.isActive(now) {
-		perSecond := e.limit.perSecond
-		d.LimitPerSecond = &perSecond
-		d.LimitIntervalMillis = e.limit.interval.Milliseconds()
+	if e.limit.InForce(now) {
+		rate := e.limit.Rate(now)
+		d.LimitPerSecond = &rate
+		d.LimitIntervalMillis = e.limit.Interval().Milliseconds()
 	}
-	if !e.limit.heardAt.IsZero() {
-		heard := now.Sub(e.limit.heardAt).Milliseconds()
-		d.LimitHeardMillis = &heard
+	if heardAt := e.limit.LastNews(); !heardAt.IsZero() {
+		age := now.Sub(heardAt).Milliseconds()
+		d.LimitHeardMillis = &age
 	}
 	return d
 }
--- a/internal/placement/registry.go
+++ b/internal/placement/registry.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lovagescale/internal/namedlimit"
 	"lovagescale/internal/upstream"
 )
 
@@ -27,7 +28,7 @@
 	// replaced.
 	departure departure
 	// limit is the limit that the run named then.
-	limit namedLimit
+	limit namedlimit.Limit
 	// removed is set once the endpoint's entry is gone, or another instance knew it to be
 	// draining or gone.
 	removed bool
@@ -153,12 +154,13 @@
 	}
 }
 
-// ApplyReportedLimit records that a run of an endpoint named a limit to another instance,
-// in requests per second from all instances together.
-func (r *Registry) ApplyReportedLimit(now time.Time, id string, startMillis int64, perSecond float64) {
-	if known, found := r.endpoints[id]; found && known.StartMillis == startMillis {
-		known.applyReportedLimit(now, perSecond)
+// ApplyLimitNews applies what another instance knows of the limit of a run of an endpoint.
+func (r *Registry) ApplyLimitNews(now time.Time, id string, startMillis int64, news namedlimit.News) namedlimit.Change {
+	known, found := r.endpoints[id]
+	if !found || known.StartMillis != startMillis {
+		return namedlimit.Unchanged
 	}
+	return known.applyLimitNews(now, news)
 }
 
 // Evacuate stops sending requests to the endpoints of a zone.
--- a/internal/placement/restriction_test.go
+++ b/internal/placement/restriction_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"lovagescale/internal/namedlimit"
 )
 
 // TestFuzzRestriction changes an endpoint at random. A choice skips the endpoint's lock if
@@ -25,9 +27,9 @@
 			case 1:
 				e.SetCold(now, now.Add(span("cold")), span("interval"))
 			case 2:
-				e.SetNamedLimit(now, now, 1, rapid.Bool().Draw(rt, "named"))
+				e.HearLimit(now, e.StampRequest(now), 1, rapid.Bool().Draw(rt, "named"))
 			case 3:
-				e.applyReportedLimit(now, 2)
+				e.applyLimitNews(now, namedlimit.News{PerSecond: 2, Named: namedlimit.Stamp(now.UnixMilli())})
 			case 4:
 				e.beginRequest(now)
 			case 5:
