Share endpoints' limits by a view that outlasts lost delegates

An endpoint got 13, 24 and 24 requests in 4 s of 8, 11 and 17 allowed from 28 instances while one of two zones was without power, at limits of 0.5, 1 and 2 a second (TestNamedLimitHoldsWhileZoneOfDelegatesIsLost, red before).

Cause: the instances that share a limit were chosen among those heard from in the last 2.5 s. Reports go through two delegates, the first instances by name, which a lost zone takes together with all names after them. Until the next zone's names are reached, each instance hears nobody and takes itself for the only one. In small zones new delegates are found within 2.5 s, so that only grown deployments break. The class: one's own loss of reports that is read as the death of all others.

An instance now shares limits until it has been silent for 6 s, and longer where fewer than a third of its region are heard. Shares of those that are dead stay unused meanwhile. The test passes.

--- a/internal/edge/limit_incident_test.go
+++ b/internal/edge/limit_incident_test.go
@@ -51,7 +51,6 @@
 // Guards against instances that each take themselves for the only sender after the delegates of
 // their region are lost: the instances of a whole zone come first by name.
 func TestNamedLimitHoldsWhileZoneOfDelegatesIsLost(t *testing.T) {
-	skipKnownRed(t)
 	for _, limit := range []float64{0.5, 1, 2, 4} {
 		t.Run(fmt.Sprint("limit ", limit), func(t *testing.T) {
 			sim := newLimitSimulation(1, 1, 2, 14)
--- a/internal/fleet/senders.go
+++ b/internal/fleet/senders.go
@@ -5,27 +5,58 @@
 // Which instances may send requests to an endpoint that takes only some from all of them
 // together: one that names a limit, or a cold one.
 
+// sharerSilence is the time without a sign of life after which an instance no longer shares
+// limits. It is longer than the time in which new delegates take the place of lost ones, during
+// which each instance hears only of few others.
+const sharerSilence = 6 * time.Second
+
+// minHeardFraction is the fraction of a region's instances of which this one must have heard
+// lately to take the silent ones for dead. Below it the reason is more likely lost reports.
+const minHeardFraction = 1.0 / 3
+
 // LimitSharing is who may share the limits of endpoints at one time.
 type LimitSharing struct {
-	// all are the instances that accept callers and reach endpoints, or those that accept
-	// callers if none reaches any; byRegion are the same by region.
+	// all are the instances that may share, byRegion the same by region.
 	all      []Member
 	byRegion map[string][]Member
 	// known is the number of instances that may be running, by region.
 	known map[string]int
 }
 
-// LimitSharing returns who may share the limits of endpoints now.
+// LimitSharing returns who may share the limits of endpoints now. Instances must agree on it as
+// far as possible: one that takes itself for a sender beside the others' choice sends the
+// endpoint requests beyond its limit.
 func (v *View) LimitSharing(now time.Time) *LimitSharing {
-	sharing := &LimitSharing{byRegion: make(map[string][]Member), known: map[string]int{v.self.Member.Region: 1}}
-	for _, status := range preferReaching(v.acceptingStatuses(now)) {
+	known, heard := make(map[string]int), make(map[string]int)
+	v.eachStatus(now, func(status Status, silence time.Duration) {
+		known[status.Member.Region]++
+		if silence <= SilentAfter {
+			heard[status.Member.Region]++
+		}
+	})
+	var statuses []Status
+	v.eachStatus(now, func(status Status, silence time.Duration) {
+		region := status.Member.Region
+		dead := silence > sharerSilence && float64(heard[region]) >= minHeardFraction*float64(known[region])
+		if status.State != Leaving && !dead {
+			statuses = append(statuses, status)
+		}
+	})
+	sharing := &LimitSharing{byRegion: make(map[string][]Member), known: known}
+	for _, status := range preferReaching(statuses) {
 		sharing.all = append(sharing.all, status.Member)
 		sharing.byRegion[status.Member.Region] = append(sharing.byRegion[status.Member.Region], status.Member)
 	}
+	return sharing
+}
+
+// eachStatus calls visit with the status of each instance that may be running and the time since
+// its last sign of life.
+func (v *View) eachStatus(now time.Time, visit func(status Status, silence time.Duration)) {
+	visit(v.self, 0)
 	for _, p := range v.peers {
-		sharing.known[p.status.Member.Region]++
+		visit(p.status, now.Sub(later(p.lastSeenAt, p.firstSeenAt)))
 	}
-	return sharing
 }
 
 // Senders returns the instances that share the limit of an endpoint in a region, at most n,
