Fuzz named limits under faults, and draw the probes' random numbers from the state

The first runs failed three times for reasons of the test: a restarted instance of the simulation lost its capacity, demand was taken from its mean and not from what was offered, and callers were placed at instances that lookups do not name alone. One failure could not be reproduced, since the probes of limits drew from the global source; they draw from the control state now, as the simulation needs.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -180,6 +181,7 @@
 		fleet:     fleet.New(self),
 		registry:  placement.NewRegistry(s.Zones, e.newPool),
 		resources: make(map[string]Resource),
+		random:    rand.Float64,
 	}
 	e.state.fleet.SetCapacity(s.Capacity)
 	e.table.Store(placement.NewTable())
--- a/internal/edge/endpoint_limits.go
+++ b/internal/edge/endpoint_limits.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -63,7 +62,7 @@
 			interval = namedlimit.Interval(rate, shares)
 		}
 		endpoint.SetLimitInterval(now, interval)
-		endpoint.ProbeLimit(now, tickInterval, s.fleet.Size(), rand.Float64())
+		endpoint.ProbeLimit(now, tickInterval, s.fleet.Size(), s.random())
 		s.limitLog.record(s.edge.log, id, newLimitShare(sharing, endpoint.Region, rate, senders, shares, interval > 0))
 	}
 }
--- a/internal/edge/limit_incident_test.go
+++ b/internal/edge/limit_incident_test.go
@@ -97,6 +97,7 @@
 			capacity = steering.Capacity{LinkMbps: 200, Cores: 0.8}
 			large = append(large, i)
 		}
+		sim.settings[i].Capacity = capacity
 		e.state.fleet.SetCapacity(capacity)
 	}
 	return large
--- a/internal/edge/limit_simulation_test.go
+++ b/internal/edge/limit_simulation_test.go
@@ -27,10 +27,14 @@
 	// excusedUntil is the time until which a fault excuses an instance, by index.
 	excusedUntil []time.Time
 	arrivals     []limitArrival
+	// offered is the number of requests for the endpoint at instances that were up.
+	offered int
 	// pending are the answers under way, in the order of their arrival.
 	pending []pendingAnswer
 	// serviceTime is how long the endpoint takes for an answer.
 	serviceTime time.Duration
+	// spans are the times in which the endpoint named a limit, but for the present one.
+	spans []limitSpan
 	// caller returns the index of the instance at which the next request arrives.
 	caller func() int
 }
@@ -128,6 +132,7 @@
 	if !sim.isUp(from) {
 		return
 	}
+	sim.offered++
 	e := sim.instances[from]
 	endpoint, err := e.table.Load().Choose(sim.now, placement.Request{Upstream: limitedUpstream, Region: "r0", Local: e.settings.Region == "r0", MaxUtilization: 1})
 	if err != nil {
@@ -195,15 +200,19 @@
 )
 
 // worstWindow returns the most arrivals in a window from contactTime after the endpoint
-// first named its limit. Arrivals from instances that were told too lately or are excused
-// do not count.
+// first named its limit.
 func (sim *limitSimulation) worstWindow() int {
-	begin := sim.namedAt.Add(contactTime)
+	return sim.worstWindowIn(sim.namedAt.Add(contactTime), sim.now.Add(simStep))
+}
+
+// worstWindowIn returns the most arrivals in a window between two times. Arrivals from instances
+// that were told too lately or are excused do not count.
+func (sim *limitSimulation) worstWindowIn(begin, end time.Time) int {
 	var counted []time.Time
 	worst := 0
 	for _, a := range sim.arrivals {
 		told := sim.toldAt[a.from]
-		if a.at.Before(begin) || told.IsZero() || a.at.Before(told.Add(toldFor)) || a.at.Before(sim.excusedUntil[a.from]) {
+		if a.at.Before(begin) || !a.at.Before(end) || told.IsZero() || a.at.Before(told.Add(toldFor)) || a.at.Before(sim.excusedUntil[a.from]) {
 			continue
 		}
 		counted = append(counted, a.at)
--- a/internal/edge/quota_simulation_test.go
+++ b/internal/edge/quota_simulation_test.go
@@ -93,6 +93,8 @@
 	self := e.state.fleet.Self()
 	self.Incarnation = sim.now.UnixMilli()
 	e.state.fleet = fleet.New(self)
+	e.state.fleet.SetCapacity(sim.settings[i].Capacity)
+	e.state.random = sim.random.Float64
 	sim.instances[i] = e
 	for j, other := range sim.instances {
 		if other != nil && j != i {
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -62,6 +62,8 @@
 	firstReportAt time.Time
 	tableChanged  bool
 	limitLog      limitLog
+	// random returns a random number from [0, 1).
+	random func() float64
 }
 
 // applyChanges applies the changes of the given keys of the mirror.
