Pass over odd entries among those of endpoints

An endpoint of a zone that is not in the settings counted as capacity of a region without a name and drew requests there (TestEndpointOfUnknownZoneIsPassedOver, red before).

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -98,6 +98,11 @@
 	case *catalog.Catalog:
 		s.applyCatalog(now, resource, entry)
 	case placement.Record:
+		if _, known := s.edge.settings.Zones[resource.Zone]; !known {
+			s.edge.log.Warn().Str("endpoint", resource.ID).Str("zone", resource.Zone).Msg("endpoint of an unknown zone is passed over")
+			s.applyRemoval(now, key)
+			return
+		}
 		if !s.register(now, resource) {
 			s.edge.log.Warn().Str("endpoint", resource.ID).Uint64("sequence", resource.Sequence).Msg("older record is passed over")
 			return
