--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -21,8 +21,9 @@
 	// address; an endpoint that is another instance refuses the request. It is
 	// empty if the endpoints have no such header.
 	InstanceHeader string
-	// EchoRequired rejects a successful (2xx) answer that does not echo the
-	// request's identifier.
+	// EchoRequired rejects an answer that does not echo the request's identifier. Without
+	// it, only the statement that a request was not run needs the echo, and only on a
+	// connection that carried another request: it may be that one's.
 	EchoRequired bool
 	// SkipMismatched skips answers to other requests that arrive on a connection
 	// before the answer to the current one.
@@ -57,9 +58,13 @@
 	Limit:   func(http.Header) (float64, bool, error) { return 0, false, nil },
 }
 
-// requiresEcho reports whether the answer must echo the request's identifier.
-func (d *Dialect) requiresEcho(status int, request *Request) bool {
-	return d.EchoRequired && request.ID != "" && status >= 200 && status < 300
+// requiresEcho reports whether an answer must echo the request's identifier. reused is set on a
+// connection that carried another request before.
+func (d *Dialect) requiresEcho(response *http.Response, request *Request, reused bool) bool {
+	if request.ID == "" {
+		return false
+	}
+	return d.EchoRequired || (reused && d.NotRun(response.StatusCode, response.Header))
 }
 
 // maxCopiedBodyBytes is the size above which a body is not copied behind its head: the copies
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -238,7 +238,7 @@
 	if len(body) > MaxAnswerBytes {
 		return nil, false, PhaseVerify, &AnswerTooLargeError{Limit: MaxAnswerBytes}
 	}
-	if found := response.Header.Get(dialect.RequestIDHeader); found != request.ID && (found != "" || dialect.requiresEcho(response.StatusCode, request)) {
+	if found := response.Header.Get(dialect.RequestIDHeader); found != request.ID && (found != "" || dialect.requiresEcho(response, request, c.reused)) {
 		return nil, !response.Close, PhaseVerify, &MismatchError{Want: request.ID, Found: found}
 	}
 	reusable = !response.Close && c.reader.Buffered() == 0
