Divide a limit among as many instances as lookups name

Where lookups name fewer instances than may share a limit, the limit was still divided by the number that may: 3 of 12 instances used 3 of 8 shares (fleet: 'shares a limit fully among the members that lookups name', 8 shares before). The endpoint got less than it takes. The number of shares is now that of the instances that lookups would name if all that may be running accepted callers.

--- a/internal/fleet/callers.go
+++ b/internal/fleet/callers.go
@@ -48,7 +48,7 @@
 		local = accepting
 	}
 	addresses := []string{}
-	for _, status := range steering.Select(preferReaching(local), Status.instance) {
+	for _, status := range namedByLookups(preferReaching(local)) {
 		addresses = append(addresses, status.Member.Callers)
 	}
 	return addresses[:min(len(addresses), limit)]
--- a/internal/fleet/reach_test.go
+++ b/internal/fleet/reach_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/steering"
 )
 
 // Members that reach no endpoint, and the instances that share an endpoint's limit.
@@ -94,6 +95,25 @@
 		Expect(namesOf(senders)).To(ConsistOf("n1", "n2", "s1"), "no instance is of that region")
 	})
 
+	It("shares a limit fully among the members that lookups name, if these are few", func() {
+		capable := func(name string, capacity steering.Capacity) fleet.Report {
+			r := ready(member(name, "north"))
+			r.Status.Capacity = &capacity
+			return r
+		}
+		view.SetCapacity(steering.Capacity{LinkMbps: 10, Cores: 0.2})
+		for i := range 9 {
+			view.ApplyReport(start, capable(fmt.Sprint("small", i), steering.Capacity{LinkMbps: 10, Cores: 0.2}))
+		}
+		large := []string{"large1", "large2", "large3"}
+		for _, name := range large {
+			view.ApplyReport(start, capable(name, steering.Capacity{LinkMbps: 200, Cores: 0.8}))
+		}
+		senders, shares := view.LimitSharing(start).Senders("north", "e", 8)
+		Expect(namesOf(senders)).To(ConsistOf(large))
+		Expect(shares).To(Equal(3))
+	})
+
 	It("prefers the same members for a key on every instance, and replaces only one that is lost", func() {
 		var members []fleet.Member
 		for i := range 20 {
--- a/internal/fleet/senders.go
+++ b/internal/fleet/senders.go
@@ -24,7 +24,8 @@
 	// name, since the others have few callers.
 	all      []Member
 	byRegion map[string][]Member
-	// known is the number of instances that may be running, by region.
+	// known is the number of instances that lookups would name if all that may be running
+	// accepted callers, by region.
 	known map[string]int
 }
 
@@ -32,32 +33,45 @@
 // far as possible: one that takes itself for a sender beside the others' choice sends the
 // endpoint requests beyond its limit.
 func (v *View) LimitSharing(now time.Time) *LimitSharing {
-	known, heard := make(map[string]int), make(map[string]int)
+	known, heard := make(map[string][]Status), make(map[string]int)
 	v.eachStatus(now, func(status Status, silence time.Duration) {
-		known[status.Member.Region]++
+		region := status.Member.Region
+		known[region] = append(known[region], status)
 		if silence <= SilentAfter {
-			heard[status.Member.Region]++
+			heard[region]++
 		}
 	})
-	var statuses []Status
+	var sharing []Status
 	v.eachStatus(now, func(status Status, silence time.Duration) {
 		region := status.Member.Region
-		dead := silence > sharerSilence && float64(heard[region]) >= minHeardFraction*float64(known[region])
+		dead := silence > sharerSilence && float64(heard[region]) >= minHeardFraction*float64(len(known[region]))
 		if status.State != Leaving && !dead {
-			statuses = append(statuses, status)
+			sharing = append(sharing, status)
 		}
 	})
-	statuses = preferReaching(statuses)
+	return newLimitSharing(preferReaching(sharing), known)
+}
+
+// newLimitSharing returns the sharing of limits among instances, of all that may be running by
+// region.
+func newLimitSharing(sharing []Status, known map[string][]Status) *LimitSharing {
 	byRegion := make(map[string][]Status)
-	for _, status := range statuses {
+	for _, status := range sharing {
 		byRegion[status.Member.Region] = append(byRegion[status.Member.Region], status)
 	}
-	sharing := &LimitSharing{byRegion: make(map[string][]Member), known: known}
+	l := &LimitSharing{all: membersOf(namedByLookups(sharing)), byRegion: make(map[string][]Member), known: make(map[string]int)}
 	for region, statuses := range byRegion {
-		sharing.byRegion[region] = membersOf(steering.Select(statuses, Status.instance))
+		l.byRegion[region] = membersOf(namedByLookups(statuses))
 	}
-	sharing.all = membersOf(steering.Select(statuses, Status.instance))
-	return sharing
+	for region, statuses := range known {
+		l.known[region] = len(namedByLookups(statuses))
+	}
+	return l
+}
+
+// namedByLookups returns those of the instances that lookups name.
+func namedByLookups(statuses []Status) []Status {
+	return steering.Select(statuses, Status.instance)
 }
 
 func membersOf(statuses []Status) []Member {
