--- a/cmd/lovage-soak/main.go
+++ b/cmd/lovage-soak/main.go
@@ -27,6 +27,7 @@
 	Callers      int           `default:"8" help:"Number of callers."`
 	Cuts         bool          `help:"Cut instances off from each other; lovage-edge must be built with -tags faults."`
 	EndpointCuts bool          `help:"Cut instances off from all endpoints; lovage-edge must be built with -tags faults."`
+	Limits       bool          `help:"Let endpoints name limits of the requests that they take."`
 	Drills       bool          `help:"Let the store come back from a copy."`
 	Duration     time.Duration `default:"8s" help:"Time during which faults are injected."`
 	Recovery     time.Duration `default:"10s" help:"Time within which the fleet must serve again after the faults."`
@@ -49,7 +50,7 @@
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
 			Program: args.Program, Previous: args.Previous, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
-			Callers: args.Callers, Cuts: args.Cuts, EndpointCuts: args.EndpointCuts, Drills: args.Drills,
+			Callers: args.Callers, Cuts: args.Cuts, EndpointCuts: args.EndpointCuts, Limits: args.Limits, Drills: args.Drills,
 			Duration: args.Duration, Recovery: args.Recovery,
 		})
 		if err != nil {
