--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -299,12 +299,6 @@
 	speeds          speedReports
 }
 
-// endpointRun identifies a run of an endpoint.
-type endpointRun struct {
-	endpoint    string
-	startMillis int64
-}
-
 func newActivitySum() *activitySum {
 	return &activitySum{
 		endpointLoads:   make(map[EndpointKey]int),
--- a/internal/fleet/limits.go
+++ b/internal/fleet/limits.go
@@ -2,6 +2,12 @@
 
 import "lovagescale/internal/namedlimit"
 
+// endpointRun identifies a run of an endpoint.
+type endpointRun struct {
+	endpoint    string
+	startMillis int64
+}
+
 // limitNewsSum combines what several instances know of the limits of endpoints.
 type limitNewsSum map[endpointRun]namedlimit.News
 
--- a/internal/namedlimit/limit.go
+++ b/internal/namedlimit/limit.go
@@ -132,9 +132,9 @@
 	return max(perSecond, minRate) * math.Exp2(doublings)
 }
 
-// Sent returns the stamp of a request that is sent now. It is 0 while no limit is known: the
-// answer cannot show the end of one.
-func (l *Limit) Sent(now time.Time) Stamp {
+// StampRequest returns the stamp of a request that is sent now. It is 0 while no limit is known:
+// the answer cannot show the end of one.
+func (l *Limit) StampRequest(now time.Time) Stamp {
 	if l.news.Named == 0 {
 		return 0
 	}
@@ -210,9 +210,10 @@
 // Interval returns the time between two requests of this instance, or 0 if it sends none.
 func (l *Limit) Interval() time.Duration { return l.interval }
 
-// Probe lets an instance that does not send a request now and then if it has heard nothing of
-// the limit for quietTime, or for longer than those that send pause between two requests. It is called at a regular interval with a random number from [0, 1);
-// instances is the number of those that do the same.
+// Probe allows an instance that sends nothing under the limit a request now and then, if it has
+// heard nothing of the limit for quietTime, and for longer than those that send pause between two
+// requests. It is called at a regular interval with a random number from [0, 1); instances is the
+// number of those that do the same.
 func (l *Limit) Probe(now time.Time, interval time.Duration, instances int, random float64) {
 	quiet := max(quietTime, 2*Interval(float64(l.news.PerSecond), 1))
 	if l.interval > 0 || !l.Stands() || now.Sub(l.newsAt) < quiet {
--- a/internal/namedlimit/limit_test.go
+++ b/internal/namedlimit/limit_test.go
@@ -19,9 +19,9 @@
 func TestLimitStandsUntilALaterAnswerShowsItsEnd(t *testing.T) {
 	g := NewWithT(t)
 	var l namedlimit.Limit
-	older := l.Sent(start)
+	older := l.StampRequest(start)
 	g.Expect(l.Hear(at(time.Second), older, 2, true)).To(Equal(namedlimit.Began))
-	sent := l.Sent(at(2 * time.Second))
+	sent := l.StampRequest(at(2 * time.Second))
 	l.Hear(at(3*time.Second), 0, 2, true)
 	g.Expect(l.Hear(at(4*time.Second), older, 0, false)).To(Equal(namedlimit.Unchanged), "no limit was known when it was sent")
 	g.Expect(l.Hear(at(4*time.Second), sent, 0, false)).To(Equal(namedlimit.Unchanged), "the limit was heard after it was sent")
@@ -29,7 +29,7 @@
 	g.Expect(l.Stands()).To(BeTrue())
 	g.Expect(l.InForce(at(time.Hour))).To(BeTrue())
 
-	g.Expect(l.Hear(at(6*time.Second), l.Sent(at(5*time.Second)), 0, false)).To(Equal(namedlimit.Ended))
+	g.Expect(l.Hear(at(6*time.Second), l.StampRequest(at(5*time.Second)), 0, false)).To(Equal(namedlimit.Ended))
 	g.Expect(l.Rate(at(6*time.Second))).To(BeNumerically("~", 2, 0.01), "the rate rises from the limit on")
 	g.Expect(l.Rate(at(8 * time.Second))).To(BeNumerically("~", 8, 0.01))
 	g.Expect(l.InForce(at(6*time.Second + 5*time.Second))).To(BeFalse())
@@ -44,7 +44,7 @@
 	news, isNew := ahead.Report(at(time.Hour))
 	g.Expect(isNew).To(BeTrue())
 	behind.Apply(start, news)
-	g.Expect(behind.Hear(at(2*time.Second), behind.Sent(at(time.Second)), 0, false)).To(Equal(namedlimit.Ended),
+	g.Expect(behind.Hear(at(2*time.Second), behind.StampRequest(at(time.Second)), 0, false)).To(Equal(namedlimit.Ended),
 		"its clock is an hour behind, but its request was sent after the news")
 	end, _ := behind.Report(at(2 * time.Second))
 	g.Expect(ahead.Apply(at(time.Hour+time.Second), end)).To(Equal(namedlimit.Ended))
@@ -60,7 +60,7 @@
 	var l namedlimit.Limit
 	l.Hear(start, 0, 2, true)
 	stale, _ := l.Report(start)
-	l.Hear(at(2*time.Second), l.Sent(at(time.Second)), 0, false)
+	l.Hear(at(2*time.Second), l.StampRequest(at(time.Second)), 0, false)
 	_, isNew := l.Report(at(time.Minute))
 	g.Expect(isNew).To(BeFalse())
 	l.Apply(at(time.Minute), stale)
@@ -119,7 +119,7 @@
 		for range rapid.IntRange(1, 80).Draw(rt, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(rt, "ms")) * time.Millisecond)
 			i := index.Draw(rt, "instance")
-			a := answer{sent: limits[i].Sent(clock(i)), named: named, to: i}
+			a := answer{sent: limits[i].StampRequest(clock(i)), named: named, to: i}
 			switch rapid.IntRange(0, 5).Draw(rt, "event") {
 			case 0:
 				named = !named
@@ -147,7 +147,7 @@
 		for range 2 {
 			for i := range limits {
 				now = now.Add(time.Second)
-				hear(answer{sent: limits[i].Sent(clock(i)), named: named, to: i})
+				hear(answer{sent: limits[i].StampRequest(clock(i)), named: named, to: i})
 				for j := range limits {
 					n, _ := limits[i].Report(clock(i))
 					limits[j].Apply(clock(j), n)
--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -20,7 +20,7 @@
 func (e *Endpoint) StampRequest(now time.Time) namedlimit.Stamp {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.limit.Sent(now)
+	return e.limit.StampRequest(now)
 }
 
 // HearLimit applies the limit that the endpoint named in an answer to this instance, in
