Do not tell callers that they exceed their rate when nobody has decided so

TestScenarios/action-cut failed once in some fourteen whole runs: an action at a sibling that does not reach the owner got 429 rate-exceeded, outcome unknown, within its 300 ms, where 503 is expected.

Cause: the sibling had no token left and waited for one from entries that it does not reach; when the request's deadline ended first, or the entry had no quotas yet, the stage refused it as above the workspace's rate and burst. The links' cancellations have no part in it.

Such a request is now refused with 503 quota-undecided, not run as before and unknown for an action of which an earlier attempt may have run.

--- a/internal/quota/core_test.go
+++ b/internal/quota/core_test.go
@@ -151,6 +151,24 @@
 	g.Expect(result).To(Equal(undecided), "reclaimed")
 }
 
+// Guards against callers that are told to be above their rate although nobody knows: a deadline
+// that ends while the entry waits for a token from others, and an entry without its quotas.
+func TestUndecidedCallIsNotSaidToExceedItsRate(t *testing.T) {
+	g := NewWithT(t)
+	next := call.StageFunc(func(context.Context, *call.Call) (*call.Result, error) { return &call.Result{}, nil })
+	s := NewStage(next, func() time.Time { return start }, control.NewLoop("test"), metrics.NewRegistry(),
+		func(string, string) refusal.Outcome { return refusal.Unknown })
+	s.setWorkspaces(map[string]Limit{"azul": {}})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	for _, workspace := range []string{"azul", "not known yet"} {
+		_, err := s.Serve(ctx, &call.Call{Workspace: workspace, Kind: configuration.Lookup})
+		g.Expect(err).To(SatisfyAll(HaveField("Status", 503), HaveField("Kind", refusal.QuotaUndecided), HaveField("Outcome", refusal.NotRun)))
+		_, err = s.Serve(ctx, &call.Call{Workspace: workspace, Kind: configuration.Action})
+		g.Expect(err).To(SatisfyAll(HaveField("Status", 503), HaveField("Outcome", refusal.Unknown)))
+	}
+}
+
 func TestStageChargesEachCallOnce(t *testing.T) {
 	g := NewWithT(t)
 	served := 0
--- a/internal/quota/stage.go
+++ b/internal/quota/stage.go
@@ -15,10 +15,10 @@
 	"lovagescale/internal/refusal"
 )
 
-// busyRetryAfter is the retry time for requests that are refused without a decision
+// undecidedRetryAfter is the retry time for requests that are refused without a decision
 // of the core, because the entry does not know the workspace, the queue of the
 // control goroutine is full, or the context ended first.
-const busyRetryAfter = time.Second
+const undecidedRetryAfter = time.Second
 
 // Stage charges each request of a workspace one token. Two kinds of requests pass
 // without a charge: those that another entry handed over, which were charged there,
@@ -71,44 +71,57 @@
 	if c.Hops > 0 || c.Workspace == "" {
 		return s.next.Serve(ctx, c)
 	}
-	admitted, retryAfter := s.charge(ctx, c)
-	if !admitted {
+	if refused := s.charge(ctx, c); refused != nil {
 		s.refused.Inc(1)
-		return nil, refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, s.outcomeOf(c),
-			fmt.Sprintf("workspace %q is above its rate and burst", c.Workspace)).WithRetryAfter(retryAfter)
+		return nil, refused
 	}
 	s.admitted.Inc(1)
 	return s.next.Serve(ctx, c)
 }
 
-// charge takes a token and reports whether it got one, or else the retry time. If the
-// pool has none, it waits for the decision of the core, which may request a grant.
-func (s *Stage) charge(ctx context.Context, c *call.Call) (bool, time.Duration) {
+// charge takes a token and returns nil if it got one, or else the refusal. If the pool has none,
+// it waits for the decision of the core, which may request a grant.
+func (s *Stage) charge(ctx context.Context, c *call.Call) *refusal.Refusal {
 	p, known := s.currentPools()[c.Workspace]
 	if !known {
-		return false, busyRetryAfter
+		return s.refuseUndecided(c)
 	}
 	switch result, retryAfter := p.take(s.now); result {
 	case admitted:
-		return true, 0
+		return nil
 	case refused:
-		return false, retryAfter
+		return s.refuseExceeded(c, retryAfter)
 	}
 	started := s.now()
 	defer s.waited.UpdateSince(started)
 	decided := make(chan Decision, 1)
 	id := s.lastID.Add(1)
 	if !s.loop.TryPost(func() { s.driver.acquire(c.Workspace, id, c.Deadline, decided) }) {
-		return false, busyRetryAfter
+		return s.refuseUndecided(c)
 	}
 	select {
 	case decision := <-decided:
-		return decision.Admitted, decision.RetryAfter
+		if decision.Admitted {
+			return nil
+		}
+		return s.refuseExceeded(c, decision.RetryAfter)
 	case <-ctx.Done():
-		return false, busyRetryAfter
+		return s.refuseUndecided(c)
 	}
 }
 
+func (s *Stage) refuseExceeded(c *call.Call, retryAfter time.Duration) *refusal.Refusal {
+	return refusal.New(http.StatusTooManyRequests, refusal.RateExceeded, s.outcomeOf(c),
+		fmt.Sprintf("workspace %q is above its rate and burst", c.Workspace)).WithRetryAfter(retryAfter)
+}
+
+// refuseUndecided refuses a call without a decision of the core: the workspace may be within its
+// rate, so that it is not told otherwise.
+func (s *Stage) refuseUndecided(c *call.Call) *refusal.Refusal {
+	return refusal.New(http.StatusServiceUnavailable, refusal.QuotaUndecided, s.outcomeOf(c),
+		fmt.Sprintf("it was not decided in time whether workspace %q is within its rate and burst", c.Workspace)).WithRetryAfter(undecidedRetryAfter)
+}
+
 func (s *Stage) currentPools() map[string]*pool { return *s.pools.Load() }
 
 // setWorkspaces replaces the pools by one for each workspace and keeps existing
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -64,6 +64,8 @@
 	BodyIncomplete      Kind = "body-cut"
 	HeadersTooLarge     Kind = "headers-too-large"
 	RateExceeded        Kind = "rate-exceeded"
+	// QuotaUndecided: it was not decided in time whether the workspace is within its rate.
+	QuotaUndecided      Kind = "quota-undecided"
 	NoCapacity          Kind = "no-capacity"
 	UpstreamUnreachable Kind = "upstream-unreachable"
 	UpstreamFailed      Kind = "upstream-failed"
