Wait in the test of slow readers until earlier responses have left the memory

The caller has its whole response a moment before the instance releases it, and the test needs exactly the room that the slow reader holds.

--- a/internal/edge/body_memory_test.go
+++ b/internal/edge/body_memory_test.go
@@ -243,6 +243,7 @@
 	}
 	g.Expect(s.disconnected(bodymemory.Slowest)).To(BeZero(), "memory is plentiful")
 
+	g.Eventually(s.edge.memory.Used, "10s").Should(BeEquivalentTo(len(largeResponse)), "only the slow caller's response is held")
 	filler, err := s.edge.memory.Reserve(bodymemory.ReadAhead, s.edge.memory.Limit()*7/8-int64(len(largeResponse)*5/4))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer filler.Release()
