--- a/internal/edge/limit_incident_test.go
+++ b/internal/edge/limit_regression_test.go
@@ -82,6 +82,23 @@
 	}
 }
 
+// Guards against an instance that starts after the endpoint was last heard and does not learn of
+// its limit: the delegates pass on every limit that stands.
+func TestStartingInstanceLearnsOfNamedLimits(t *testing.T) {
+	sim := newLimitSimulation(5, 1, 2, 4)
+	sim.limit = 3
+	sim.run(6*time.Second, 300)
+	sim.run(20*time.Second, 0)
+	for i := range sim.instances {
+		sim.restart(i)
+		sim.run(4*time.Second, 0)
+		endpoint := sim.instances[i].table.Load().Endpoint(limitedEndpoint.ID)
+		if _, inForce := endpoint.Limit(sim.now); !inForce {
+			t.Errorf("instance %d does not know the limit 4 s after its start", i)
+		}
+	}
+}
+
 // makeUneven makes every third instance large, but none that shares a limit of one request a
 // second if all instances may, and returns the indices of the large ones.
 func (sim *limitSimulation) makeUneven() []int {
--- a/internal/namedlimit/limit_test.go
+++ b/internal/namedlimit/limit_test.go
@@ -87,6 +87,19 @@
 	g.Expect(l.PermitAvailable(at(time.Hour))).To(BeFalse())
 }
 
+// Guards against a limit that other instances do not learn of because one report is lost, and
+// against reports that go on for ever.
+func TestLimitIsReportedForATime(t *testing.T) {
+	g := NewWithT(t)
+	var l namedlimit.Limit
+	l.Hear(start, 0, 2, true)
+	for after, want := range map[time.Duration]bool{3 * time.Second: true, 5 * time.Second: false} {
+		news, isNew := l.Report(at(after))
+		g.Expect(isNew).To(Equal(want), "after %v", after)
+		g.Expect(news.Stands()).To(BeTrue(), "after %v", after)
+	}
+}
+
 // Guards against limits below the smallest rate of use, whose end nobody would see.
 func TestLimitOfZeroIsUsedNowAndThen(t *testing.T) {
 	g := NewWithT(t)
