--- a/internal/edge/limit_log.go
+++ b/internal/edge/limit_log.go
@@ -18,9 +18,9 @@
 	senders string
 	shares  int
 	sends   bool
-	// reachable is the number of instances of the endpoint's region that may share, known
-	// that of those that may be running.
-	reachable, known int
+	// candidates is the number of instances of the endpoint's region that may share, known
+	// that of those that lookups would name if all that may be running accepted callers.
+	candidates, known int
 }
 
 func newLimitShare(sharing *fleet.LimitSharing, region string, perSecond float64, senders []fleet.Member, shares int, sends bool) limitShare {
@@ -29,13 +29,13 @@
 		names = append(names, sender.Instance)
 	}
 	share := limitShare{perSecond: perSecond, senders: strings.Join(names, " "), shares: shares, sends: sends}
-	share.reachable, share.known = sharing.Counts(region)
+	share.candidates, share.known = sharing.Counts(region)
 	return share
 }
 
-// hasSenders reports whether the limit is shared as in last. While the rate rises after the end
-// of a limit, it counts as shared alike.
-func (s limitShare) hasSenders(last limitShare) bool {
+// isSharedAs reports whether the same instances share the limit as before. A rate that rises
+// after the end of a limit changes them several times a second, which is not worth a line each.
+func (s limitShare) isSharedAs(last limitShare) bool {
 	return s.perSecond > last.perSecond || (s.senders == last.senders && s.shares == last.shares)
 }
 
@@ -50,12 +50,12 @@
 	}
 	last, known := (*l)[endpoint]
 	(*l)[endpoint] = share
-	if known && last.sends == share.sends && (!share.sends || share.hasSenders(last)) {
+	if known && last.sends == share.sends && (!share.sends || share.isSharedAs(last)) {
 		return
 	}
 	log.Info().Str("endpoint", endpoint).Float64("limit_per_second", share.perSecond).Bool("sends", share.sends).
-		Str("senders", share.senders).Int("shares", share.shares).Int("reachable", share.reachable).Int("known", share.known).
-		Msg("endpoint's limit is shared out")
+		Str("senders", share.senders).Int("shares", share.shares).Int("candidates", share.candidates).Int("known", share.known).
+		Msg("endpoint's limit is divided")
 }
 
 // forget drops the endpoints that are gone.
--- a/internal/fleet/senders.go
+++ b/internal/fleet/senders.go
@@ -41,29 +41,29 @@
 			heard[region]++
 		}
 	})
-	var sharing []Status
+	var candidates []Status
 	v.eachStatus(now, func(status Status, silence time.Duration) {
 		region := status.Member.Region
 		dead := silence > sharerSilence && float64(heard[region]) >= minHeardFraction*float64(len(known[region]))
 		if status.State != Leaving && !dead {
-			sharing = append(sharing, status)
+			candidates = append(candidates, status)
 		}
 	})
-	return newLimitSharing(preferReaching(sharing), known)
+	return newLimitSharing(preferReaching(candidates), known)
 }
 
-// newLimitSharing returns the sharing of limits among instances, of all that may be running by
-// region.
-func newLimitSharing(sharing []Status, known map[string][]Status) *LimitSharing {
+// newLimitSharing returns the sharing among the candidates that lookups name. knownByRegion are all
+// instances that may be running.
+func newLimitSharing(candidates []Status, knownByRegion map[string][]Status) *LimitSharing {
 	byRegion := make(map[string][]Status)
-	for _, status := range sharing {
+	for _, status := range candidates {
 		byRegion[status.Member.Region] = append(byRegion[status.Member.Region], status)
 	}
-	l := &LimitSharing{all: membersOf(namedByLookups(sharing)), byRegion: make(map[string][]Member), known: make(map[string]int)}
+	l := &LimitSharing{all: membersOf(namedByLookups(candidates)), byRegion: make(map[string][]Member), known: make(map[string]int)}
 	for region, statuses := range byRegion {
 		l.byRegion[region] = membersOf(namedByLookups(statuses))
 	}
-	for region, statuses := range known {
+	for region, statuses := range knownByRegion {
 		l.known[region] = len(namedByLookups(statuses))
 	}
 	return l
@@ -104,9 +104,9 @@
 	return senders, max(len(senders), min(n, l.known[region]))
 }
 
-// Counts returns how many instances of a region may share limits now, and how many may be
-// running.
-func (l *LimitSharing) Counts(region string) (sharing, known int) {
+// Counts returns how many instances of a region may share limits now, and how many would if all
+// that may be running accepted callers.
+func (l *LimitSharing) Counts(region string) (candidates, known int) {
 	return len(l.byRegion[region]), l.known[region]
 }
 
