Log where the requests of a region are meant to run and where they ran

The logs of the SHIFT incident could not tell whether the mix of regions changes by the choice of regions or by refusals, how long requests occupied slots, and what an instance believed of each region. Each instance now logs, for each window of 2 s, a line for each upstream, region and kind (may run anywhere, or must run there): meant, ran, outcomes, sent into a queue, time at endpoints; and a line for each upstream with the demand, capacity, utilization and shares that it believes in. No decision changes.

--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -55,8 +55,15 @@
 // and the limits allow it. It returns a complete answer or a refusal. An answer that
 // reports a failure is returned if no retry gives a better one.
 func (e *Edge) runAttempts(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
+	answer, attempts, refused := e.attemptInRegion(ctx, q)
+	e.recordRegionMix(q, attempts, answer, refused)
+	return answer, attempts, refused
+}
+
+// attemptInRegion chooses a region for the request and makes its attempts there.
+func (e *Edge) attemptInRegion(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
 	allowedRegions, restricted := catalog.AllowedRegionsOf(q.route, q.workspace)
-	q.region = e.balancer.Next(q.upstream, q.affinityKey, allowedRegions, restricted)
+	q.region, q.pinned = e.balancer.Next(q.upstream, q.affinityKey, allowedRegions, restricted), restricted
 	e.compareWithShare(q)
 	var attempts []attempt
 	var failedAnswer *upstream.Answer
@@ -68,7 +75,7 @@
 			return nil, attempts, refused
 		}
 		if len(attempts) == 0 {
-			e.recordArrival(q, restricted)
+			e.recordArrival(q)
 		}
 		if err == nil && len(attempts) == 0 {
 			e.retryBudget.RecordFirstAttempt(q.upstream)
@@ -108,10 +115,9 @@
 	}
 }
 
-// recordArrival counts a request that its quota admits. restricted is set if it must run in
-// its region.
-func (e *Edge) recordArrival(q *request, restricted bool) {
-	if restricted {
+// recordArrival counts a request that its quota admits.
+func (e *Edge) recordArrival(q *request) {
+	if q.pinned {
 		e.stats.RecordArrival(q.upstream, q.region)
 	} else {
 		e.stats.RecordArrival(q.upstream, "")
@@ -172,9 +178,11 @@
 	started := time.Now()
 	sent := endpoint.StampRequest(started)
 	expected := e.expectedCompletion(started, q, endpoint)
+	q.queued = endpoint.Queues(started)
 	answer, err := endpoint.Pool.Exchange(ctx, &outgoing)
 	now := time.Now()
 	result := e.classify(ctx, answer, err)
+	q.atEndpoints += now.Sub(started)
 	e.counters.recordAttempt(result)
 	e.recordReach(now, endpoint, result)
 	var load placement.ReportedLoad
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -41,6 +41,7 @@
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
 	"lovagescale/internal/reachability"
+	"lovagescale/internal/regionmix"
 	"lovagescale/internal/retryafter"
 	"lovagescale/internal/store"
 	"lovagescale/internal/trafficstats"
@@ -119,6 +120,7 @@
 	splitter        *catalog.Splitter
 	balancer        *placement.RegionBalancer
 	stats           *trafficstats.Stats
+	regionMix       *regionmix.Mix
 	objects         *placement.Objects
 	runTimes        *placement.RunTimes
 	quarantine      *quarantineTable
@@ -160,6 +162,7 @@
 		splitter:        catalog.NewSplitter(),
 		balancer:        placement.NewRegionBalancer(s.Region),
 		stats:           trafficstats.New(),
+		regionMix:       regionmix.New(),
 		objects:         placement.NewObjects(),
 		runTimes:        placement.NewRunTimes(),
 		quarantine:      newQuarantineTable(quarantine.Options{StrikeThreshold: strikeThreshold}),
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -62,6 +62,7 @@
 	firstReportAt time.Time
 	tableChanged  bool
 	limitLog      limitLog
+	regionMixLog  regionMixLog
 	// random returns a random number from [0, 1).
 	random func() float64
 }
@@ -191,6 +192,7 @@
 	s.tickPools(now, elapsed)
 	s.divideQuotas(now)
 	s.rebalanceRegions(now, elapsed)
+	s.logRegionMix(now)
 	s.updateShares(now, elapsed)
 	s.publishCallerAddresses(now)
 	targets := s.fleet.HandoverTargets(now)
@@ -302,7 +304,8 @@
 	for _, name := range table.Upstreams() {
 		serviceSeconds := s.edge.stats.ServiceTime(name).Seconds()
 		capacity := table.Capacity(now, name, s.edge.stats.ServiceTime(name))
-		available := placement.AvailableCapacity(capacity, slotsFor(pinned[name], serviceSeconds))
+		pinnedSlots := slotsFor(pinned[name], serviceSeconds)
+		available := placement.AvailableCapacity(capacity, pinnedSlots)
 		demand := slotsFor(unpinned[name], serviceSeconds)
 		s.updateReturnCapacity(now, name, capacity, unpinned[name], pinned[name])
 		assumed := placement.AssumedDemand(s.edge.regions, available)
@@ -311,12 +314,15 @@
 				demand[region] = assumed[region]
 			}
 		}
+		load := placement.UpstreamLoad{Region: ownRegion, Demand: demand, Available: available, Utilization: table.Utilization(now, name)}
+		plan := placement.Plan(ownRegion, demand, available)
+		s.regionMixLog.setPlan(name, upstreamPlan{demand: demand, pinned: pinnedSlots, capacity: capacity,
+			available: available, utilization: load.Utilization, plan: plan, serviceTime: s.edge.stats.ServiceTime(name)})
 		if demand[ownRegion] < negligibleDemand || !s.edge.balancer.HasShares(name) {
 			s.edge.balancer.MoveToward(name, placement.Plan(ownRegion, assumed, available), capacity, 1)
 			continue
 		}
-		load := placement.UpstreamLoad{Region: ownRegion, Demand: demand, Available: available, Utilization: table.Utilization(now, name)}
-		s.edge.balancer.Rebalance(name, placement.Plan(ownRegion, demand, available), capacity, steps, load)
+		s.edge.balancer.Rebalance(name, plan, capacity, steps, load)
 	}
 }
 
--- a/internal/placement/endpoint.go
+++ b/internal/placement/endpoint.go
@@ -110,6 +110,12 @@
 	return others
 }
 
+// Queues reports whether all slots are in use by the requests that were counted, so that one
+// of them waits.
+func (e *Endpoint) Queues(now time.Time) bool {
+	return e.inFlight.Load()+e.countOthers(monotonic.Nanos(now)) > e.slots
+}
+
 // InFlight returns the number of in-flight requests of this instance.
 func (e *Endpoint) InFlight() int { return int(e.inFlight.Load()) }
 
