--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -40,6 +40,9 @@
 // run runs a caller's request: through another instance if this one reaches no endpoint,
 // or with attempts of its own.
 func (e *Edge) run(ctx context.Context, q *request) (*upstream.Answer, []attempt, *refusal.Refusal) {
+	if refused := e.refuseLate(time.Now(), q); refused != nil {
+		return nil, nil, refused
+	}
 	if e.reach.Partitioned() {
 		if refused := e.admit(ctx, q); refused != nil {
 			return nil, nil, refused
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -106,6 +106,8 @@
 	// eraBegun gets a value when the store has begun a new era.
 	eraBegun chan struct{}
 	leaving  atomic.Bool
+	// stopsAt is when a planned stop cuts the connections that are left, or nil.
+	stopsAt atomic.Pointer[time.Time]
 
 	peers *link.Peers
 	// handoverPeers are links of their own, so that large bodies delay no reports.
--- a/internal/edge/handover.go
+++ b/internal/edge/handover.go
@@ -127,6 +127,9 @@
 	if refused != nil {
 		return fleet.HandoverReply{Refused: refused}, nil
 	}
+	if !e.endsBeforeStop(time.Now(), q) {
+		return fleet.HandoverReply{NotTaken: true}, nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	answer, attempts, refused := e.runAttempts(ctx, q)
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -44,12 +44,14 @@
 	}
 	stopRequestedAt := time.Now()
 	grace := e.bounds.Load().StopGrace
+	stopsAt := stopRequestedAt.Add(grace - stopMargin)
+	e.stopsAt.Store(&stopsAt)
 	e.leaving.Store(true)
 	e.loop.TryPost(e.state.tickNow)
 	e.log.Info().Dur("grace", grace).Msg("instance is asked to stop")
 	background := context.WithoutCancel(ctx)
 	sleep(background, time.Duration(acceptFraction*float64(grace)))
-	drainCtx, cancel := context.WithDeadline(background, stopRequestedAt.Add(grace-stopMargin))
+	drainCtx, cancel := context.WithDeadline(background, stopsAt)
 	defer cancel()
 	open := e.drain(drainCtx, conns)
 	e.log.Info().Int("cut", open).Dur("took", time.Since(stopRequestedAt)).Msg("callers are drained")
