Tell instances the endpoint loads of regions in which their requests must run

Delegates leave the endpoint loads of other regions out of a reply unless the member's report names the region, and a report named only regions to which shares send requests or in which a request was in flight at that moment.

A region now counts as used for 15 s after the last request that had to run there.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -186,6 +186,7 @@
 		fleet:     fleet.New(self),
 		registry:  placement.NewRegistry(s.Zones, e.newPool),
 		resources: make(map[string]Resource),
+		pinnedUse: make(map[string]time.Time),
 		random:    rand.Float64,
 	}
 	e.state.fleet.SetCapacity(s.Capacity)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -105,7 +105,7 @@
 		Status:       s.fleet.Status(),
 		Activity:     ownActivity,
 		MemberHashes: s.fleet.MemberHashes(),
-		UsedRegions:  s.regionsInUse(),
+		UsedRegions:  s.regionsInUse(now),
 		Packing:      s.fleet.Packing(),
 	}
 	position := -1
@@ -138,26 +138,6 @@
 	return round
 }
 
-// regionsInUse returns the other regions to which this instance sends requests.
-func (s *state) regionsInUse() []string {
-	inUse := make(map[string]bool)
-	for _, shares := range s.edge.balancer.Shares() {
-		for region, share := range shares {
-			inUse[region] = inUse[region] || share > 0
-		}
-	}
-	for _, endpoint := range s.edge.table.Load().Endpoints() {
-		inUse[endpoint.Region] = inUse[endpoint.Region] || endpoint.InFlight() > 0
-	}
-	var regions []string
-	for region, used := range inUse {
-		if used && region != s.edge.settings.Region {
-			regions = append(regions, region)
-		}
-	}
-	return regions
-}
-
 func (s *state) reportInterval() time.Duration {
 	n := s.fleet.RegionSize(s.edge.settings.Region)
 	return min(max(reportInterval*time.Duration(n)/instancesPerInterval, reportInterval), maxReportInterval)
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -61,8 +61,10 @@
 	// firstReportAt is the time of the instance's first report.
 	firstReportAt time.Time
 	tableChanged  bool
-	limitLog      limitLog
-	regionMixLog  regionMixLog
+	// pinnedUse is when requests last had to run in a region, by region.
+	pinnedUse    map[string]time.Time
+	limitLog     limitLog
+	regionMixLog regionMixLog
 	// random returns a random number from [0, 1).
 	random func() float64
 }
@@ -294,6 +296,7 @@
 // rebalanceRegions moves the region shares of this region's requests towards the plan.
 func (s *state) rebalanceRegions(now time.Time, elapsed time.Duration) {
 	s.edge.stats.Tick(elapsed)
+	s.recordPinnedUse(now, s.edge.stats.UpstreamDemand())
 	table := s.edge.table.Load()
 	unpinned, pinned := s.demandByRegion()
 	ownRegion := s.edge.settings.Region
