--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -170,8 +170,8 @@
 }
 
 // chooseEndpoint returns an endpoint of the request's region that was not attempted yet.
-func (e *Edge) chooseEndpoint(q *request, attempts []attempt) (*placement.Endpoint, error) {
-	return e.table.Load().Choose(time.Now(), e.choice(q, attempts))
+func (e *Edge) chooseEndpoint(now time.Time, q *request, attempts []attempt) (*placement.Endpoint, error) {
+	return e.table.Load().Choose(now, e.choice(now, q, attempts))
 }
 
 // attempt sends the request to one endpoint and records the result.
@@ -192,12 +192,7 @@
 	if answer != nil && result != placement.Misdirected {
 		load = e.applyReportedLoad(now, endpoint, answer)
 	}
-	latencyRatio := 0.0
-	if result == placement.Answered {
-		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, now.Sub(started))
-		e.recordCompletion(q, endpoint, expected, now.Sub(started), load)
-	}
-	e.recordSlotTime(q, endpoint, result, now.Sub(started), latencyRatio)
+	latencyRatio := e.recordRun(q, endpoint, result, run{expected: expected, took: now.Sub(started), load: load})
 	if answer != nil && result != placement.Misdirected { // such an answer is of another endpoint
 		e.applyStatements(now, sent, q, endpoint, answer, result)
 	}
@@ -213,6 +208,25 @@
 	return answer, result
 }
 
+// run is an attempt at an endpoint that has ended.
+type run struct {
+	// expected is the time after which it was expected to end, or 0.
+	expected, took time.Duration
+	// load is what the endpoint reported in its answer.
+	load placement.ReportedLoad
+}
+
+// recordRun records how long an attempt took and occupied a slot. It returns the duration
+// divided by the usual one, or 0 if it was not answered.
+func (e *Edge) recordRun(q *request, endpoint *placement.Endpoint, result placement.Result, r run) (latencyRatio float64) {
+	if result == placement.Answered {
+		latencyRatio = e.stats.RecordAnswer(q.upstream, q.route.Name, endpoint.Region, endpoint.Region == e.settings.Region, r.took)
+		e.recordCompletion(q, endpoint, r.expected, r.took, r.load)
+	}
+	e.recordSlotTime(q, endpoint, result, r.took, latencyRatio)
+	return latencyRatio
+}
+
 // applyStatements applies what an endpoint states in its answer about further requests:
 // that it is leaving, for how long it wants none, or how many it takes. sent is the stamp of
 // the request.
@@ -358,31 +372,3 @@
 	wait := time.Duration((0.5 + rand.Float64()) * float64(serviceTime))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
-
-// utilizationLimits returns the utilizations up to which an endpoint of the request's region
-// may take the request.
-func (e *Edge) utilizationLimits(q *request) placement.Limits {
-	now := time.Now()
-	runs := e.usualRuns(q)
-	limits := placement.LimitsFor(placement.RequestProfile{
-		Objective: q.route.Objective,
-		Timeout:   timeoutOf(q),
-		TimeLeft:  q.deadline.Sub(now),
-		Run:       runs.Warm,
-		MeanRun:   runs.Mean,
-	})
-	limits.Usual = e.limitForReturns(now, q, q.limitByShare(limits.Usual))
-	limits.Sustained = e.limitForReturns(now, q, q.limitByShare(limits.Sustained))
-	return limits
-}
-
-// usualRuns returns the times of runs in this instance's own region, which do not include the
-// way to another region. Before the first run there, all runs count as equally long.
-func (e *Edge) usualRuns(q *request) placement.Expectation {
-	runs, known := e.runTimes.Expect(placement.Serving{Upstream: q.upstream, Region: e.settings.Region}, q.route.Name)
-	if !known {
-		serviceTime := e.stats.ServiceTime(q.upstream)
-		return placement.Expectation{Warm: serviceTime, First: serviceTime, Mean: serviceTime}
-	}
-	return runs
-}
--- a/internal/edge/endpoint_choice.go
+++ b/internal/edge/endpoint_choice.go
@@ -10,12 +10,12 @@
 )
 
 // choice returns the request for an endpoint that was not attempted yet.
-func (e *Edge) choice(q *request, attempts []attempt) placement.Request {
+func (e *Edge) choice(now time.Time, q *request, attempts []attempt) placement.Request {
 	want := placement.Request{
 		Upstream: q.upstream, Region: q.region, Local: q.region == e.settings.Region,
 		AffinityKey: q.affinityKey,
 	}
-	limits := e.utilizationLimits(q)
+	limits := e.utilizationLimits(now, q)
 	want.MaxUtilization, want.SustainedUtilization, want.SustainedAfter = limits.Usual, limits.Sustained, limits.SustainedAfter
 	for _, a := range attempts {
 		want.Tried = append(want.Tried, a.endpoint)
@@ -27,7 +27,7 @@
 		}
 		want.Preferred, want.Random = e.objects.Preferred(serving), rand.Float64()
 		want.Expected, _ = e.runTimes.Expect(serving, q.route.Name)
-		want.TimeLeft = time.Until(q.deadline)
+		want.TimeLeft = q.deadline.Sub(now)
 	}
 	return want
 }
--- a/internal/edge/hedging.go
+++ b/internal/edge/hedging.go
@@ -191,9 +191,9 @@
 // chooseSecond returns an endpoint for the second attempt at which the request is expected to
 // end by its deadline, or nil.
 func (e *Edge) chooseSecond(q *request, attempts []attempt) *placement.Endpoint {
-	want := e.choice(q, attempts)
-	table := e.table.Load()
 	now := time.Now()
+	want := e.choice(now, q, attempts)
+	table := e.table.Load()
 	endpoint := table.ChooseSecond(now, want)
 	if endpoint == nil {
 		return nil
--- a/internal/edge/hedging_test.go
+++ b/internal/edge/hedging_test.go
@@ -21,7 +21,7 @@
 	route := &catalog.Route{Name: "read", Kind: catalog.Idempotent, Objective: 500 * time.Millisecond, MaxAttempts: 2}
 	q := &request{route: route, catalog: e.catalog.Load(), upstream: "files", region: "north", maxAttempts: 2,
 		started: time.Now(), deadline: time.Now().Add(time.Minute)}
-	first, err := e.chooseEndpoint(q, nil)
+	first, err := e.chooseEndpoint(time.Now(), q, nil)
 	g.Expect(err).NotTo(HaveOccurred())
 	for range 100 {
 		e.hedging.policy.Observe(hedge.Key{Upstream: "files", Route: "read", Region: "north"}, 100*time.Millisecond)
@@ -68,7 +68,7 @@
 		e.retryBudget.RecordFirstAttempt("files")
 	}
 	for range 3 {
-		_, err := e.chooseEndpoint(q, tried)
+		_, err := e.chooseEndpoint(time.Now(), q, tried)
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	g.Expect(e.runSecond(t.Context(), q, second, tried)).To(BeFalse())
--- a/internal/edge/queue_limits_test.go
+++ b/internal/edge/queue_limits_test.go
@@ -23,7 +23,7 @@
 			route:    &catalog.Route{Name: "read", Objective: 300 * time.Millisecond, Timeout: 3 * time.Second},
 			deadline: time.Now().Add(3 * time.Second),
 		}
-		return e.utilizationLimits(q)
+		return e.utilizationLimits(time.Now(), q)
 	}
 	own, other := limitsIn("r0"), limitsIn("r1")
 	if own != other {
--- a/internal/edge/quota_pools.go
+++ b/internal/edge/quota_pools.go
@@ -54,7 +54,7 @@
 				return nil, e.rateRefusal(q, left), nil
 			}
 		}
-		endpoint, err := e.chooseEndpoint(q, attempts)
+		endpoint, err := e.chooseEndpoint(time.Now(), q, attempts)
 		if err != nil {
 			return nil, nil, err
 		}
