--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -97,6 +97,9 @@
 	if !mayHaveRun(result) {
 		return
 	}
+	if q.pinned {
+		e.stats.RecordSlotTime(q.upstream, q.region, took)
+	}
 	if endpoint.Region != e.settings.Region && latencyRatio > 0 {
 		took = time.Duration(latencyRatio * float64(e.stats.ServiceTime(q.upstream)))
 	}
--- a/internal/trafficstats/stats.go
+++ b/internal/trafficstats/stats.go
@@ -8,6 +8,7 @@
 package trafficstats
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -32,7 +33,7 @@
 	mu        sync.Mutex
 	durations map[routeKey]float64 // seconds
 	upstreams map[string]*upstreamStats
-	arrivals  map[arrivalKey]*allowance.RateMeter
+	arrivals  map[arrivalKey]*arrivals
 	// callers are the answers by the region of the endpoints.
 	callers map[callersKey]*callersStats
 }
@@ -51,6 +52,15 @@
 // anywhere, or, with a region, of those that must run there.
 type arrivalKey struct{ upstream, region string }
 
+// arrivals are the requests of a key.
+type arrivals struct {
+	rate allowance.RateMeter
+	// runs is the number of requests that ended, slotSeconds the moving average of the time
+	// for which they occupied slots.
+	runs        int
+	slotSeconds float64
+}
+
 type routeKey struct{ route, region string }
 
 // New returns the stats of an instance that has had no requests.
@@ -58,7 +68,7 @@
 	return &Stats{
 		durations: make(map[routeKey]float64),
 		upstreams: make(map[string]*upstreamStats),
-		arrivals:  make(map[arrivalKey]*allowance.RateMeter),
+		arrivals:  make(map[arrivalKey]*arrivals),
 		callers:   make(map[callersKey]*callersStats),
 	}
 }
@@ -149,21 +159,61 @@
 func (t *Stats) RecordArrival(upstream, region string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.arrivalsOf(upstream, region).rate.Count()
+}
+
+// arrivalsOf returns the arrivals of a key. The caller must hold t.mu.
+func (t *Stats) arrivalsOf(upstream, region string) *arrivals {
 	key := arrivalKey{upstream, region}
-	meter, found := t.arrivals[key]
+	a, found := t.arrivals[key]
+	if !found {
+		a = &arrivals{}
+		t.arrivals[key] = a
+	}
+	return a
+}
+
+// minSlotTimeWeight is the least weight of a request in the moving average of slot times.
+const minSlotTimeWeight = 0.03
+
+// RecordSlotTime records for how long a request occupied a slot, answered or not. region is
+// the region in which it had to run.
+func (t *Stats) RecordSlotTime(upstream, region string, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.arrivalsOf(upstream, region)
+	a.runs++
+	a.slotSeconds += math.Max(1/float64(a.runs), minSlotTimeWeight) * (took.Seconds() - a.slotSeconds)
+}
+
+// PinnedSlotTime returns for how long requests that must run in a region usually occupy a
+// slot, answered or not, or 0 before the first one.
+func (t *Stats) PinnedSlotTime(upstream, region string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a, found := t.arrivals[arrivalKey{upstream, region}]
 	if !found {
-		meter = &allowance.RateMeter{}
-		t.arrivals[key] = meter
+		return 0
 	}
-	meter.Count()
+	return time.Duration(a.slotSeconds * float64(time.Second))
+}
+
+// relativeCost returns the slots that the requests occupy, relative to as many usual requests
+// of the upstream. The caller must hold t.mu.
+func (t *Stats) relativeCost(upstream string, a *arrivals) float64 {
+	s, found := t.upstreams[upstream]
+	if !found || s.serviceSeconds <= 0 || a.runs == 0 {
+		return 1
+	}
+	return a.slotSeconds / s.serviceSeconds
 }
 
 // Tick ends a measuring period.
 func (t *Stats) Tick(elapsed time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, meter := range t.arrivals {
-		meter.Tick(elapsed)
+	for _, a := range t.arrivals {
+		a.rate.Tick(elapsed)
 	}
 	for _, s := range t.upstreams {
 		s.answers.Tick(elapsed)
@@ -175,15 +225,23 @@
 	}
 }
 
-// UpstreamDemand returns the arrival rates to report to other instances.
+// UpstreamDemand returns the arrival rates to report to other instances. Requests that must
+// run in a region count by the slots that they occupy there, in usual requests: their objects
+// are often unknown to the endpoints, so that they take several times as long, and those that
+// expire occupy a slot until then.
 func (t *Stats) UpstreamDemand() []fleet.UpstreamDemand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var reported []fleet.UpstreamDemand
-	for key, meter := range t.arrivals {
-		if meter.Rate() >= fleet.MinReportedRate {
-			reported = append(reported, fleet.UpstreamDemand{Upstream: key.upstream, Region: key.region, Rate: float32(meter.Rate())})
+	for key, a := range t.arrivals {
+		rate := a.rate.Rate()
+		if rate < fleet.MinReportedRate {
+			continue
+		}
+		if key.region != "" {
+			rate *= t.relativeCost(key.upstream, a)
 		}
+		reported = append(reported, fleet.UpstreamDemand{Upstream: key.upstream, Region: key.region, Rate: float32(rate)})
 	}
 	return reported
 }
--- a/internal/trafficstats/stats_test.go
+++ b/internal/trafficstats/stats_test.go
@@ -54,6 +54,34 @@
 		Expect(stats.ServiceTime("files")).To(BeNumerically("~", answer, time.Millisecond))
 	})
 
+	// Guards against a region that seems to have room although requests that must run there
+	// occupy its slots: they often take several times as long, and some get no answer.
+	It("counts requests that must run in a region by the slots that they occupy", func() {
+		answers(100, answer)
+		stats.Tick(time.Second)
+		stats.UpdateServiceTimes(nil)
+		rateOf := func(region string) float32 {
+			for _, d := range stats.UpstreamDemand() {
+				if d.Region == region {
+					return d.Rate
+				}
+			}
+			return 0
+		}
+		for range 100 {
+			stats.RecordArrival("files", "")
+			stats.RecordArrival("files", "south")
+		}
+		stats.Tick(time.Second)
+		Expect(rateOf("south")).To(BeNumerically("~", rateOf(""), 0.01), "nothing is known of their slot time")
+		Expect(stats.PinnedSlotTime("files", "south")).To(BeZero())
+		for range 200 {
+			stats.RecordSlotTime("files", "south", 3*answer)
+		}
+		Expect(rateOf("south")).To(BeNumerically("~", 3*rateOf(""), 0.05*rateOf("")))
+		Expect(stats.PinnedSlotTime("files", "south")).To(BeNumerically("~", 3*answer, time.Millisecond))
+	})
+
 	It("reports demand by the region in which requests must run, and no negligible rates", func() {
 		for range 100 {
 			stats.RecordArrival("files", "")
