--- a/internal/edge/endpoint_choice.go
+++ b/internal/edge/endpoint_choice.go
@@ -21,6 +21,7 @@
 		want.Tried = append(want.Tried, a.endpoint)
 	}
 	if q.affinityKey != 0 {
+		want.FirstRunLikely = e.firstRunLikely(q)
 		serving := placement.Serving{Upstream: q.upstream, Region: q.region}
 		if len(attempts) == 0 {
 			e.objects.Record(serving, q.affinityKey)
--- a/internal/edge/queue_limits.go
+++ b/internal/edge/queue_limits.go
@@ -16,6 +16,7 @@
 		TimeLeft:  q.deadline.Sub(now),
 		Run:       runs.Warm,
 		MeanRun:   runs.Mean,
+		SlotTime:  e.pinnedSlotTime(q),
 	})
 	limits.Usual = e.limitForReturns(now, q, q.limitByShare(limits.Usual))
 	limits.Sustained = e.limitForReturns(now, q, q.limitByShare(limits.Sustained))
@@ -32,3 +33,22 @@
 	}
 	return runs
 }
+
+// pinnedSlotTime returns how long requests that must run in the request's region usually occupy
+// a slot there, or 0 if the request may run anywhere.
+func (e *Edge) pinnedSlotTime(q *request) time.Duration {
+	if !q.pinned {
+		return 0
+	}
+	return e.stats.PinnedSlotTime(q.upstream, q.region)
+}
+
+// minFirstRunSlotTime is the slot time, relative to the upstream's service time, from which
+// requests mostly are the first ones for their object.
+const minFirstRunSlotTime = 1.5
+
+// firstRunLikely reports whether requests like this one mostly are the first ones for their
+// object, wherever they run.
+func (e *Edge) firstRunLikely(q *request) bool {
+	return e.pinnedSlotTime(q).Seconds() > minFirstRunSlotTime*e.stats.ServiceTime(q.upstream).Seconds()
+}
--- a/internal/placement/admission.go
+++ b/internal/placement/admission.go
@@ -21,6 +21,10 @@
 	// maxTimeFraction is the part of the time left to the caller within which the request is
 	// expected to end. The rest is for first runs and runs of a heavy tail ahead of it.
 	maxTimeFraction = 0.5
+	// maxSlotTimeFraction is the part of the time left to the caller within which a request
+	// with a SlotTime is expected to end. It is larger than maxTimeFraction because SlotTime
+	// includes first runs.
+	maxSlotTimeFraction = 0.9
 	// returnFraction is the part of its timeout after which a refused caller comes back at
 	// the latest.
 	returnFraction = 1.0 / 3
@@ -36,6 +40,9 @@
 	// Run is the usual run of the request, MeanRun the mean over all runs of its kind, which
 	// are those that it waits for.
 	Run, MeanRun time.Duration
+	// SlotTime is the time for which such requests usually occupy a slot, first runs and
+	// those that end at their deadline included, or 0 if Run says enough of it.
+	SlotTime time.Duration
 }
 
 // Limits are the utilizations up to which an endpoint takes a request. Utilization is the
@@ -67,6 +74,9 @@
 	run, mean := profile.Run.Seconds(), math.Max(profile.MeanRun.Seconds(), 1e-3)
 	withinObjective := (profile.Objective.Seconds() - run) / mean
 	withinTime := (maxTimeFraction*profile.TimeLeft.Seconds() - run) / mean
+	if profile.SlotTime > 0 {
+		withinTime = math.Min(withinTime, (maxSlotTimeFraction*profile.TimeLeft.Seconds()-profile.SlotTime.Seconds())/mean)
+	}
 	return Limits{
 		Usual:          queueUtilization(math.Min(math.Max(withinObjective, acceptedQueue), withinTime)),
 		Sustained:      queueUtilization(math.Min(math.Min(withinObjective, acceptedQueue), withinTime)),
--- a/internal/placement/admission_test.go
+++ b/internal/placement/admission_test.go
@@ -33,6 +33,20 @@
 		Entry("before the first run", profile(400*ms, 2000*ms, 0, 0), 4.0, 2.5),
 	)
 
+	// Guards against requests that hold a slot until their deadline and get no answer, because
+	// they are mostly the first ones for their object and queue like others.
+	DescribeTable("accepts no queue behind which the usual slot time does not end in time",
+		func(slotTime time.Duration, usual float64) {
+			p := profile(1500*ms, 2500*ms, 640*ms, 800*ms)
+			p.SlotTime = slotTime
+			Expect(placement.LimitsFor(p).Usual).To(BeNumerically("~", usual, 0.01))
+		},
+		Entry("as others", time.Duration(0), 1.76),
+		Entry("warm runs", 700*ms, 1.76),
+		Entry("first runs", 2100*ms, 1.19),
+		Entry("first runs that hardly end in time", 2400*ms, 1.05),
+	)
+
 	// Guards against a queue that lets all answers be late for as long as an overload lasts.
 	It("lowers the limit at an endpoint that had no free slot for a third of the timeout", func() {
 		t := registryOf(1).Table()
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -216,7 +216,11 @@
 
 // spillDisabled reports whether the request may only go to its preferred endpoints.
 func (s *selection) spillDisabled() bool {
-	return s.load.utilization() >= MaxRegionUtilizationForSpill
+	limit := MaxRegionUtilizationForSpill
+	if s.request.FirstRunLikely {
+		limit = maxRegionUtilizationForFirstRuns
+	}
+	return s.load.utilization() >= limit
 }
 
 // best returns the chosen endpoint, or nil.
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -158,6 +158,19 @@
 	})
 
 	// Load pattern: long overload with one hot object.
+	// Guards against refusals of requests that take no longer elsewhere, while the region has
+	// free slots.
+	It("lets requests that mostly are first runs spill until the region is fuller", func() {
+		t := registryOf(4).Table()
+		r := request(7)
+		r.FirstRunLikely = true
+		taken := 0
+		for choose(t, start, r) != "" {
+			taken++
+		}
+		Expect(float64(taken) / (4 * 4)).To(BeNumerically("~", 0.8, 0.05))
+	})
+
 	It("queues at the preferred endpoint, then spills while the region has free slots, then refuses", func() {
 		t := registryOf(4).Table()
 		counts := map[string]int{}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -107,6 +107,9 @@
 	// for longer than SustainedAfter, see Limits. It does not count if SustainedAfter is 0.
 	SustainedUtilization float64
 	SustainedAfter       time.Duration
+	// FirstRunLikely is set if such requests mostly are the first ones for their object, also
+	// at a preferred endpoint.
+	FirstRunLikely bool
 	// Preferred is the number of preferred endpoints of the object, see Objects; 0 counts
 	// as 1.
 	Preferred int
@@ -133,6 +136,11 @@
 // slots.
 const MaxEndpointUtilizationForSpill = 0.75
 
+// maxRegionUtilizationForFirstRuns replaces MaxRegionUtilizationForSpill for requests that are
+// mostly the first ones for their object: elsewhere they take no longer. In a region that is
+// fuller than this, even they would take the slots of others.
+const maxRegionUtilizationForFirstRuns = 0.8
+
 // NoRoomError reports that no endpoint of a region can take a request.
 type NoRoomError struct {
 	Upstream string
