--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -177,7 +177,7 @@
 // attempt sends the request to one endpoint and records the result.
 func (e *Edge) attempt(ctx context.Context, q *request, endpoint *placement.Endpoint) (*upstream.Answer, placement.Result) {
 	outgoing := q.outgoing
-	outgoing.Instance = endpoint.ID
+	outgoing.Instance, outgoing.Deadline = endpoint.ID, q.deadline
 	started := time.Now()
 	sent := endpoint.StampRequest(started)
 	expected := e.expectedCompletion(started, q, endpoint)
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -92,7 +92,7 @@
 		refuseUnread(w, r, func() { e.writeRefusal(w, q, nil, refused) })
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	ctx, cancel := context.WithDeadline(r.Context(), q.answersUntil())
 	defer cancel()
 	answer, attempts, refused := e.run(ctx, q)
 	if refused != nil {
@@ -187,6 +187,25 @@
 	return limit
 }
 
+// maxAnswerDelay is how long after the deadline that an endpoint was given its answer may
+// arrive, also from another region.
+const maxAnswerDelay = 150 * time.Millisecond
+
+// answersUntil returns until when an answer to the request is waited for. An answer that the
+// endpoint made by its deadline is under way for some time, and the caller still waits for it
+// unless the deadline is its own.
+func (q *request) answersUntil() time.Time {
+	callerWaitsUntil := q.started.Add(q.caller.Timeout)
+	if q.caller.Timeout <= 0 || !callerWaitsUntil.After(q.deadline) {
+		return q.deadline
+	}
+	until := q.deadline.Add(maxAnswerDelay)
+	if callerWaitsUntil.Before(until) {
+		return callerWaitsUntil
+	}
+	return until
+}
+
 // pathOf returns the path as the caller sent it.
 func pathOf(r *http.Request) string { return pathOfTarget(targetOf(r)) }
 
--- a/internal/upstream/dialect.go
+++ b/internal/upstream/dialect.go
@@ -104,7 +104,11 @@
 	if r.Instance != "" && dialect.InstanceHeader != "" {
 		out = appendField(out, dialect.InstanceHeader, r.Instance)
 	}
-	if deadline, set := ctx.Deadline(); set {
+	deadline, set := ctx.Deadline()
+	if !r.Deadline.IsZero() {
+		deadline, set = r.Deadline, true
+	}
+	if set {
 		remaining := max(time.Until(deadline).Milliseconds(), 1)
 		out = appendField(out, dialect.TimeoutHeader, strconv.FormatInt(remaining, 10))
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -134,6 +134,9 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// Deadline is until when the endpoint may work on the request. If it is zero, the
+	// deadline of the exchange counts.
+	Deadline time.Time
 	// Fresh asks for a new connection instead of an idle one.
 	Fresh bool
 	// ResponseMemory accounts for the body of the answer. It may be nil.
