--- a/internal/edge/late_requests.go
+++ b/internal/edge/late_requests.go
@@ -29,10 +29,10 @@
 	return stopsAt == nil || !now.Add(e.longestTime(now, q)).After(*stopsAt)
 }
 
-// longestTime returns the time that a request may still take: until its deadline, or less if it
-// may be repeated and runs of its route are known to be short.
+// longestTime returns the time that a request may still take: until no answer is waited for, or
+// less if it may be repeated and runs of its route are known to be short.
 func (e *Edge) longestTime(now time.Time, q *request) time.Duration {
-	left := q.deadline.Sub(now)
+	left := q.answersUntil().Sub(now)
 	runs, known := e.runTimes.Expect(placement.Serving{Upstream: q.upstream, Region: e.settings.Region}, q.route.Name)
 	if !known || q.route.Kind != catalog.Idempotent {
 		return left
