--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -206,7 +206,8 @@
 // requests may wait in the kernel.
 func (c *conn) Close() error {
 	c.mu.Lock()
-	mayHaveUnread := c.pipelined || c.buffer.len() > 0 || c.listener.options.Draining()
+	bodyUnread := c.phase == opaque || c.phase == serving && c.bodyLeft > 0
+	mayHaveUnread := c.pipelined || bodyUnread || c.buffer.len() > 0 || c.listener.options.Draining()
 	linger := mayHaveUnread && c.ended == nil && !c.reading // a read in progress must end now
 	c.end(net.ErrClosed, "the connection is closed")
 	c.mu.Unlock()
