Tell members what other regions have in flight at their own endpoints (SHIFT)

Where more was asked for than endpoints could run, the requests of one region were crowded out of another one and came back by turns: without any trouble, half of a region's requests changed the region in which they ran within 2 s.

Cause: replies to members leave out the endpoint loads that other regions report, unless the member sends requests there. These loads include what the other regions have in flight at the member's own endpoints. Members therefore took their endpoints for less loaded than they were and let longer queues grow, while instances of other regions saw all of the load and refused, until the queues were gone. It needs requests that cross regions and full endpoints, which limits, grown demand or a small region bring about.

A delegate now always passes on the loads at endpoints of its own region. Messages have the same form; beside earlier delegates a member sees as little as before.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -159,10 +159,16 @@
 	s.edge.table.Store(table)
 	s.tableChanged = false
 	keys := make([]fleet.EndpointKey, 0, len(table.Endpoints()))
-	for id := range table.Endpoints() {
-		keys = append(keys, fleet.KeyOf(id))
+	var local []fleet.EndpointKey
+	for id, endpoint := range table.Endpoints() {
+		key := fleet.KeyOf(id)
+		keys = append(keys, key)
+		if endpoint.Region == s.edge.settings.Region {
+			local = append(local, key)
+		}
 	}
 	s.fleet.SetEndpoints(keys)
+	s.fleet.SetLocalEndpoints(local)
 }
 
 func (s *state) tickNow() { s.tick(time.Now()) }
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -71,8 +71,8 @@
 
 // DigestsForMember returns the digests of all regions in reply to a report from a member
 // of this region. That of this region is made now. Members that the receiver already
-// knows are left out, as are the endpoint loads of other regions unless the report names
-// the region.
+// knows are left out. Unless the report names a region, only what its instances have in flight
+// at the endpoints of this region is left of their endpoint loads.
 func (v *View) DigestsForMember(now time.Time, own Activity, report Report) []Digest {
 	digests := []Digest{v.LocalDigest(now, own)}
 	for region := range v.digests {
@@ -81,7 +81,7 @@
 			continue
 		}
 		if !slices.Contains(report.UsedRegions, region) {
-			digest.Activity.EndpointLoads, digest.Activity.Speeds = nil, nil
+			digest.Activity.EndpointLoads, digest.Activity.Speeds = v.loadsOfLocalEndpoints(digest.Activity.EndpointLoads), nil
 		}
 		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand = nil, nil // the totals contain them
 		digests = append(digests, digest)
@@ -89,6 +89,27 @@
 	return omitKnownMembers(digests, report.MemberHashes)
 }
 
+// SetLocalEndpoints records the endpoints of this instance's region.
+func (v *View) SetLocalEndpoints(keys []EndpointKey) {
+	v.localEndpoints = make(map[EndpointKey]struct{}, len(keys))
+	for _, key := range keys {
+		v.localEndpoints[key] = struct{}{}
+	}
+}
+
+// loadsOfLocalEndpoints returns the loads of endpoints in this instance's region. Without those
+// that other regions cause, the members would find room at endpoints that are full, and crowd
+// out the requests of these regions.
+func (v *View) loadsOfLocalEndpoints(loads []EndpointLoad) []EndpointLoad {
+	var local []EndpointLoad
+	for _, load := range loads {
+		if _, found := v.localEndpoints[load.Endpoint]; found {
+			local = append(local, load)
+		}
+	}
+	return local
+}
+
 // relayMargin is how much older the other delegate's demand of a region must be than this
 // instance's before this instance relays its digest. Delegates that reach each other
 // directly need no relay.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -99,6 +99,8 @@
 	// endpointLists are the lists of endpoints that this instance knew lately, the present
 	// one first.
 	endpointLists []endpointList
+	// localEndpoints are the endpoints of this region.
+	localEndpoints map[EndpointKey]struct{}
 }
 
 // New returns a view that contains only its own instance.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -326,6 +326,20 @@
 		Expect(digestedLoads("south")).To(Equal(loadsByKey(map[string]int{"own": 1, "e": 2})))
 	})
 
+	// Guards against members that take endpoints for free whose slots other regions' requests
+	// hold, and crowd these requests out.
+	It("sends a member what other regions have in flight at the endpoints of its own", func() {
+		view.ApplyRegistration(start, member("s1", "south"))
+		view.SetLocalEndpoints([]fleet.EndpointKey{fleet.KeyOf("local")})
+		southern := append(loadOf("local", 3).EndpointLoads, loadOf("southern", 2).EndpointLoads...)
+		view.ApplyDigest(start, fleet.Digest{Region: "south", MembersHash: 11, Activity: fleet.Activity{EndpointLoads: southern}}, fleet.Activity{})
+		for _, digest := range view.DigestsForMember(start, fleet.Activity{}, fleet.Report{}) {
+			if digest.Region == "south" {
+				Expect(digest.Activity.EndpointLoads).To(Equal(loadOf("local", 3).EndpointLoads))
+			}
+		}
+	})
+
 	It("relays a digest to a delegate that lacks it or has a much older one", func() {
 		view.ApplyRegistration(start, member("s1", "south"))
 		south := fleet.Digest{Region: "south", MembersHash: 11, Activity: loadOf("e", 2)}
