Go on serving the link after a failed accept

The link's server ended at its first failed accept, for example for want of file descriptors, and with it the process's control traffic. It now pauses for 5 ms to 1 s, logs, counts and accepts again, as the HTTP servers of the other ports do; it ends only with its listener.

--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -39,6 +39,7 @@
 	streams            map[string]StreamHandler
 	malformedFrames    metrics.Counter
 	refusedConnections metrics.Counter
+	acceptFailures     metrics.Counter
 	connectionTokens   chan struct{}
 }
 
@@ -51,10 +52,21 @@
 		streams:            make(map[string]StreamHandler),
 		malformedFrames:    metrics.GetOrRegisterCounter("link.malformed_frames", registry),
 		refusedConnections: metrics.GetOrRegisterCounter("link.refused_connections", registry),
+		acceptFailures:     metrics.GetOrRegisterCounter("link.accept_failures", registry),
 		connectionTokens:   make(chan struct{}, maxConnections),
 	}
 }
 
+// sleep waits for a time, or less if ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Handle sets the handler of a message type.
 func (s *Server) Handle(messageType string, handler Handler) { s.handlers[messageType] = handler }
 
@@ -63,21 +75,36 @@
 	s.streams[messageType] = handler
 }
 
+// Bounds of the pause after a failed accept, for example for want of file descriptors.
+const (
+	minAcceptPause = 5 * time.Millisecond
+	maxAcceptPause = time.Second
+)
+
 // Serve accepts connections until ctx ends, then closes them all and waits for
-// their handlers.
+// their handlers. It returns an error only if the listener is closed before.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
 	var connections sync.WaitGroup
 	defer connections.Wait()
+	var pause time.Duration
 	for {
 		conn, err := listener.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			pause = min(max(2*pause, minAcceptPause), maxAcceptPause)
+			s.acceptFailures.Inc(1)
+			s.log.Warn().Err(err).Dur("pause", pause).Msg("connection could not be accepted")
+			sleep(ctx, pause)
+			continue
+		}
+		pause = 0
 		select {
 		case s.connectionTokens <- struct{}{}:
 			connections.Go(func() {
