Notice that a caller has left behind a body in chunks and a next request (GONE)

Endpoints went on working for callers that had left, and requests reached endpoints after that. Behind a body in chunks that had not arrived whole, nothing is read ahead; the HTTP library reads one byte to notice the close, gets the first byte of the next request, and looks no further.

Linux only, as where read-ahead is stalled.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -278,6 +278,36 @@
 	return true
 }
 
+// isOpaque reports whether the ends of the connection's requests are unknown.
+func (c *conn) isOpaque() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.phase == opaque
+}
+
+// watchPeer returns a context that also ends when the caller has closed its side of an opaque
+// connection. The server's own read in the background notices that only as long as the caller has
+// sent nothing more.
+func (c *conn) watchPeer(ctx context.Context) (watched context.Context, stop context.CancelFunc) {
+	watched, cancel := context.WithCancel(ctx)
+	go func() {
+		ticker := time.NewTicker(stallCheckInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-watched.Done():
+				return
+			case <-ticker.C:
+			}
+			if c.peerClosed() {
+				cancel()
+				return
+			}
+		}
+	}()
+	return watched, cancel
+}
+
 // peerClosed reports whether the caller has closed its side of the connection, also if
 // unread bytes precede the end.
 func (c *conn) peerClosed() bool { return streamEnded(c.Conn) }
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -30,6 +30,11 @@
 	}
 	e := c.serve(h, r)
 	defer c.finish()
+	if e == nil && c.isOpaque() {
+		ctx, stop := c.watchPeer(r.Context())
+		defer stop()
+		r = r.WithContext(ctx)
+	}
 	if e == nil {
 		h.next.ServeHTTP(w, r)
 		return
