--- a/internal/edge/attempts.go
+++ b/internal/edge/attempts.go
@@ -35,6 +35,10 @@
 type attempt struct {
 	endpoint *placement.Endpoint
 	result   placement.Result
+	// queued is set if the endpoint had no free slot when the request was sent to it.
+	queued bool
+	// took is how long the attempt took.
+	took time.Duration
 }
 
 // run runs a caller's request: through another instance if this one reaches no endpoint,
@@ -175,17 +179,16 @@
 }
 
 // attempt sends the request to one endpoint and records the result.
-func (e *Edge) attempt(ctx context.Context, q *request, endpoint *placement.Endpoint) (*upstream.Answer, placement.Result) {
+func (e *Edge) attempt(ctx context.Context, q *request, endpoint *placement.Endpoint) (*upstream.Answer, attempt) {
 	outgoing := q.outgoing
 	outgoing.Instance, outgoing.Deadline = endpoint.ID, q.deadline
 	started := time.Now()
 	sent := endpoint.StampRequest(started)
 	expected := e.expectedCompletion(started, q, endpoint)
-	q.queued = endpoint.Queues(started)
+	queued := endpoint.Queues(started)
 	answer, err := endpoint.Pool.Exchange(ctx, &outgoing)
 	now := time.Now()
 	result := e.classify(ctx, answer, err)
-	q.atEndpoints += now.Sub(started)
 	e.counters.recordAttempt(result)
 	e.recordReach(now, endpoint, result)
 	var load placement.ReportedLoad
@@ -205,7 +208,7 @@
 		e.log.Info().Err(err).Str("request", q.caller.ID).Str("endpoint", endpoint.ID).Str("try", result.String()).
 			Dur("took", now.Sub(started)).Msg("try failed")
 	}
-	return answer, result
+	return answer, attempt{endpoint: endpoint, result: result, queued: queued, took: now.Sub(started)}
 }
 
 // run is an attempt at an endpoint that has ended.
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -93,7 +93,10 @@
 	if r.ContentLength > maxCompletedBytes || r.Header.Get("Expect") != "" {
 		return false
 	}
-	if controller.SetReadDeadline(time.Now().Add(completionTime)) != nil {
+	switch err := controller.SetReadDeadline(time.Now().Add(completionTime)); {
+	case errors.Is(err, http.ErrNotSupported):
+		return true // the request was read ahead, with its body
+	case err != nil:
 		return false
 	}
 	n, err := io.CopyN(io.Discard, r.Body, maxCompletedBytes+1)
--- a/internal/edge/hedging.go
+++ b/internal/edge/hedging.go
@@ -36,12 +36,12 @@
 	sentTo atomic.Pointer[placement.Endpoint]
 	// decided is set by the first of both attempts that was answered.
 	decided atomic.Bool
-	// done is closed at the end of the attempt. answer, result and held are valid from then
+	// done is closed at the end of the attempt. answer, attempt and held are valid from then
 	// on. held is the memory of the answer, released unless the attempt was answered first.
-	done   chan struct{}
-	answer *upstream.Answer
-	result placement.Result
-	held   *bodymemory.Reservation
+	done    chan struct{}
+	answer  *upstream.Answer
+	attempt attempt
+	held    *bodymemory.Reservation
 }
 
 // attemptHedged sends the request to an endpoint and, if it runs for unusually long there, to
@@ -52,9 +52,9 @@
 	started := time.Now()
 	delay, possible := e.hedgeDelay(q, endpoint, earlier)
 	if !possible {
-		answer, result := e.attempt(ctx, q, endpoint)
-		e.observeRun(ctx, q, endpoint, result, time.Since(started))
-		return answer, append(earlier, attempt{endpoint, result})
+		answer, first := e.attempt(ctx, q, endpoint)
+		e.observeRun(ctx, q, endpoint, first.result, time.Since(started))
+		return answer, append(earlier, first)
 	}
 	// Both attempts share a context: the one that was answered no longer needs it.
 	bothCtx, cancel := context.WithCancel(ctx)
@@ -64,19 +64,18 @@
 	// the delay costs none.
 	timer := time.AfterFunc(delay, func() {
 		defer close(second.done)
-		if e.runSecond(bothCtx, q, second, append(slices.Clip(earlier), attempt{endpoint, placement.Abandoned})) {
+		if e.runSecond(bothCtx, q, second, append(slices.Clip(earlier), attempt{endpoint: endpoint, result: placement.Abandoned})) {
 			cancel()
 		}
 	})
-	answer, result := e.attempt(bothCtx, q, endpoint)
-	e.observeRun(ctx, q, endpoint, result, time.Since(started))
-	first := attempt{endpoint, result}
+	answer, first := e.attempt(bothCtx, q, endpoint)
+	e.observeRun(ctx, q, endpoint, first.result, time.Since(started))
 	if timer.Stop() {
 		return answer, append(earlier, first)
 	}
-	if result == placement.Answered && second.decided.CompareAndSwap(false, true) {
+	if first.result == placement.Answered && second.decided.CompareAndSwap(false, true) {
 		if sentTo := second.sentTo.Load(); sentTo != nil {
-			earlier = append(earlier, attempt{sentTo, placement.Abandoned})
+			earlier = append(earlier, attempt{endpoint: sentTo, result: placement.Abandoned})
 		}
 		return answer, append(earlier, first)
 	}
@@ -85,14 +84,14 @@
 	switch {
 	case sentTo == nil:
 		return answer, append(earlier, first)
-	case second.result == placement.Answered || moreDecisive(second.result, result):
-		if second.result == placement.Answered {
+	case second.attempt.result == placement.Answered || moreDecisive(second.attempt.result, first.result):
+		if second.attempt.result == placement.Answered {
 			q.responseHeld.Release()
 			q.responseHeld = second.held
 		}
-		return second.answer, append(earlier, first, attempt{sentTo, second.result})
+		return second.answer, append(earlier, first, second.attempt)
 	}
-	return answer, append(earlier, attempt{sentTo, second.result}, first)
+	return answer, append(earlier, second.attempt, first)
 }
 
 // hedgeDelay returns the time after which the attempt at an endpoint may be followed by a
@@ -177,8 +176,8 @@
 	second.held = held
 	own := *q // what an attempt notes in its request must not be shared
 	own.responseHeld, own.outgoing.ResponseMemory = held, held
-	second.answer, second.result = e.attempt(ctx, &own, endpoint)
-	won := second.result == placement.Answered && second.decided.CompareAndSwap(false, true)
+	second.answer, second.attempt = e.attempt(ctx, &own, endpoint)
+	won := second.attempt.result == placement.Answered && second.decided.CompareAndSwap(false, true)
 	if won {
 		e.hedging.won.Inc(1)
 	} else {
--- a/internal/edge/hedging_test.go
+++ b/internal/edge/hedging_test.go
@@ -50,7 +50,7 @@
 		_, possible := e.hedgeDelay(&changed, first, nil)
 		g.Expect(possible).To(BeFalse(), name)
 	}
-	_, possible = e.hedgeDelay(q, first, []attempt{{first, placement.Failed}})
+	_, possible = e.hedgeDelay(q, first, []attempt{{endpoint: first, result: placement.Failed}})
 	g.Expect(possible).To(BeFalse(), "after a retry")
 }
 
@@ -58,7 +58,7 @@
 func TestSecondAttemptNeedsRoomAndBudget(t *testing.T) {
 	g := NewWithT(t)
 	e, q, first := newHedgeable(g)
-	tried := []attempt{{first, placement.Abandoned}}
+	tried := []attempt{{endpoint: first, result: placement.Abandoned}}
 	second := &secondAttempt{done: make(chan struct{})}
 	g.Expect(e.runSecond(t.Context(), q, second, tried)).To(BeFalse())
 	g.Expect(e.hedging.noBudget.Count()).To(Equal(int64(1)))
--- a/internal/edge/region_mix.go
+++ b/internal/edge/region_mix.go
@@ -18,8 +18,12 @@
 	if q.region == "" {
 		return
 	}
-	e.regionMix.Record(regionmix.Flow{Upstream: q.upstream, Region: q.region, Pinned: q.pinned},
-		regionmix.Result{Outcome: regionOutcome(q, attempts, answer, refused), Queued: q.queued, AtEndpoints: q.atEndpoints})
+	result := regionmix.Result{Outcome: regionOutcome(q, attempts, answer, refused)}
+	for _, a := range attempts {
+		result.Queued = a.queued
+		result.AtEndpoints += a.took
+	}
+	e.regionMix.Record(regionmix.Flow{Upstream: q.upstream, Region: q.region, Pinned: q.pinned}, result)
 }
 
 // regionOutcome returns what became of a request in its region.
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -37,10 +37,6 @@
 	region string
 	// pinned is set if the request must run in region.
 	pinned bool
-	// queued is set if the last endpoint had no free slot when the request was sent to it.
-	queued bool
-	// atEndpoints is the time that the request spent at endpoints, without second attempts.
-	atEndpoints time.Duration
 	// cause is why no endpoint could be chosen, if that is why the request was refused.
 	cause error
 	// affinityKey is the affinity key of a request on a sticky route, or 0.
