Send other regions' loads at local endpoints with the region's own, and keep delegates' digests whole

What other regions have in flight at a region's endpoints was sent to members as loads of each of these regions, a byte an endpoint and region before compression: at 48 regions far above the bytes of a member.

That showed a further fault: the reply of one delegate to the other left out loads of regions that it did not name, and replaced the whole digest that an exchange had brought. Delegates now name all regions.

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -116,6 +116,10 @@
 			round.reportTo = append(round.reportTo, delegate)
 		}
 	}
+	if position >= 0 {
+		// The reply must not replace what an exchange brought of another region by less.
+		round.report.UsedRegions = s.edge.otherRegions()
+	}
 	round.packed = s.packReports(round)
 	if position < 0 {
 		return round
@@ -127,10 +131,7 @@
 		DemandAgeMillis: s.fleet.DemandAges(now),
 		Packing:         s.fleet.Packing(),
 	}
-	for _, region := range s.edge.regions {
-		if region == self.Region {
-			continue
-		}
+	for _, region := range s.edge.otherRegions() {
 		if delegates := s.fleet.Delegates(now, region); len(delegates) > 0 {
 			round.exchanges = append(round.exchanges, s.newExchange(delegates[min(position, len(delegates)-1)], exchange))
 		}
--- a/internal/edge/regions_in_use.go
+++ b/internal/edge/regions_in_use.go
@@ -38,6 +38,11 @@
 	return regions
 }
 
+// otherRegions returns all regions but this instance's own.
+func (e *Edge) otherRegions() []string {
+	return slices.DeleteFunc(slices.Clone(e.regions), func(region string) bool { return region == e.settings.Region })
+}
+
 // recordPinnedUse notes in which regions requests had to run; demand is that of this
 // instance.
 func (s *state) recordPinnedUse(now time.Time, demand []fleet.UpstreamDemand) {
--- a/internal/edge/regions_in_use_test.go
+++ b/internal/edge/regions_in_use_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,8 +17,8 @@
 	g := NewWithT(t)
 	sim := newLimitSimulation(1, 2, 1, 3)
 	sim.run(5*time.Second, 0)
-	own, busy := sim.instances[0], sim.instances[len(sim.instances)-1]
-	g.Expect(own.settings.Region).NotTo(Equal(busy.settings.Region))
+	own := sim.instances[slices.IndexFunc(sim.instances, func(e *Edge) bool { return !e.state.fleet.IsDelegate(sim.now) })]
+	busy := sim.instances[slices.IndexFunc(sim.instances, func(e *Edge) bool { return e.settings.Region != own.settings.Region })]
 	record := limitedEndpoint
 	record.ID, record.Zone = "remote", busy.settings.Zone
 	for _, e := range sim.instances {
--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -71,8 +71,9 @@
 
 // DigestsForMember returns the digests of all regions in reply to a report from a member
 // of this region. That of this region is made now. Members that the receiver already
-// knows are left out. Unless the report names a region, only what its instances have in flight
-// at the endpoints of this region is left of their endpoint loads.
+// knows are left out, as are the endpoint loads of other regions unless the report names
+// the region. What their instances have in flight at the endpoints of this region is then
+// added to its own loads.
 func (v *View) DigestsForMember(now time.Time, own Activity, report Report) []Digest {
 	digests := []Digest{v.LocalDigest(now, own)}
 	for region := range v.digests {
@@ -81,7 +82,9 @@
 			continue
 		}
 		if !slices.Contains(report.UsedRegions, region) {
-			digest.Activity.EndpointLoads, digest.Activity.Speeds = v.loadsOfLocalEndpoints(digest.Activity.EndpointLoads), nil
+			local := &digests[0].Activity
+			local.EndpointLoads = append(local.EndpointLoads, v.loadsOfLocalEndpoints(digest)...)
+			digest.Activity.EndpointLoads, digest.Activity.Speeds = nil, nil
 		}
 		digest.Activity.WorkspaceDemand, digest.Activity.SlotDemand = nil, nil // the totals contain them
 		digests = append(digests, digest)
@@ -97,12 +100,15 @@
 	}
 }
 
-// loadsOfLocalEndpoints returns the loads of endpoints in this instance's region. Without those
-// that other regions cause, the members would find room at endpoints that are full, and crowd
-// out the requests of these regions.
-func (v *View) loadsOfLocalEndpoints(loads []EndpointLoad) []EndpointLoad {
+// loadsOfLocalEndpoints returns what another region has in flight at the endpoints of this
+// instance's region. Without it, members would find room at endpoints that are full, and crowd
+// out the requests of that region.
+func (v *View) loadsOfLocalEndpoints(digest Digest) []EndpointLoad {
+	if digest.AgeMillis > digestLifetime.Milliseconds() {
+		return nil
+	}
 	var local []EndpointLoad
-	for _, load := range loads {
+	for _, load := range digest.Activity.EndpointLoads {
 		if _, found := v.localEndpoints[load.Endpoint]; found {
 			local = append(local, load)
 		}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -333,11 +333,19 @@
 		view.SetLocalEndpoints([]fleet.EndpointKey{fleet.KeyOf("local")})
 		southern := append(loadOf("local", 3).EndpointLoads, loadOf("southern", 2).EndpointLoads...)
 		view.ApplyDigest(start, fleet.Digest{Region: "south", MembersHash: 11, Activity: fleet.Activity{EndpointLoads: southern}}, fleet.Activity{})
-		for _, digest := range view.DigestsForMember(start, fleet.Activity{}, fleet.Report{}) {
-			if digest.Region == "south" {
-				Expect(digest.Activity.EndpointLoads).To(Equal(loadOf("local", 3).EndpointLoads))
+		own := loadOf("local", 1)
+		inFlight := func(report fleet.Report, after time.Duration) map[fleet.EndpointKey]int {
+			loads := make(map[fleet.EndpointKey]int)
+			for _, digest := range view.DigestsForMember(start.Add(after), own, report) {
+				for _, load := range digest.Activity.EndpointLoads {
+					loads[load.Endpoint] += load.InFlight
+				}
 			}
+			return loads
 		}
+		Expect(inFlight(fleet.Report{}, 0)).To(Equal(loadsByKey(map[string]int{"local": 4})))
+		Expect(inFlight(fleet.Report{UsedRegions: []string{"south"}}, 0)).To(Equal(loadsByKey(map[string]int{"local": 4, "southern": 2})))
+		Expect(inFlight(fleet.Report{}, 4*time.Second)).To(Equal(loadsByKey(map[string]int{"local": 1})), "the region's digest has expired")
 	})
 
 	It("relays a digest to a delegate that lacks it or has a much older one", func() {
