--- a/internal/edge/late_requests.go
+++ b/internal/edge/late_requests.go
@@ -9,7 +9,8 @@
 	"lovagescale/internal/refusal"
 )
 
-// longestRunFactor is how many times as long as a usual first run a request counts at most.
+// longestRunFactor is how many times as long as a usual first run a request that may be
+// repeated is expected to take at most. One that takes longer may be cut.
 const longestRunFactor = 3
 
 // refuseLate refuses a request, before anything is passed on, that may still be at work when
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -117,7 +117,8 @@
 		}
 	}
 	if position >= 0 {
-		// The reply must not replace what an exchange brought of another region by less.
+		// A digest in the reply replaces an older one that an exchange brought, so it must
+		// have the endpoint loads too.
 		round.report.UsedRegions = s.edge.otherRegions()
 	}
 	round.packed = s.packReports(round)
--- a/internal/edge/regions_in_use.go
+++ b/internal/edge/regions_in_use.go
@@ -13,7 +13,8 @@
 // endpoints between two of them, they would be sent to endpoints whose slots are taken.
 const pinnedUseLifetime = 15 * time.Second
 
-// regionsInUse returns the other regions to which this instance sends requests.
+// regionsInUse returns the other regions to which this instance sends requests, and of whose
+// endpoints it therefore needs the loads.
 func (s *state) regionsInUse(now time.Time) []string {
 	inUse := make(map[string]bool)
 	for _, shares := range s.edge.balancer.Shares() {
