--- /dev/null
+++ b/review/second/platform/endpoint.go
@@ -0,0 +1,245 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// run is a request at an endpoint.
+type run struct {
+	id, method, target, tenant, endpoint, body string
+	arrivedAt, beganAt, endedAt                time.Time
+	// executed is set if the endpoint began to work on the request.
+	executed bool
+	status   int
+	// brokeOff is set if the endpoint itself ended the connection within its answer or before.
+	brokeOff bool
+	// dropped is set if the caller closed the connection before the answer was written.
+	dropped bool
+	sent    string
+}
+
+// runs is what all endpoints together have seen.
+type runs struct {
+	mu   sync.Mutex
+	all  []*run
+	byID map[string][]*run
+}
+
+func newRuns() *runs { return &runs{byID: map[string][]*run{}} }
+
+func (r *runs) add(x *run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.all = append(r.all, x)
+	r.byID[x.id] = append(r.byID[x.id], x)
+}
+
+// endpoint is a stand-in of an endpoint: it works on as many requests as it has slots and
+// lets a few more wait.
+type endpoint struct {
+	id, service, zone, address string
+	slots                      int
+	born                       int64
+	seen                       *runs
+	tokens                     chan struct{}
+	// work returns how long the endpoint works on a request.
+	work func(x *run) time.Duration
+	// size returns the size of an answer, mood how it is given; "" stands for a plain answer.
+	size func(x *run) int
+	mood func(x *run) string
+
+	mu               sync.Mutex
+	seq              int
+	running, waiting int
+}
+
+func newEndpoint(id, service, zone string, slots int, seen *runs) (*endpoint, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots,
+		born: time.Now().UnixMilli(), seen: seen, tokens: make(chan struct{}, slots),
+		work: func(*run) time.Duration { return 20 * time.Millisecond },
+		size: func(*run) int { return rand.IntN(3000) }, mood: func(*run) string { return "" }}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return e, nil
+}
+
+// register writes the endpoint's entry into the store.
+func (e *endpoint) register(s *store, state string) {
+	e.mu.Lock()
+	e.seq++
+	seq := e.seq
+	e.mu.Unlock()
+	s.put("servers/"+e.id, map[string]any{"service": e.service, "addr": e.address, "zone": e.zone, "version": "v1",
+		"slots": e.slots, "state": state, "cold-left-s": 0, "seq": seq, "born": e.born})
+}
+
+func (e *endpoint) load() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", e.running, e.waiting, e.slots)
+}
+
+func (e *endpoint) count(running, waiting int) {
+	e.mu.Lock()
+	e.running += running
+	e.waiting += waiting
+	e.mu.Unlock()
+}
+
+func (e *endpoint) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		x := &run{id: r.Header.Get("Attempt-Id"), method: r.Method, target: r.RequestURI, tenant: r.Header.Get("Tenant"),
+			endpoint: e.id, body: string(body), arrivedAt: time.Now()}
+		if named := r.Header.Get("Target-Instance"); named != "" && named != e.id {
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nAttempt-Id: %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", x.id, e.id)
+			continue
+		}
+		e.seen.add(x)
+		if !e.run(c, reader, x) {
+			return
+		}
+	}
+}
+
+// run works on a request and answers it. It reports whether the connection stays open.
+func (e *endpoint) run(c net.Conn, reader *bufio.Reader, x *run) bool {
+	gone := make(chan struct{})
+	stop := make(chan struct{})
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		if _, err := reader.Peek(1); err != nil {
+			select {
+			case <-stop:
+			default:
+				close(gone)
+			}
+		}
+	}()
+	defer func() {
+		close(stop)
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		<-watched
+		_ = c.SetReadDeadline(time.Time{})
+	}()
+	if mood := e.mood(x); mood == "shed" {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", x.id, e.load())
+		x.status = 503
+		return err == nil
+	}
+	e.count(0, 1)
+	select {
+	case e.tokens <- struct{}{}:
+		e.count(1, -1)
+	case <-gone:
+		e.count(0, -1)
+		x.dropped = true
+		return false
+	}
+	defer func() { <-e.tokens; e.count(-1, 0) }()
+	x.executed, x.beganAt = true, time.Now()
+	timer := time.NewTimer(e.work(x))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-gone:
+		x.dropped, x.endedAt = true, time.Now()
+		return false
+	}
+	x.endedAt = time.Now()
+	return e.answer(c, x)
+}
+
+func (e *endpoint) answer(c net.Conn, x *run) bool {
+	x.status = 200
+	x.sent = "done " + x.id + " by " + e.id + " " + padding(e.size(x))
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s.%s\r\nServer-Load: %s\r\n", x.id, e.id, x.id, e.load())
+	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(x.sent), x.sent)
+	switch e.mood(x) {
+	case "unframed":
+		_, _ = io.WriteString(c, head+"Connection: close\r\n\r\n"+x.sent)
+		return false
+	case "chunked":
+		_, err := fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(x.sent), x.sent)
+		return err == nil
+	case "close":
+		_, _ = fmt.Fprintf(c, "%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(x.sent), x.sent)
+		return false
+	case "extra":
+		_, _ = io.WriteString(c, whole)
+		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
+		_, err := io.WriteString(c, whole)
+		return err == nil
+	case "slowly":
+		for part := range pieces(whole, 5) {
+			if _, err := io.WriteString(c, part); err != nil {
+				return false
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+		return true
+	case "lost":
+		x.brokeOff = true
+		return false
+	case "cut":
+		x.brokeOff = true
+		_, _ = io.WriteString(c, whole[:len(whole)-5])
+		return false
+	case "fail":
+		x.status, x.sent = 500, "failed "+x.id
+		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: %s\r\nResponse-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", x.id, e.id, x.id, len(x.sent), x.sent)
+		return err == nil
+	}
+	_, err := io.WriteString(c, whole)
+	return err == nil
+}
+
+func padding(n int) string {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = 'a' + byte(i%26)
+	}
+	return string(b)
+}
+
+// pieces yields the text in n parts.
+func pieces(text string, n int) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		size := max(len(text)/n, 1)
+		for len(text) > 0 {
+			part := text[:min(size, len(text))]
+			text = text[len(part):]
+			if !yield(part) {
+				return
+			}
+		}
+	}
+}
