Add review case 7: a request whose callers leave crashes endpoints without end

Cause: an attempt that ends because its caller has left is recorded as abandoned, and whether its endpoint crashed is never checked, so that the request gets no strikes.

--- a/review/second/platform/endpoint.go
+++ b/review/second/platform/endpoint.go
@@ -55,11 +55,22 @@
 	size func(x *run) int
 	mood func(x *run) string
 
+	// fatal reports whether a request crashes the endpoint, which it does crashAfter after it
+	// began, whether or not its caller is still there.
+	fatal   func(x *run) bool
+	crashed func(at time.Time)
+
+	listener         net.Listener
 	mu               sync.Mutex
 	seq              int
 	running, waiting int
+	conns            map[net.Conn]bool
+	down             bool
 }
 
+// crashAfter is how long an endpoint works on a request that crashes it.
+const crashAfter = 300 * time.Millisecond
+
 func newEndpoint(id, service, zone string, slots int, seen *runs) (*endpoint, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -68,19 +79,50 @@
 	e := &endpoint{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots,
 		born: time.Now().UnixMilli(), seen: seen, tokens: make(chan struct{}, slots),
 		work: func(*run) time.Duration { return 20 * time.Millisecond },
-		size: func(*run) int { return rand.IntN(3000) }, mood: func(*run) string { return "" }}
+		size: func(*run) int { return rand.IntN(3000) }, mood: func(*run) string { return "" },
+		fatal: func(*run) bool { return false }, crashed: func(time.Time) {}, listener: l, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go e.serve(c)
+			if e.keep(c) {
+				go e.serve(c)
+			}
 		}
 	}()
 	return e, nil
 }
 
+// keep notes a connection, so that a crash ends it.
+func (e *endpoint) keep(c net.Conn) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		_ = c.Close()
+		return false
+	}
+	e.conns[c] = true
+	return true
+}
+
+// crash ends the endpoint with all its connections.
+func (e *endpoint) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return
+	}
+	e.down = true
+	_ = e.listener.Close()
+	for c := range e.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	e.crashed(time.Now())
+}
+
 // register writes the endpoint's entry into the store.
 func (e *endpoint) register(s *store, state string) {
 	e.mu.Lock()
@@ -105,7 +147,12 @@
 }
 
 func (e *endpoint) serve(c net.Conn) {
-	defer c.Close()
+	defer func() {
+		e.mu.Lock()
+		delete(e.conns, c)
+		e.mu.Unlock()
+		_ = c.Close()
+	}()
 	reader := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(reader)
@@ -166,6 +213,12 @@
 	}
 	defer func() { <-e.tokens; e.count(-1, 0) }()
 	x.executed, x.beganAt = true, time.Now()
+	if e.fatal(x) {
+		time.Sleep(crashAfter)
+		x.brokeOff = true
+		e.crash()
+		return false
+	}
 	timer := time.NewTimer(e.work(x))
 	defer timer.Stop()
 	select {
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -23,6 +23,12 @@
 			fmt.Fprintln(os.Stderr, err)
 		}
 		os.Exit(code)
+	case "poison":
+		code, err := poisonCase(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0", os.Stdout)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+		os.Exit(code)
 	default:
 		err = fmt.Errorf("unknown case %q", os.Args[1])
 	}
--- a/review/second/platform/stress.go
+++ b/review/second/platform/stress.go
@@ -160,6 +160,12 @@
 	end := time.Now().Add(time.Duration(seconds) * time.Second)
 	for turn := 0; time.Now().Before(end); turn++ {
 		m := f.machines[turn%len(f.machines)]
+		if hard && turn%2 == 1 {
+			if err := f.disturb(s, m); err != nil {
+				return err
+			}
+			continue
+		}
 		switch turn % 3 {
 		case 0, 1:
 			m.stop(6 * time.Second)
@@ -185,6 +191,28 @@
 	return nil
 }
 
+// disturb kills a machine, lets it stand still, or turns it away from the store.
+func (f *fleet) disturb(s *store, m *machine) error {
+	switch rand.IntN(3) {
+	case 0:
+		m.signal(syscall.SIGKILL)
+		<-m.exited
+		if err := f.start(m); err != nil {
+			return err
+		}
+		m.awaitReady(10 * time.Second)
+	case 1:
+		m.signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(rand.IntN(3000)) * time.Millisecond)
+		m.signal(syscall.SIGCONT)
+	case 2:
+		s.setSilent(m.store, true)
+		time.Sleep(time.Duration(rand.IntN(4000)) * time.Millisecond)
+		s.setSilent(m.store, false)
+	}
+	return nil
+}
+
 // judge prints what broke a rule.
 func judge(f *fleet, rec *record, seen *runs) {
 	seen.mu.Lock()
