Add review cases 7 and 9: a request that crashes endpoints without end

Cause of 7: a strike counts once for each id of an endpoint, so that an object whose requests go to two endpoints which keep their ids never gets the third one. Cause of 9: strikes are kept only in the processes and are lost when all of them are killed. The case of callers that leave is now 8.

--- a/review/second/platform/caller.go
+++ b/review/second/platform/caller.go
@@ -16,9 +16,11 @@
 // attempt is one attempt of a caller.
 type attempt struct {
 	id, method, target, body, tenant, machine string
-	idempotent                                bool
-	deadline                                  time.Duration
-	sentAt, lastByteAt, endedAt               time.Time
+	// object is the affinity key, or "".
+	object                      string
+	idempotent                  bool
+	deadline                    time.Duration
+	sentAt, lastByteAt, endedAt time.Time
 	// status is 0 if the connection ended without a whole answer.
 	status int
 	answer string
@@ -54,6 +56,9 @@
 func (c *connection) close() { _ = c.conn.Close() }
 
 func (a *attempt) head(host, key, framing string) string {
+	if a.object != "" {
+		framing = "Cookie: Affinity-Key=" + a.object + "\r\n" + framing
+	}
 	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nAuthorization: Token %s\r\n%s\r\n",
 		a.method, a.target, host, a.id, a.deadline.Milliseconds(), key, framing)
 }
--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -46,6 +46,9 @@
 	machines        []*machine
 }
 
+// given are the addresses that freePorts has returned.
+var given = map[string]bool{}
+
 // freePorts returns loopback addresses that were free just now. Their ports are below those that
 // the system gives to outgoing connections, so that none of these takes one before it is used.
 func freePorts(n int) []string {
@@ -54,10 +57,14 @@
 	var addresses []string
 	for len(addresses) < n {
 		address := fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(last-first))
+		if given[address] {
+			continue
+		}
 		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
+		given[address] = true
 		listeners = append(listeners, l)
 		addresses = append(addresses, address)
 	}
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -12,23 +12,27 @@
 		fmt.Fprintln(os.Stderr, "usage: lab CASE PROGRAM FOLDER [ARGUMENT]")
 		os.Exit(2)
 	}
+	trouble := os.Getenv("TROUBLE") != "0"
 	var err error
 	switch os.Args[1] {
 	case "stress":
 		seconds, _ := strconv.Atoi(os.Args[4])
 		err = stress(os.Args[2], os.Args[3], seconds, len(os.Args) > 5)
+	case "quota":
+		seconds, _ := strconv.Atoi(os.Args[5])
+		err = quotaTrial(os.Args[2], os.Args[3], os.Args[4], seconds, os.Stdout)
 	case "slow-readers":
-		code, err := slowReadersCase(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0", os.Stdout)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
+		exit(slowReadersCase(os.Args[2], os.Args[3], trouble, os.Stdout))
+	case "poison-leave":
+		exit(poisonCase(os.Args[2], os.Args[3], poison{times: soon, leave: trouble}, os.Stdout))
+	case "poison-kill":
+		p := poison{times: afterKill}
+		if trouble {
+			p.killBefore = 5
 		}
-		os.Exit(code)
-	case "poison":
-		code, err := poisonCase(os.Args[2], os.Args[3], os.Getenv("TROUBLE") != "0", os.Stdout)
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-		}
-		os.Exit(code)
+		exit(poisonCase(os.Args[2], os.Args[3], p, os.Stdout))
+	case "poison-same-id":
+		exit(poisonCase(os.Args[2], os.Args[3], poison{times: steadily, sticky: true, sameID: trouble}, os.Stdout))
 	default:
 		err = fmt.Errorf("unknown case %q", os.Args[1])
 	}
@@ -37,3 +41,10 @@
 		os.Exit(2)
 	}
 }
+
+func exit(code int, err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(code)
+}
