--- a/review/second/platform/caller.go
+++ b/review/second/platform/caller.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"time"
 )
@@ -25,14 +24,9 @@
 	status int
 	answer string
 	stamp  string
-	// partial is set if the answer began.
-	partial bool
 	// err is why there is no answer. gaveUp is set if the caller itself closed.
 	err    string
 	gaveUp bool
-	// position is the number of requests that were sent before on the connection.
-	position int
-	kept     bool
 }
 
 // connection is a caller's connection.
@@ -40,9 +34,6 @@
 	conn   net.Conn
 	reader *bufio.Reader
 	m      *machine
-	used   int
-	// closing is set once an answer said that the connection ends.
-	closing bool
 }
 
 func dial(m *machine) (*connection, error) {
@@ -63,35 +54,20 @@
 		a.method, a.target, host, a.id, a.deadline.Milliseconds(), key, framing)
 }
 
-// encode returns the bytes of the request, its body in chunks if asked.
-func (a *attempt) encode(host, key string, chunked bool) string {
-	switch {
-	case a.body == "" && a.method == "GET":
+// encode returns the bytes of the request.
+func (a *attempt) encode(host, key string) string {
+	if a.body == "" {
 		return a.head(host, key, "")
-	case !chunked:
-		return a.head(host, key, fmt.Sprintf("Content-Length: %d\r\n", len(a.body))) + a.body
 	}
-	text := a.head(host, key, "Transfer-Encoding: chunked\r\n")
-	for part := range pieces(a.body, 3) {
-		text += fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-	}
-	return text + "0\r\n\r\n"
+	return a.head(host, key, fmt.Sprintf("Content-Length: %d\r\n", len(a.body))) + a.body
 }
 
-// send writes the bytes in the given number of parts with a pause between them.
-func (c *connection) send(a *attempt, text string, parts int, pause time.Duration) error {
-	a.machine, a.sentAt, a.position, a.kept = c.m.name, time.Now(), c.used, c.used > 0
-	c.used++
-	for part := range pieces(text, parts) {
-		if _, err := io.WriteString(c.conn, part); err != nil {
-			return err
-		}
-		a.lastByteAt = time.Now()
-		if parts > 1 {
-			time.Sleep(pause)
-		}
-	}
-	return nil
+// send writes the bytes of a request.
+func (c *connection) send(a *attempt, text string) error {
+	a.machine, a.sentAt = c.m.name, time.Now()
+	_, err := io.WriteString(c.conn, text)
+	a.lastByteAt = time.Now()
+	return err
 }
 
 // receive reads the answer of an attempt until the given time.
@@ -102,7 +78,6 @@
 		a.fail(err)
 		return
 	}
-	a.partial = true
 	r, err := http.ReadResponse(c.reader, &http.Request{Method: a.method})
 	if err != nil {
 		a.fail(err)
@@ -113,7 +88,6 @@
 		a.fail(err)
 		return
 	}
-	c.closing = c.closing || r.Close
 	a.status, a.answer, a.stamp = r.StatusCode, string(body), r.Header.Get("Response-Stamp")
 }
 
@@ -133,5 +107,3 @@
 	r.all = append(r.all, a)
 	r.mu.Unlock()
 }
-
-func firstWord(text string) string { word, _, _ := strings.Cut(text, " "); return word }
--- a/review/second/platform/endpoint.go
+++ b/review/second/platform/endpoint.go
@@ -51,9 +51,8 @@
 	tokens                     chan struct{}
 	// work returns how long the endpoint works on a request.
 	work func(x *run) time.Duration
-	// size returns the size of an answer, mood how it is given; "" stands for a plain answer.
+	// size returns the size of an answer.
 	size func(x *run) int
-	mood func(x *run) string
 
 	// fatal reports whether a request crashes the endpoint, which it does crashAfter after it
 	// began, whether or not its caller is still there.
@@ -78,8 +77,8 @@
 	}
 	e := &endpoint{id: id, service: service, zone: zone, address: l.Addr().String(), slots: slots,
 		born: time.Now().UnixMilli(), seen: seen, tokens: make(chan struct{}, slots),
-		work: func(*run) time.Duration { return 20 * time.Millisecond },
-		size: func(*run) int { return rand.IntN(3000) }, mood: func(*run) string { return "" },
+		work:  func(*run) time.Duration { return 20 * time.Millisecond },
+		size:  func(*run) int { return rand.IntN(3000) },
 		fatal: func(*run) bool { return false }, crashed: func(time.Time) {}, listener: l, conns: map[net.Conn]bool{}}
 	go func() {
 		for {
@@ -197,11 +196,6 @@
 		<-watched
 		_ = c.SetReadDeadline(time.Time{})
 	}()
-	if mood := e.mood(x); mood == "shed" {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nServer-Load: %s\r\nContent-Length: 0\r\n\r\n", x.id, e.load())
-		x.status = 503
-		return err == nil
-	}
 	e.count(0, 1)
 	select {
 	case e.tokens <- struct{}{}:
@@ -234,44 +228,8 @@
 func (e *endpoint) answer(c net.Conn, x *run) bool {
 	x.status = 200
 	x.sent = "done " + x.id + " by " + e.id + " " + padding(e.size(x))
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s.%s\r\nServer-Load: %s\r\n", x.id, e.id, x.id, e.load())
-	whole := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(x.sent), x.sent)
-	switch e.mood(x) {
-	case "unframed":
-		_, _ = io.WriteString(c, head+"Connection: close\r\n\r\n"+x.sent)
-		return false
-	case "chunked":
-		_, err := fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(x.sent), x.sent)
-		return err == nil
-	case "close":
-		_, _ = fmt.Fprintf(c, "%sConnection: close\r\nContent-Length: %d\r\n\r\n%s", head, len(x.sent), x.sent)
-		return false
-	case "extra":
-		_, _ = io.WriteString(c, whole)
-		time.Sleep(time.Duration(rand.IntN(30)) * time.Millisecond)
-		_, err := io.WriteString(c, whole)
-		return err == nil
-	case "slowly":
-		for part := range pieces(whole, 5) {
-			if _, err := io.WriteString(c, part); err != nil {
-				return false
-			}
-			time.Sleep(30 * time.Millisecond)
-		}
-		return true
-	case "lost":
-		x.brokeOff = true
-		return false
-	case "cut":
-		x.brokeOff = true
-		_, _ = io.WriteString(c, whole[:len(whole)-5])
-		return false
-	case "fail":
-		x.status, x.sent = 500, "failed "+x.id
-		_, err := fmt.Fprintf(c, "HTTP/1.1 500 Internal Server Error\r\nAttempt-Id: %s\r\nResponse-Stamp: %s.%s\r\nContent-Length: %d\r\n\r\n%s", x.id, e.id, x.id, len(x.sent), x.sent)
-		return err == nil
-	}
-	_, err := io.WriteString(c, whole)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nResponse-Stamp: %s.%s\r\nServer-Load: %s\r\nContent-Length: %d\r\n\r\n%s",
+		x.id, e.id, x.id, e.load(), len(x.sent), x.sent)
 	return err == nil
 }
 
@@ -282,17 +240,3 @@
 	}
 	return string(b)
 }
-
-// pieces yields the text in n parts.
-func pieces(text string, n int) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		size := max(len(text)/n, 1)
-		for len(text) > 0 {
-			part := text[:min(size, len(text))]
-			text = text[len(part):]
-			if !yield(part) {
-				return
-			}
-		}
-	}
-}
--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -28,8 +28,6 @@
 	mu      sync.Mutex
 	command *exec.Cmd
 	exited  chan struct{}
-	// stops are the times of planned stops, starts those of starts.
-	stops, hups, starts []time.Time
 }
 
 // npjsBounds are the bounds of the deployment of the lectures.
@@ -74,6 +72,7 @@
 	return addresses
 }
 
+// newFleet returns a fleet with perZone machines in each zone, which are not started yet.
 func newFleet(program, folder string, zones []zone, perZone int, bounds []string, s *store) (*fleet, error) {
 	f := &fleet{program: program, folder: folder, bounds: bounds, zones: zones}
 	for _, z := range zones {
@@ -137,7 +136,6 @@
 	exited := make(chan struct{})
 	m.mu.Lock()
 	m.command, m.exited = c, exited
-	m.starts = append(m.starts, time.Now())
 	m.mu.Unlock()
 	go func() { _ = c.Wait(); close(exited) }()
 	return nil
@@ -146,13 +144,6 @@
 func (m *machine) signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := time.Now()
-	switch s {
-	case syscall.SIGTERM:
-		m.stops = append(m.stops, now)
-	case syscall.SIGHUP:
-		m.hups = append(m.hups, now)
-	}
 	_ = m.command.Process.Signal(s)
 }
 
--- a/review/second/platform/poison.go
+++ b/review/second/platform/poison.go
@@ -124,7 +124,7 @@
 				}
 				n := next.Add(1)
 				a := &attempt{id: fmt.Sprintf("%016x", n), method: "GET", target: fmt.Sprint("/read/", n%500), idempotent: true, deadline: 2500 * time.Millisecond, object: fmt.Sprint(n % 79)}
-				if c.send(a, a.encode(host, key, false), 1, 0) == nil {
+				if c.send(a, a.encode(host, key)) == nil {
 					c.receive(a, a.sentAt.Add(a.deadline+time.Second))
 				}
 				rec.add(a)
@@ -165,7 +165,7 @@
 			if p.leave {
 				wait = leavesAfter
 			}
-			if c.send(a, a.encode(host, key, false), 1, 0) == nil {
+			if c.send(a, a.encode(host, key)) == nil {
 				c.receive(a, a.sentAt.Add(wait))
 			}
 			if a.gaveUp {
--- a/review/second/platform/slowreaders.go
+++ b/review/second/platform/slowreaders.go
@@ -91,7 +91,7 @@
 			reader := bufio.NewReaderSize(slowConn{c}, readBytes)
 			request := func(n int) *attempt {
 				return &attempt{id: fmt.Sprintf("%08x%08x", i+1, n), method: "GET", target: fmt.Sprintf("/bundle/%d-%d", i, n), idempotent: true,
-					deadline: bundleDeadline, machine: m.name, kept: n > 0}
+					deadline: bundleDeadline, machine: m.name}
 			}
 			first, second, third := request(1), request(2), request(3)
 			send := func(text string, all ...*attempt) error {
@@ -101,7 +101,7 @@
 				}
 				return err
 			}
-			err = send(first.encode(host, key, false)+second.encode(host, key, false), first, second)
+			err = send(first.encode(host, key)+second.encode(host, key), first, second)
 			log("caller %d sends requests %s and %s", i, first.id, second.id)
 			sent <- struct{}{}
 			if err != nil {
@@ -110,7 +110,7 @@
 			}
 			for n, a := range []*attempt{first, second, third} {
 				if n == 1 { // the first answer is in, so that there is room for one more request
-					if err := send(third.encode(host, key, false), third); err != nil {
+					if err := send(third.encode(host, key), third); err != nil {
 						log("caller %d cannot send request %s: %v", i, third.id, err)
 					} else {
 						log("caller %d sends request %s", i, third.id)
--- a/review/second/platform/store.go
+++ b/review/second/platform/store.go
@@ -26,14 +26,8 @@
 	ends time.Time
 }
 
-// access is how the store treats the calls that arrive at one of its addresses.
-type access struct {
-	// silent calls get no answer and are not carried out.
-	silent bool
-}
-
 // store is a stand-in of the platform's metadata store. It listens at one address for each
-// machine, so that it can turn single machines away.
+// machine.
 type store struct {
 	mu       sync.Mutex
 	revision uint64
@@ -41,11 +35,10 @@
 	history  []item
 	leases   map[uint64]lease
 	changed  chan struct{}
-	access   map[string]*access
 }
 
 func newStore() *store {
-	return &store{revision: 10, items: map[string]item{}, leases: map[uint64]lease{}, changed: make(chan struct{}), access: map[string]*access{}}
+	return &store{revision: 10, items: map[string]item{}, leases: map[uint64]lease{}, changed: make(chan struct{})}
 }
 
 // listen serves the store at a free loopback address and returns that.
@@ -55,23 +48,10 @@
 		return "", err
 	}
 	address := l.Addr().String()
-	a := &access{}
-	s.mu.Lock()
-	s.access[address] = a
-	s.mu.Unlock()
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(a, w, r) }))
-	}()
+	go func() { _ = http.Serve(l, http.HandlerFunc(s.serve)) }()
 	return address, nil
 }
 
-func (s *store) setSilent(address string, silent bool) {
-	s.mu.Lock()
-	s.access[address].silent = silent
-	s.wake()
-	s.mu.Unlock()
-}
-
 func (s *store) wake() { close(s.changed); s.changed = make(chan struct{}) }
 
 func (s *store) write(i item) uint64 {
@@ -133,16 +113,9 @@
 	return keys
 }
 
-func (s *store) serve(a *access, w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	silent := a.silent
-	s.mu.Unlock()
-	if silent {
-		<-r.Context().Done()
-		return
-	}
+func (s *store) serve(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/kv-watch" {
-		s.watch(a, w, r)
+		s.watch(w, r)
 		return
 	}
 	s.mu.Lock()
@@ -248,7 +221,7 @@
 	return 200, map[string]any{"revision": s.revision}
 }
 
-func (s *store) watch(a *access, w http.ResponseWriter, r *http.Request) {
+func (s *store) watch(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
 	millis, _ := strconv.Atoi(query.Get("wait-ms"))
@@ -263,12 +236,8 @@
 				events = append(events, i)
 			}
 		}
-		revision, changed, silent := s.revision, s.changed, a.silent
+		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
-		if silent {
-			<-r.Context().Done()
-			return
-		}
 		if len(events) > 0 {
 			answer(w, 200, map[string]any{"events": events, "store-revision": revision})
 			return
