--- a/review/second/platform/poison.go
+++ b/review/second/platform/poison.go
@@ -66,7 +66,7 @@
 	log := func(format string, args ...any) {
 		mu.Lock()
 		defer mu.Unlock()
-		fmt.Fprintf(out, "%7.3f s  %s\n", time.Since(begin).Seconds(), fmt.Sprintf(format, args...))
+		fmt.Fprintf(out, "%6d ms  %s\n", time.Since(begin).Milliseconds(), fmt.Sprintf(format, args...))
 	}
 	var crashes []time.Time
 	var number atomic.Int64
@@ -208,9 +208,9 @@
 			late[x.id] = true
 			mark = "  (later than contact-s after the third crash)"
 		}
-		fmt.Fprintf(out, "%7.3f s  request %s reaches endpoint %s%s\n", x.arrivedAt.Sub(begin).Seconds(), x.id, x.endpoint, mark)
+		fmt.Fprintf(out, "%6d ms  request %s reaches endpoint %s%s\n", x.arrivedAt.Sub(begin).Milliseconds(), x.id, x.endpoint, mark)
 	}
-	fmt.Fprintf(out, "%d crashes, the third at %.3f s; the request reached endpoints in %d retries later than contact-s after it\n", len(crashes), crashes[2].Sub(begin).Seconds(), len(late))
+	fmt.Fprintf(out, "%d crashes, the third at %d ms; the request reached endpoints in %d retries later than contact-s after it\n", len(crashes), crashes[2].Sub(begin).Milliseconds(), len(late))
 	if len(late) > 3 {
 		return 1
 	}
