Add tests of callers that do not behave, at every listener

The crowds, the lowered limits (120 MB, 600 descriptors of which 400 are for sockets) and the checks are fixed here, before the product changes: the process lives, its resident memory and what the kernel holds unread and unsent stay within the memory, its sockets within the descriptors, and ordinary requests to all of its listeners are served while the crowd stays and afterwards.

lovage-entry and lovage-lookup read memory_mb and max_descriptors; nothing uses them yet.

--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,12 @@
 demo: build
 	examples/demo/demo.sh
 
+# The tests of crowds measure memory and run apart from others, one at a time.
+CROWDS = ./internal/crowd/... ./platform/crowds
+
 test: build
-	go test -count=1 -timeout 10m ./...
+	go test -count=1 -timeout 10m $$(go list ./... | grep -v /crowd)
+	go test -count=1 -timeout 10m -p 1 $(CROWDS)
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -32,7 +32,9 @@
 	StopGrace      unit.Duration `toml:"stop_grace"`
 	MaxBodyBytes   int64         `toml:"max_body_bytes"`
 	MaxHeaderBytes int           `toml:"max_header_bytes"`
-	LogLevel       string        `toml:"log_level"`
+	// Process limits the process.
+	settings.Process
+	LogLevel string `toml:"log_level"`
 	// WatchWait is how long the store holds one watch request for the configuration
 	// open.
 	WatchWait unit.Duration `toml:"store_watch_wait"`
@@ -73,6 +75,7 @@
 	}
 	s.Action.check(document)
 	s.Quota.check(document)
+	s.Process.Check(document)
 	settings.CheckLogLevel(document, s.LogLevel)
 	s.StoreTimeout = cmp.Or(s.StoreTimeout, defaultStoreTimeout)
 	s.StopGrace = cmp.Or(s.StopGrace, defaultStopGrace)
--- a/internal/lookup/server.go
+++ b/internal/lookup/server.go
@@ -44,8 +44,10 @@
 	Address  string `toml:"address"`
 	Operator string `toml:"operator"`
 	// Entries holds the link addresses of the zone's entry instances.
-	Entries  []string `toml:"entries"`
-	LogLevel string   `toml:"log_level"`
+	Entries []string `toml:"entries"`
+	// Process limits the process.
+	settings.Process
+	LogLevel string `toml:"log_level"`
 }
 
 // Level implements settings.Checker.
@@ -62,6 +64,7 @@
 	for _, entry := range s.Entries {
 		settings.RequireAddress(document, entry, "entries")
 	}
+	s.Process.Check(document)
 	settings.CheckLogLevel(document, s.LogLevel)
 }
 
