Bound the connections of each listener, and what the kernel holds for them

A crowd that opens connections and sends nothing, half a head or a head byte by byte took descriptors without a limit at every listener: 508 of 400 with 500 members, at lovage-edge, lovage-entry and lovage-lookup. On a machine with 4,100 the store, the endpoints and all other callers would find none.

Cause: nothing owns what strangers may hold. The HTTP servers and the link accept as long as there are descriptors, and the kernel's buffers grow to megabytes a connection.

Now one plan divides descriptors and kernel buffers among the listeners (internal/listener), from memory-mb and max-fds; the rest is for connections to endpoints, store and peers. The sizes of buffers are set on the listening socket. A full listener closes the connection that makes least progress: one that never carried a request and waits longest, then those between requests, then who takes nothing of an answer. Requests in progress stay; where requests are short the longest one gives way. Connections of callers count toward the memory for clients. Readiness, lookups and operators' ports get timeouts, answer requests with bodies without reading them (the HTTP library read up to 256 KiB before it sent the answer) and read ahead within a limit. The dump has the terms of what is held at most.

The tests of held memory count requests without their connections.

Why it works: what a listener can take is fixed before the first connection, so that it does not depend on who comes.

--- a/cmd/lovage-edge/main.go
+++ b/cmd/lovage-edge/main.go
@@ -64,7 +64,7 @@
 	log := settings.NewLogger(out, args.LogLevel, "lovage-edge")
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	bodymemory.LimitHeap(platformSettings.Edge.MemoryBytes)
+	bodymemory.LimitHeap(platformSettings.Edge.MemoryBytes())
 	instance := edge.New(platformSettings.Edge, platform.NewPorts(platformSettings), log)
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
--- a/cmd/lovage-entry/main.go
+++ b/cmd/lovage-entry/main.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/daemon"
 	"lovagescale/internal/entry"
 )
@@ -15,6 +16,7 @@
 	var s entry.Settings
 	os.Exit(daemon.Main("lovage-entry", "Serves callers' requests on an entry instance.", &s,
 		func(ctx context.Context, log zerolog.Logger) error {
+			bodymemory.LimitHeap(s.Process.MemoryBytes())
 			e, err := entry.New(s, log)
 			if err != nil {
 				return err
--- a/cmd/lovage-lookup/main.go
+++ b/cmd/lovage-lookup/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/daemon"
 	"lovagescale/internal/lookup"
 )
@@ -16,6 +17,7 @@
 	var s lookup.Settings
 	os.Exit(daemon.Main("lovage-lookup", "Tells callers which entry instances to use.", &s,
 		func(ctx context.Context, log zerolog.Logger) error {
+			bodymemory.LimitHeap(s.Process.MemoryBytes())
 			return lookup.NewServer(s, log).Run(ctx)
 		}))
 }
--- a/internal/bodymemory/deliver.go
+++ b/internal/bodymemory/deliver.go
@@ -8,6 +8,10 @@
 
 type connKey struct{}
 
+// enlargeBytes is the size of a response for which a connection gets larger buffers of the
+// kernel, so that it takes few round trips.
+const enlargeBytes = 16 << 10
+
 // ConnContext returns a context from which Deliver finds the caller's connection, if that is
 // a Conn or wraps one and returns it from a method NetConn. It can be used as the ConnContext
 // of an http.Server.
@@ -43,6 +47,9 @@
 	}
 	defer held.Release()
 	if conn, ok := ctx.Value(connKey{}).(Conn); ok {
+		if len(body) > enlargeBytes {
+			conn.Enlarge()
+		}
 		held.StartReading(conn)
 	}
 	_, _ = w.Write(body) // the caller may have disconnected
--- a/internal/bodymemory/memory.go
+++ b/internal/bodymemory/memory.go
@@ -14,13 +14,9 @@
 	"time"
 )
 
-// defaultMemoryBytes is the memory of an instance whose settings state none: that of the
-// smallest instances.
-const defaultMemoryBytes = 184 << 20
-
-// limitDivisor is the divisor of an instance's memory that gives the limit of its Memory.
-// The rest is for the process itself and for garbage that is not collected yet.
-const limitDivisor = 3
+// limitPercent is the part of a process's memory for its Memory. The rest is for the process itself,
+// for garbage that is not collected yet and for the kernel.
+const limitPercent = 33
 
 // Reservations above largeBytes use at most 1-1/smallShareDivisor of the limit.
 const (
@@ -28,14 +24,8 @@
 	smallShareDivisor = 8
 )
 
-// LimitOf returns the limit in bytes for an instance with the given memory, or for one of
-// the smallest instances if memoryBytes is not positive.
-func LimitOf(memoryBytes int64) int64 {
-	if memoryBytes <= 0 {
-		memoryBytes = defaultMemoryBytes
-	}
-	return memoryBytes / limitDivisor
-}
+// LimitOf returns the limit in bytes for a process with the given memory.
+func LimitOf(memoryBytes int64) int64 { return memoryBytes * limitPercent / 100 }
 
 // Kind is what memory is reserved for.
 type Kind uint8
@@ -45,10 +35,20 @@
 	RequestBody Kind = iota
 	Response
 	ReadAhead
+	// Connections are their goroutines and the buffers of the HTTP library.
+	Connections
+	// Buffers are those of the kernel for connections with large bodies or responses.
+	Buffers
 	kindCount
 )
 
-var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead"}
+var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead", "connections", "buffers"}
+
+// AccountLimit returns the largest part of the limit for what can wait or be done without: requests that were read ahead and larger buffers.
+func (m *Memory) AccountLimit() int64 { return m.limit / accountDivisor }
+
+// accountDivisor is the divisor of the limit for AccountLimit.
+const accountDivisor = 4
 
 // String returns the name of the kind in metrics and in the dump.
 func (k Kind) String() string { return kindNames[k] }
@@ -131,6 +131,9 @@
 		m.add(r, n)
 		return nil, nil
 	}
+	if r.optional {
+		return nil, &NoMemoryError{Kind: r.kind, Bytes: n, Limit: m.limit}
+	}
 	disconnected := m.disconnectSlowest(excess)
 	if n > m.limitFor(size)-m.used {
 		return disconnected, &NoMemoryError{Kind: r.kind, Bytes: n, Limit: m.limit}
--- a/internal/bodymemory/memory_test.go
+++ b/internal/bodymemory/memory_test.go
@@ -21,6 +21,7 @@
 func (c *fakeConn) BytesWritten() int64 { return c.written }
 func (c *fakeConn) BytesRead() int64    { return c.read }
 func (c *fakeConn) Disconnect()         { c.disconnected = true }
+func (c *fakeConn) Enlarge()            {}
 
 // newTestMemory returns a Memory with a clock that the test advances.
 func newTestMemory(limit int64) (m *Memory, now *time.Time, disconnections *[]Disconnection) {
--- a/internal/bodymemory/reader.go
+++ b/internal/bodymemory/reader.go
@@ -11,6 +11,8 @@
 	// Disconnect aborts reads and writes, so that the server closes the connection and the
 	// caller finds its response truncated. It must not block.
 	Disconnect()
+	// Enlarge gives the connection larger buffers of the kernel if there is memory for them.
+	Enlarge()
 }
 
 // Reader is a caller to which a response is being written.
--- a/internal/bodymemory/reservation.go
+++ b/internal/bodymemory/reservation.go
@@ -16,6 +16,8 @@
 type Reservation struct {
 	memory *Memory
 	kind   Kind
+	// optional is set for a reservation that others do not give way to.
+	optional bool
 
 	// memory.mu guards what follows.
 	size           int64
--- a/internal/bodymemory/trim.go
+++ b/internal/bodymemory/trim.go
@@ -52,14 +52,17 @@
 	return true
 }
 
-// heapFraction is the fraction of an instance's memory above which the garbage collector
-// runs more often. The rest is for the pages of the program and for the kernel.
-const heapFraction = 0.7
+// heapPercent is the part of the memory of a process that its heap, stacks and garbage may take. The
+// rest is for the pages of the program and for the kernel.
+const heapPercent = 65
+
+// HeapLimit returns what the heap, stacks and garbage of a process with the given memory may take.
+func HeapLimit(memoryBytes int64) int64 { return memoryBytes * heapPercent / 100 }
 
 // LimitHeap makes the garbage collector run more often as the process approaches the memory
 // of its instance. A limit that the operator has set with GOMEMLIMIT stays.
 func LimitHeap(memoryBytes int64) {
 	if memoryBytes > 0 && os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(int64(heapFraction * float64(memoryBytes)))
+		debug.SetMemoryLimit(HeapLimit(memoryBytes))
 	}
 }
--- a/internal/callerconn/callerconn.go
+++ b/internal/callerconn/callerconn.go
@@ -8,11 +8,15 @@
 package callerconn
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"lovagescale/internal/bodymemory"
+	"lovagescale/internal/pipeline"
 )
 
 // minIdleTime is how long nothing must have been read from a caller's connection before a
@@ -31,6 +35,10 @@
 	// requestStartedAt is the time of the first byte of a request that is not being
 	// served yet, in Unix nanoseconds, or 0 before that byte.
 	requestStartedAt atomic.Int64
+	// buffers is the memory for larger buffers of the kernel, or nil for none. enlarging is set
+	// once it was asked for, enlarged while the connection has it.
+	buffers             *bodymemory.Account
+	enlarging, enlarged atomic.Bool
 	// written is the number of bytes written since the accept.
 	written atomic.Int64
 	// disconnected is set by Disconnect. No further request is read then, because its
@@ -39,9 +47,19 @@
 	// waitingSince is when the connection began to wait for a request. Listener.mu
 	// guards it.
 	waitingSince time.Time
-	// expired is set after expire has stopped reads from the connection. Listener.mu
-	// guards it.
-	expired bool
+	// expired is set after expire has stopped reads from the connection, until the next request
+	// begins. Listener.mu guards its changes.
+	expired atomic.Bool
+	// served is set once the connection has carried a request, and activeSince is when the
+	// last one began to be handled. Listener.mu guards them.
+	served      bool
+	activeSince time.Time
+	// writeStartedAt is when the write in progress began, in Unix nanoseconds, or 0.
+	writeStartedAt atomic.Int64
+	// taken is what the caller had taken of all responses at the last sample that found more
+	// than the one before, which was made at progressAt. Listener.mu guards them.
+	taken      int64
+	progressAt time.Time
 }
 
 // Read implements net.Conn.
@@ -75,10 +93,20 @@
 	// closeListener closes the listener once: both a planned stop and then the server
 	// close it.
 	closeListener func() error
+	buffers       *bodymemory.Account
 	mu            sync.Mutex
 	states        map[*Conn]http.ConnState
 }
 
+// ConnContext returns the context of a connection for http.Server.ConnContext, from which packages
+// pipeline and bodymemory find it.
+func ConnContext(ctx context.Context, conn net.Conn) context.Context {
+	if accepted, ok := conn.(*Conn); ok {
+		ctx = pipeline.ConnContext(ctx, accepted.Conn)
+	}
+	return bodymemory.ConnContext(ctx, conn)
+}
+
 func NewListener(listener net.Listener) *Listener {
 	return &Listener{
 		Listener:      listener,
@@ -87,6 +115,10 @@
 	}
 }
 
+// EnlargeWithin lets connections with large bodies or responses have larger buffers of the kernel
+// within the memory of an account. It must be called before the first Accept.
+func (c *Listener) EnlargeWithin(buffers *bodymemory.Account) { c.buffers = buffers }
+
 // Close implements net.Listener. Further calls return the result of the first one.
 func (c *Listener) Close() error { return c.closeListener() }
 
@@ -96,7 +128,7 @@
 	if err != nil {
 		return nil, err
 	}
-	accepted := &Conn{Conn: conn}
+	accepted := &Conn{Conn: conn, buffers: c.buffers}
 	accepted.lastReadAt.Store(time.Now().UnixNano())
 	return accepted, nil
 }
@@ -114,12 +146,13 @@
 		return
 	}
 	c.states[accepted] = state
-	if state != http.StateActive {
+	if state == http.StateActive {
+		accepted.served, accepted.activeSince = true, time.Now()
+	} else {
 		accepted.waitingSince = time.Now()
 		accepted.requestStartedAt.Store(0)
 	}
-	if state == http.StateActive && accepted.expired {
-		accepted.expired = false
+	if state == http.StateActive && accepted.expired.CompareAndSwap(true, false) {
 		_ = accepted.SetReadDeadline(time.Time{}) // fails only if closed, which reads report
 	}
 }
@@ -143,6 +176,15 @@
 
 // expire stops reads from the connection. The caller must hold Listener.mu.
 func (c *Conn) expire() {
-	c.expired = true
-	_ = c.SetReadDeadline(pastDeadline) // fails only if closed, which reads report
+	c.expired.Store(true)
+	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only if closed, which reads report
+}
+
+// SetReadDeadline implements net.Conn. The server, which sets a deadline for the next request, does
+// not let a connection continue that has expired.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	if c.expired.Load() {
+		t = pastDeadline
+	}
+	return c.Conn.SetReadDeadline(t)
 }
--- a/internal/callerconn/callerconn_test.go
+++ b/internal/callerconn/callerconn_test.go
@@ -55,7 +55,7 @@
 	It("stops reads from an idle connection, but not from one that was read a moment ago", func() {
 		conns.Track(conn, http.StateIdle)
 		Expect(conns.ExpireIdle(now.Add(minIdleTime/2))).To(Equal(1), "the goroutine of its request may not have run yet")
-		Expect(conn.expired).To(BeFalse())
+		Expect(conn.expired.Load()).To(BeFalse())
 		conns.ExpireIdle(now.Add(minIdleTime))
 		Expect(readsStopped()).To(BeTrue())
 		conns.Track(conn, http.StateClosed)
@@ -79,7 +79,7 @@
 		conns.Track(conn, http.StateIdle)
 		conns.Track(conn, http.StateActive)
 		Expect(conns.ExpireIdle(now.Add(time.Minute))).To(Equal(1))
-		Expect(conn.expired).To(BeFalse())
+		Expect(conn.expired.Load()).To(BeFalse())
 	})
 
 	Context("with timeouts", func() {
--- a/internal/callerconn/timeouts.go
+++ b/internal/callerconn/timeouts.go
@@ -41,7 +41,7 @@
 	defer c.mu.Unlock()
 	expired := 0
 	for conn, state := range c.states {
-		if state == http.StateActive || conn.expired || !conn.timedOut(now, resumedAt, timeouts) {
+		if state == http.StateActive || conn.expired.Load() || !conn.timedOut(now, resumedAt, timeouts) {
 			continue
 		}
 		conn.expire()
--- a/internal/edge/body_memory.go
+++ b/internal/edge/body_memory.go
@@ -1,10 +1,7 @@
 package edge
 
 import (
-	"context"
 	"net/http"
-	"runtime/debug"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -15,15 +12,11 @@
 	"lovagescale/internal/upstream"
 )
 
-// memoryCheckInterval is the interval of the checks for callers that read nothing and for
-// memory that can be returned to the operating system.
-const memoryCheckInterval = 250 * time.Millisecond
-
-// initMemory creates the memory for bodies with a limit in bytes.
-func (e *Edge) initMemory(limit int64) {
-	e.memory = bodymemory.New(limit)
+// initMemory sets the memory for bodies.
+func (e *Edge) initMemory(memory *bodymemory.Memory) {
+	e.memory = memory
 	e.memory.OnDisconnect(e.recordDisconnection)
-	e.responseSizes = bodymemory.NewSizes(limit)
+	e.responseSizes = bodymemory.NewSizes(memory.Limit())
 }
 
 // holdBody reads the body of a request into memory that is reserved until the request ends.
@@ -111,19 +104,6 @@
 		Dur("age", d.Age).Dur("quiet", d.Quiet).Msg("caller was disconnected because it read its response too slowly")
 }
 
-// watchMemory disconnects stalled callers and returns the memory of a peak to the operating
-// system, until ctx ends.
-func (e *Edge) watchMemory(ctx context.Context) {
-	for ctx.Err() == nil {
-		sleep(ctx, memoryCheckInterval)
-		e.memory.DisconnectStalled()
-		if e.memory.TrimDue() {
-			debug.FreeOSMemory()
-			metrics.GetOrRegisterCounter("edge.memory.trims", e.registry).Inc(1)
-		}
-	}
-}
-
 // setMemoryGauges sets the gauges of the memory for bodies.
 func (e *Edge) setMemoryGauges(set func(name string, value int64)) {
 	set("edge.bodies.bytes", e.memory.UsedBy(bodymemory.RequestBody))
--- a/internal/edge/body_memory_test.go
+++ b/internal/edge/body_memory_test.go
@@ -25,6 +25,7 @@
 	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/placement"
+	"lovagescale/internal/settings"
 	"lovagescale/internal/upstream"
 	"lovagescale/internal/weighted"
 )
@@ -70,7 +71,7 @@
 		Limit: func(http.Header) (float64, bool, error) { return 0, false, nil },
 	}
 	e := New(Settings{Instance: "one", Zone: "north-1", Region: "north", Zones: map[string]string{"north-1": "north"},
-		MemoryBytes: smallestMemory, Bounds: bounds}, Ports{Callers: loadlessCallers{}, Upstreams: dialect}, zerolog.Nop())
+		Process: settings.Process{MemoryMB: smallestMemory >> 20}, Bounds: bounds}, Ports{Callers: loadlessCallers{}, Upstreams: dialect}, zerolog.Nop())
 	var routes []*catalog.Route
 	for name, timeout := range map[string]time.Duration{"act": 10 * time.Second, "see": 10 * time.Second, "drip": 1500 * time.Millisecond} {
 		routes = append(routes, &catalog.Route{Name: name, Host: "example.com", Prefix: "/" + name + "/", MaxAttempts: 1,
@@ -158,6 +159,12 @@
 	return conn
 }
 
+// heldBytes returns the memory that is held for requests, without that of connections and their
+// buffers.
+func (s *servingInstance) heldBytes() int64 {
+	return s.edge.memory.Used() - s.edge.memory.UsedBy(bodymemory.Connections) - s.edge.memory.UsedBy(bodymemory.Buffers)
+}
+
 // disconnected returns the number of callers that were disconnected for a reason.
 func (s *servingInstance) disconnected(reason bodymemory.Reason) int64 {
 	return metrics.GetOrRegisterCounter("edge.callers.disconnected."+string(reason), s.edge.registry).Count()
@@ -200,7 +207,7 @@
 	serveOthers("/act/large", len(largeResponse), time.Second)
 	g.Expect(s.disconnected(bodymemory.Slowest)).To(BeNumerically(">", 0))
 
-	g.Eventually(s.edge.memory.Used, "20s", "50ms").Should(BeNumerically("<=", limit/2))
+	g.Eventually(s.heldBytes, "20s", "50ms").Should(BeNumerically("<=", limit/2))
 	g.Expect(s.disconnected(bodymemory.Stalled)).To(BeNumerically(">", 0))
 	g.Expect(peak).To(BeNumerically("<", smallestMemory))
 	t.Logf("peak of the resident memory: %d MB", peak>>20)
@@ -215,12 +222,12 @@
 	for range 60 {
 		callers = append(callers, s.ask(t, "/act/large"))
 	}
-	g.Eventually(s.edge.memory.Used, "10s").Should(BeNumerically(">=", 60*len(largeResponse)))
+	g.Eventually(s.heldBytes, "10s").Should(BeNumerically(">=", 60*len(largeResponse)))
 	peak := residentBytes()
 	for _, conn := range callers {
 		g.Expect(conn.Close()).To(Succeed())
 	}
-	g.Eventually(s.edge.memory.Used, "10s").Should(BeZero())
+	g.Eventually(s.heldBytes, "10s").Should(BeZero())
 	g.Eventually(residentBytes, "10s", "50ms").Should(BeNumerically("<", peak-30*int64(len(largeResponse))))
 }
 
@@ -230,7 +237,7 @@
 	g := NewWithT(t)
 	s := serveSmallestInstance(t)
 	slow := s.ask(t, "/act/large")
-	g.Eventually(s.edge.memory.Used, "10s").Should(BeNumerically(">=", len(largeResponse)))
+	g.Eventually(s.heldBytes, "10s").Should(BeNumerically(">=", len(largeResponse)))
 	for range 3 {
 		_, err := slow.Read(make([]byte, 1))
 		g.Expect(err).NotTo(HaveOccurred())
@@ -243,7 +250,7 @@
 	}
 	g.Expect(s.disconnected(bodymemory.Slowest)).To(BeZero(), "memory is plentiful")
 
-	g.Eventually(s.edge.memory.Used, "10s").Should(BeEquivalentTo(len(largeResponse)), "only the slow caller's response is held")
+	g.Eventually(s.heldBytes, "10s").Should(BeEquivalentTo(len(largeResponse)), "only the slow caller's response is held")
 	filler, err := s.edge.memory.Reserve(bodymemory.ReadAhead, s.edge.memory.Limit()*7/8-int64(len(largeResponse)*5/4))
 	g.Expect(err).NotTo(HaveOccurred())
 	defer filler.Release()
@@ -267,13 +274,13 @@
 		status, _, _ := s.get("/drip/large")
 		statuses <- status
 	}()
-	g.Eventually(s.edge.memory.Used, "10s").Should(BeEquivalentTo(len(largeResponse)))
+	g.Eventually(s.heldBytes, "10s").Should(BeEquivalentTo(len(largeResponse)))
 	g.Expect(s.edge.memory.Describe().Holders[0].Route).To(Equal("drip"))
 	status, _, err := s.get("/see/small")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(status).To(Equal(http.StatusOK))
 	g.Eventually(statuses, "10s").Should(Receive(Equal(http.StatusGatewayTimeout)))
-	g.Eventually(s.edge.memory.Used, "10s").Should(BeZero())
+	g.Eventually(s.heldBytes, "10s").Should(BeZero())
 }
 
 // A response that announces more than fits ended the connection as if the endpoint had
@@ -287,7 +294,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(status).To(Equal(http.StatusBadGateway))
 	g.Expect(metrics.GetOrRegisterCounter("edge.tries.lost", s.edge.registry).Count()).To(BeZero())
-	g.Eventually(s.edge.memory.Used, "10s").Should(Equal(filler.Size()))
+	g.Eventually(s.heldBytes, "10s").Should(Equal(filler.Size()))
 
 	s.edge.responseSizes.Observe("act", int64(len(largeResponse)))
 	status, _, err = s.get("/act/large")
--- a/internal/edge/dump.go
+++ b/internal/edge/dump.go
@@ -10,6 +10,7 @@
 	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/fleet"
 	"lovagescale/internal/hedge"
+	"lovagescale/internal/intake"
 	"lovagescale/internal/pipeline"
 	"lovagescale/internal/placement"
 	"lovagescale/internal/retryafter"
@@ -47,6 +48,8 @@
 	Pipelines []pipeline.Description `json:"pipelines"`
 	// Memory is what this instance holds for callers.
 	Memory bodymemory.Description `json:"memory"`
+	// Intake is what clients can make the instance hold at most.
+	Intake intake.Description `json:"intake"`
 }
 
 // PeerTraffic is the traffic of one message type with the peers beyond one border.
@@ -120,6 +123,7 @@
 	d.Hedges = e.hedging.policy.Describe()
 	d.Returns = e.retrySchedule.Describe(time.Now())
 	d.Memory = e.memory.Describe()
+	d.Intake = e.intake.Describe()
 	d.Follows = !e.reliesOnDelegates(time.Now())
 	return d, err
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,7 +33,9 @@
 	"lovagescale/internal/catalog"
 	"lovagescale/internal/control"
 	"lovagescale/internal/fleet"
+	"lovagescale/internal/intake"
 	"lovagescale/internal/link"
+	"lovagescale/internal/listener"
 	"lovagescale/internal/mirror"
 	"lovagescale/internal/operator"
 	"lovagescale/internal/pipeline"
@@ -67,6 +69,9 @@
 	maxReadHeaderBytes = 256 << 10
 )
 
+// listenerParts are the parts of the descriptors for the listeners of an instance.
+var listenerParts = []listener.Part{listener.PartCallers, listener.PartReadiness, listener.PartLookups, listener.PartLink, listener.PartOperator}
+
 // Edge is the process of one instance.
 type Edge struct {
 	settings Settings
@@ -135,6 +140,7 @@
 	hedging    hedging
 	pipelines  atomic.Pointer[pipeline.Listener]
 	memory     *bodymemory.Memory
+	intake     *intake.Intake
 	// responseSizes are the expected sizes of responses by route.
 	responseSizes *bodymemory.Sizes
 	counters      counters
@@ -178,7 +184,8 @@
 	e.position.Store(&store.Position{})
 	e.counters = newCounters(e.registry)
 	e.sharing.gate = admission.NewGate()
-	e.initMemory(bodymemory.LimitOf(s.MemoryBytes))
+	e.intake = intake.New(s.Process.WithDefaults(), listenerParts, e.registry, "edge.", e.log)
+	e.initMemory(e.intake.Memory)
 	e.hedging = newHedging(e.registry)
 	e.state = &state{
 		edge:      e,
@@ -225,6 +232,7 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	linkServer := link.NewServer(e.log, e.registry)
+	linkServer.Limit(e.intake.Link())
 	linkServer.Handle(fleet.TypeReport, e.handleReport)
 	linkServer.Handle(fleet.TypeExchange, e.handleExchange)
 	linkServer.Handle(fleet.TypePull, e.handlePull)
@@ -238,11 +246,15 @@
 	group.Go(func() error { e.loop.Every(background, tickInterval, e.state.tickNow); return nil })
 	group.Go(func() error { return linkServer.Serve(background, listeners.link) })
 	group.Go(func() error {
-		return e.serveAuxiliary(background, listeners.readiness, http.HandlerFunc(e.serveReadiness))
+		return e.serveAuxiliary(background, listeners.readiness, http.HandlerFunc(e.serveReadiness), e.intake.Server("readiness", listener.PartReadiness))
+	})
+	group.Go(func() error {
+		return e.serveAuxiliary(background, listeners.lookups, http.HandlerFunc(e.serveLookup), e.intake.Server("lookups", listener.PartLookups))
 	})
-	group.Go(func() error { return e.serveAuxiliary(background, listeners.lookups, http.HandlerFunc(e.serveLookup)) })
 	if listeners.operator != nil {
-		group.Go(func() error { return e.serveAuxiliary(background, listeners.operator, operatorHandler) })
+		group.Go(func() error {
+			return e.serveAuxiliary(background, listeners.operator, operatorHandler, e.intake.Server("operators", listener.PartOperator))
+		})
 	}
 	group.Go(func() error { e.followStore(background); return nil })
 	group.Go(func() error { e.pullFromSeeds(background); return nil })
@@ -260,10 +272,10 @@
 
 // serveAuxiliary serves a port other than the callers' one until ctx ends. Connections
 // that are still open then are closed, since no caller's request depends on them.
-func (e *Edge) serveAuxiliary(ctx context.Context, listener net.Listener, handler http.Handler) error {
-	err := operator.Serve(ctx, listener, handler, stopMargin)
+func (e *Edge) serveAuxiliary(ctx context.Context, opened net.Listener, handler http.Handler, limits operator.Limits) error {
+	err := operator.Serve(ctx, opened, handler, limits, stopMargin)
 	if ctx.Err() != nil && errors.Is(err, context.DeadlineExceeded) {
-		e.log.Info().Str("address", listener.Addr().String()).Msg("port closed while connections were still open")
+		e.log.Info().Str("address", opened.Addr().String()).Msg("port closed while connections were still open")
 		return nil
 	}
 	return err
@@ -276,21 +288,22 @@
 	for _, port := range []struct {
 		target  *net.Listener
 		address string
+		part    listener.Part
 	}{
-		{&l.callers, e.settings.Callers},
-		{&l.readiness, e.settings.Readiness},
-		{&l.lookups, e.settings.Lookups},
-		{&l.link, e.settings.Link},
-		{&l.operator, e.settings.Operator},
+		{&l.callers, e.settings.Callers, listener.PartCallers},
+		{&l.readiness, e.settings.Readiness, listener.PartReadiness},
+		{&l.lookups, e.settings.Lookups, listener.PartLookups},
+		{&l.link, e.settings.Link, listener.PartLink},
+		{&l.operator, e.settings.Operator, listener.PartOperator},
 	} {
 		if port.address == "" {
 			continue
 		}
-		listener, err := operator.Listen(port.address)
+		opened, err := listener.ListenWithin(port.address, e.intake.Limits(port.part))
 		if err != nil {
 			return l, err
 		}
-		*port.target = listener
+		*port.target = opened
 	}
 	return l, nil
 }
--- a/internal/edge/request.go
+++ b/internal/edge/request.go
@@ -16,6 +16,7 @@
 	"lovagescale/internal/quarantine"
 	"lovagescale/internal/quotapool"
 	"lovagescale/internal/refusal"
+	"lovagescale/internal/unreadbody"
 	"lovagescale/internal/upstream"
 )
 
@@ -85,7 +86,7 @@
 	q, refused := e.readRequest(w, r)
 	defer q.releaseMemory()
 	if refused != nil {
-		refuseUnread(w, r, func() { e.writeRefusal(w, q, nil, refused) })
+		unreadbody.Answer(w, r, func() { e.writeRefusal(w, q, nil, refused) })
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.answersUntil())
--- a/internal/edge/request_test.go
+++ b/internal/edge/request_test.go
@@ -36,7 +36,7 @@
 func newServingEdge() *Edge {
 	e := New(Settings{Instance: "one", Zone: "north-1", Region: "north", Zones: map[string]string{"north-1": "north"},
 		Bounds: DefaultBounds()}, Ports{Callers: plainCallers{}}, zerolog.Nop())
-	e.initMemory(100_000 * 8 / 7)
+	e.initMemory(bodymemory.New(100_000 * 8 / 7))
 	route := &catalog.Route{Name: "act", Host: "example.com", Prefix: "/act/", MaxAttempts: 1, Upstreams: []weighted.Weight{{Name: "files", Weight: 1}}}
 	e.catalog.Store(catalog.New(1, []*catalog.Route{route}, nil, nil, catalog.Limits{MaxBodyBytes: 80_000}))
 	return e
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lovagescale/internal/settings"
 	"lovagescale/internal/steering"
 )
 
@@ -22,8 +23,8 @@
 	Operator  string
 	// Seeds are link addresses of other instances. Some may be out of date.
 	Seeds []string
-	// MemoryBytes is the memory that the process may use.
-	MemoryBytes int64
+	// Process limits the process.
+	settings.Process
 	// Capacity is what the instance has for callers; the zero value stands for unknown.
 	Capacity steering.Capacity
 	Bounds   Bounds
--- a/internal/edge/settings_reload.go
+++ b/internal/edge/settings_reload.go
@@ -32,7 +32,7 @@
 		{"look-ups", s.Lookups == other.Lookups},
 		{"link", s.Link == other.Link},
 		{"operator", s.Operator == other.Operator},
-		{"memory", s.MemoryBytes == other.MemoryBytes},
+		{"memory or descriptors", s.Process == other.Process},
 	} {
 		if !field.same {
 			changed = append(changed, field.name)
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lovagescale/internal/callerconn"
+	"lovagescale/internal/listener"
 	"lovagescale/internal/pipeline"
 )
 
@@ -23,18 +24,23 @@
 // serveCallers serves callers until ctx ends and then drains: the instance reports that
 // it is not ready, still accepts requests of callers that have not noticed, closes idle
 // connections, and finally waits for the requests in flight.
-func (e *Edge) serveCallers(ctx context.Context, listener net.Listener) error {
-	conns := callerconn.NewListener(e.pipelined(listener))
+func (e *Edge) serveCallers(ctx context.Context, opened net.Listener) error {
+	limited := listener.Limit(opened, e.intake.Listener("callers", listener.PartCallers))
+	conns := callerconn.NewListener(e.pipelined(limited))
+	conns.EnlargeWithin(e.intake.Buffers)
+	limited.OnFull(func() bool {
+		return conns.MakeRoom(time.Now()) || conns.Tracked() < limited.Open()
+	})
 	server := &http.Server{
 		Handler:        pipeline.Handler(e, e.mayBegin),
-		ConnContext:    callerContext,
+		ConnContext:    callerconn.ConnContext,
 		ConnState:      conns.Track,
 		MaxHeaderBytes: maxReadHeaderBytes,
 	}
 	timeoutCtx, stopTimeouts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTimeouts()
 	go e.enforceConnTimeouts(timeoutCtx, conns)
-	go e.watchMemory(timeoutCtx)
+	go e.intake.Watch(timeoutCtx)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(conns) }()
 	select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,12 +19,15 @@
 
 	"lovagescale/internal/action"
 	"lovagescale/internal/call"
+	"lovagescale/internal/callerconn"
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/control"
 	"lovagescale/internal/gateway"
 	"lovagescale/internal/handover"
 	"lovagescale/internal/instancelist"
+	"lovagescale/internal/intake"
 	"lovagescale/internal/link"
+	"lovagescale/internal/listener"
 	"lovagescale/internal/lookup"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/operator"
@@ -45,6 +48,9 @@
 // readHeaderTimeout limits the time in which a caller must send a request's headers.
 const readHeaderTimeout = 5 * time.Second
 
+// idleTimeout is longer than callers keep idle connections, so that the caller closes first.
+const idleTimeout = 2 * time.Minute
+
 // Entry is one entry process.
 type Entry struct {
 	settings     Settings
@@ -73,8 +79,13 @@
 	stopping      atomic.Bool
 
 	journalWriter *action.JournalWriter
+
+	intake *intake.Intake
 }
 
+// listenerParts are the parts of the descriptors for the listeners of an entry.
+var listenerParts = []listener.Part{listener.PartCallers, listener.PartLink, listener.PartOperator}
+
 // New returns an entry that is not yet listening.
 func New(s Settings, log zerolog.Logger) (*Entry, error) {
 	incarnation, err := newIncarnation(s.Instance)
@@ -98,6 +109,7 @@
 			State:       instancelist.Live,
 		},
 	}
+	e.intake = intake.New(s.Process.WithDefaults(), listenerParts, e.registry, "entry.", e.log)
 	e.changes.init()
 	e.setUpMembership()
 	e.setUpRouting()
@@ -146,6 +158,7 @@
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
 	links := link.NewServer(e.log, e.registry)
+	links.Limit(e.intake.Link())
 	links.HandleStream(lookup.TypeFollow, e.serveLookupStream)
 	links.Handle(membership.TypeExchange, e.handleMembershipRequest)
 	e.spread.registerHandlers(links)
@@ -157,7 +170,9 @@
 	var group errgroup.Group
 	group.Go(func() error { e.loop.Run(background); return nil })
 	group.Go(func() error { return links.Serve(background, listeners.link) })
-	group.Go(func() error { return operator.Serve(background, listeners.operator, operatorHandler, time.Second) })
+	group.Go(func() error {
+		return operator.Serve(background, listeners.operator, operatorHandler, e.intake.Server("operators", listener.PartOperator), time.Second)
+	})
 	group.Go(func() error { return e.spread.run(background) })
 	group.Go(func() error { return e.quotas.run(background) })
 	group.Go(func() error { return e.ownership.run(background) })
@@ -181,40 +196,53 @@
 	for _, binding := range []struct {
 		target  *net.Listener
 		address string
+		part    listener.Part
 	}{
-		{&l.callers, e.settings.Address},
-		{&l.link, e.settings.Link},
-		{&l.operator, e.settings.Operator},
+		{&l.callers, e.settings.Address, listener.PartCallers},
+		{&l.link, e.settings.Link, listener.PartLink},
+		{&l.operator, e.settings.Operator, listener.PartOperator},
 	} {
-		listener, err := operator.Listen(binding.address)
+		opened, err := listener.ListenWithin(binding.address, e.intake.Limits(binding.part))
 		if err != nil {
 			l.close()
 			return l, err
 		}
-		*binding.target = listener
+		*binding.target = opened
 	}
 	return l, nil
 }
 
 func (l *listeners) close() {
-	for _, listener := range []net.Listener{l.callers, l.link, l.operator} {
-		if listener != nil {
-			_ = listener.Close()
+	for _, opened := range []net.Listener{l.callers, l.link, l.operator} {
+		if opened != nil {
+			_ = opened.Close()
 		}
 	}
 }
 
-func (e *Entry) serveCallers(ctx context.Context, listener net.Listener) error {
-	pipelines := pipeline.NewListener(listener, pipeline.Options{Draining: e.drain.isLeaving, Registry: e.registry, Log: e.log})
+func (e *Entry) serveCallers(ctx context.Context, opened net.Listener) error {
+	limited := listener.Limit(opened, e.intake.Listener("callers", listener.PartCallers))
+	pipelines := pipeline.NewListener(limited, pipeline.Options{Draining: e.drain.isLeaving, Registry: e.registry, Log: e.log,
+		Memory: e.intake.ReadAhead})
 	e.pipelines.Store(pipelines)
+	conns := callerconn.NewListener(pipelines)
+	conns.EnlargeWithin(e.intake.Buffers)
+	limited.OnFull(func() bool {
+		return conns.MakeRoom(time.Now()) || conns.Tracked() < limited.Open()
+	})
+	watchCtx, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatch()
+	go e.intake.Watch(watchCtx)
 	server := &http.Server{
 		Handler:           pipeline.Handler(e.drain.handler(e.gateway, e.gateway.Refuse), e.gateway.IsIdempotent),
-		ConnContext:       pipeline.ConnContext,
+		ConnContext:       callerconn.ConnContext,
+		ConnState:         conns.Track,
 		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    serverHeaderLimitFactor * e.settings.MaxHeaderBytes,
 	}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(pipelines) }()
+	go func() { serveErr <- server.Serve(conns) }()
 	select {
 	case err := <-serveErr:
 		return err
--- a/internal/entry/state.go
+++ b/internal/entry/state.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lovagescale/internal/configuration"
+	"lovagescale/internal/intake"
 	"lovagescale/internal/membership"
 	"lovagescale/internal/pipeline"
 	"lovagescale/internal/quota"
@@ -55,6 +56,8 @@
 	Endpoints  []routing.EndpointState `json:"endpoints"`
 	// Pipelines are the callers' connections with requests that were started early.
 	Pipelines []pipeline.Description `json:"pipelines"`
+	// Intake is what clients can make the entry hold.
+	Intake intake.Description `json:"intake"`
 }
 
 func (e *Entry) dump(ctx context.Context) (any, error) {
@@ -70,6 +73,7 @@
 		Routing:    e.ownership.dump(ctx),
 		Endpoints:  e.router.EndpointStates(),
 		Pipelines:  e.pipelines.Load().Describe(time.Now()),
+		Intake:     e.intake.Describe(),
 	}
 	if c := e.configuration.Load(); c != nil {
 		dump.Revision = c.Revision
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,27 @@
+package intake
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"lovagescale/internal/listener"
+	"lovagescale/internal/settings"
+)
+
+// Guards against terms that together exceed the memory of an instance.
+func TestSumOfWhatIsHeldFitsIntoTheMemory(t *testing.T) {
+	parts := []listener.Part{listener.PartCallers, listener.PartReadiness, listener.PartLookups, listener.PartLink, listener.PartOperator}
+	for _, process := range []settings.Process{{}, {MemoryMB: 184, MaxDescriptors: 4100}, {MemoryMB: 284, MaxDescriptors: 4100},
+		{MemoryMB: 424, MaxDescriptors: 10250}, {MemoryMB: 536, MaxDescriptors: 8192}} {
+		g := NewWithT(t)
+		process = process.WithDefaults()
+		d := New(process, parts, metrics.NewRegistry(), "", zerolog.Nop()).Describe()
+		g.Expect(d.Sum).To(BeNumerically("<=", d.Memory), "%+v", d)
+		const callers = 2000
+		g.Expect(d.Held.Limit/callers).To(BeNumerically(">", listener.ConnBytes), "each of 2,000 callers has its connection")
+		t.Logf("%+v", d)
+	}
+}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -12,13 +12,20 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/listener"
 	"lovagescale/internal/wire"
 )
 
-// maxConnections bounds the open connections of a server; further ones are closed
-// on arrival.
+// maxConnections bounds the open connections of a server that has no other limit.
 const maxConnections = 4096
 
+// Limits bound what strangers can make a server hold.
+type Limits struct {
+	Listener listener.Options
+	// Buffers is the memory for larger buffers of the kernel. Nil stands for none.
+	Buffers listener.Memory
+}
+
 // Handler answers one request with a reply or an error. If the error is a
 // *wire.MalformedError, the connection is closed without a reply.
 type Handler func(ctx context.Context, request wire.Envelope) (any, error)
@@ -34,29 +41,34 @@
 
 // Server is the answering side of links.
 type Server struct {
-	log                zerolog.Logger
-	handlers           map[string]Handler
-	streams            map[string]StreamHandler
-	malformedFrames    metrics.Counter
-	refusedConnections metrics.Counter
-	acceptFailures     metrics.Counter
-	connectionTokens   chan struct{}
+	log             zerolog.Logger
+	handlers        map[string]Handler
+	streams         map[string]StreamHandler
+	malformedFrames metrics.Counter
+	acceptFailures  metrics.Counter
+	limits          Limits
+
+	mu          sync.Mutex
+	connections map[*connection]struct{}
 }
 
 // NewServer returns a server without handlers. Handlers must be added before
 // Serve.
 func NewServer(log zerolog.Logger, registry metrics.Registry) *Server {
 	return &Server{
-		log:                log,
-		handlers:           make(map[string]Handler),
-		streams:            make(map[string]StreamHandler),
-		malformedFrames:    metrics.GetOrRegisterCounter("link.malformed_frames", registry),
-		refusedConnections: metrics.GetOrRegisterCounter("link.refused_connections", registry),
-		acceptFailures:     metrics.GetOrRegisterCounter("link.accept_failures", registry),
-		connectionTokens:   make(chan struct{}, maxConnections),
+		log:             log,
+		handlers:        make(map[string]Handler),
+		streams:         make(map[string]StreamHandler),
+		malformedFrames: metrics.GetOrRegisterCounter("link.malformed_frames", registry),
+		acceptFailures:  metrics.GetOrRegisterCounter("link.accept_failures", registry),
+		limits:          Limits{Listener: listener.Options{Name: "link", Limits: listener.Limits{MaxConns: maxConnections}, Registry: registry, Log: log}},
+		connections:     make(map[*connection]struct{}),
 	}
 }
 
+// Limit replaces the limits of the server. It must be called before Serve.
+func (s *Server) Limit(limits Limits) { s.limits = limits }
+
 // sleep waits for a time, or less if ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -83,14 +95,16 @@
 
 // Serve accepts connections until ctx ends, then closes them all and waits for
 // their handlers. It returns an error only if the listener is closed before.
-func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+func (s *Server) Serve(ctx context.Context, opened net.Listener) error {
+	limited := listener.Limit(opened, s.limits.Listener)
+	limited.OnFull(s.makeRoom)
+	stop := context.AfterFunc(ctx, func() { _ = limited.Close() })
 	defer stop()
 	var connections sync.WaitGroup
 	defer connections.Wait()
 	var pause time.Duration
 	for {
-		conn, err := listener.Accept()
+		conn, err := limited.Accept()
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -105,24 +119,18 @@
 			continue
 		}
 		pause = 0
-		select {
-		case s.connectionTokens <- struct{}{}:
-			connections.Go(func() {
-				defer func() { <-s.connectionTokens }()
-				s.serveConnection(ctx, wire.NewConn(conn))
-			})
-		default:
-			s.refusedConnections.Inc(1)
-			_ = conn.Close()
-		}
+		c := s.track(conn) // before others may take its place
+		connections.Go(func() { s.serveConnection(ctx, c) })
 	}
 }
 
 // serveConnection reads the connection's requests and runs their handlers
 // concurrently. While MaxPending of them run, it reads no further request.
-func (s *Server) serveConnection(ctx context.Context, conn *wire.Conn) {
+func (s *Server) serveConnection(ctx context.Context, c *connection) {
 	ctx, cancel := context.WithCancel(ctx)
+	conn := wire.NewConn(c.Conn)
 	defer conn.Close()
+	defer s.forget(c)
 	var requests sync.WaitGroup
 	defer requests.Wait()
 	defer cancel()
@@ -136,14 +144,17 @@
 			s.recordMalformedFrame(ctx, conn, err)
 			return
 		}
+		s.received(c)
 		if envelope.Type == typeCancel {
 			running.cancel(envelope.ID)
+			s.finished(c)
 			continue
 		}
 		pendingTokens <- struct{}{}
 		requestCtx := running.add(ctx, envelope.ID)
 		requests.Go(func() {
 			defer func() { <-pendingTokens }()
+			defer s.finished(c)
 			defer running.cancel(envelope.ID)
 			if !s.serveRequest(requestCtx, conn, envelope) {
 				cancel()
--- a/internal/lookup/server.go
+++ b/internal/lookup/server.go
@@ -17,7 +17,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"lovagescale/internal/control"
+	"lovagescale/internal/intake"
 	"lovagescale/internal/link"
+	"lovagescale/internal/listener"
 	"lovagescale/internal/operator"
 	"lovagescale/internal/refusal"
 	"lovagescale/internal/settings"
@@ -80,8 +82,12 @@
 	lastReceivedAt atomic.Int64
 	publishedAt    time.Time // used on the control goroutine only
 	answers        metrics.Meter
+	intake         *intake.Intake
 }
 
+// callersPart is the part of the descriptors for callers, who have no other listener.
+const callersPart = listener.PartCallers
+
 // NewServer returns a lookup server that is not listening yet.
 func NewServer(s Settings, log zerolog.Logger) *Server {
 	registry := metrics.NewRegistry()
@@ -92,19 +98,20 @@
 		loop:     control.NewLoop("lookup"),
 		core:     NewCore(s.Zone),
 		answers:  metrics.GetOrRegisterMeter("lookup.answers", registry),
+		intake:   intake.New(s.Process.WithDefaults(), []listener.Part{callersPart, listener.PartOperator}, registry, "lookup.", log),
 	}
 	server.table.Store(server.core.Table())
 	return server
 }
 
-// Run serves callers and operators until ctx ends. It returns an *operator.ListenError if it
+// Run serves callers and operators until ctx ends. It returns an *listener.ListenError if it
 // cannot listen on an address.
 func (s *Server) Run(ctx context.Context) error {
-	callerListener, err := operator.Listen(s.settings.Address)
+	callerListener, err := listener.ListenWithin(s.settings.Address, s.intake.Limits(callersPart))
 	if err != nil {
 		return err
 	}
-	operatorListener, err := operator.Listen(s.settings.Operator)
+	operatorListener, err := listener.ListenWithin(s.settings.Operator, s.intake.Limits(listener.PartOperator))
 	if err != nil {
 		_ = callerListener.Close()
 		return err
@@ -122,8 +129,12 @@
 	for _, entry := range s.settings.Entries {
 		group.Go(func() error { s.followEntry(ctx, entry); return nil })
 	}
-	group.Go(func() error { return operator.Serve(ctx, callerListener, callerHandler, shutdownTimeout) })
-	group.Go(func() error { return operator.Serve(ctx, operatorListener, operatorHandler, time.Second) })
+	group.Go(func() error {
+		return operator.Serve(ctx, callerListener, callerHandler, s.intake.Server("callers", callersPart), shutdownTimeout)
+	})
+	group.Go(func() error {
+		return operator.Serve(ctx, operatorListener, operatorHandler, s.intake.Server("operators", listener.PartOperator), time.Second)
+	})
 	s.log.Info().Str("address", s.settings.Address).Msg("lookup server started")
 	err = group.Wait()
 	s.log.Info().Msg("lookup server stopped")
@@ -274,10 +285,12 @@
 	ClientBlocks int           `json:"client_blocks"`
 	EntryLinks   []string      `json:"entries_heard"`
 	Entries      []AnswerEntry `json:"entries"`
+	// Intake is what clients can make the server hold.
+	Intake intake.Description `json:"intake"`
 }
 
 func (s *Server) dump(ctx context.Context) (any, error) {
-	dump := Dump{Zone: s.settings.Zone}
+	dump := Dump{Zone: s.settings.Zone, Intake: s.intake.Describe()}
 	err := s.loop.Call(ctx, func() {
 		dump.Revision = s.core.catalogue.Revision
 		dump.ClientBlocks = s.core.blocks.size()
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,10 +5,7 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
-	"time"
 
 	"github.com/kataras/iris/v12"
 	"github.com/rcrowley/go-metrics"
@@ -16,33 +13,6 @@
 	"lovagescale/internal/dialer"
 )
 
-// readHeaderTimeout bounds how long a server waits for a request's headers, so that
-// a slow client cannot hold its connection open.
-const readHeaderTimeout = 5 * time.Second
-
-// ListenError reports that the process cannot listen on an address.
-type ListenError struct {
-	Address string
-	Cause   error
-}
-
-// Error implements the error interface.
-func (e *ListenError) Error() string {
-	return fmt.Sprintf("cannot listen on %q: %v", e.Address, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *ListenError) Unwrap() error { return e.Cause }
-
-// Listen opens a TCP listener. On failure it returns a *ListenError.
-func Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &ListenError{Address: address, Cause: err}
-	}
-	return listener, nil
-}
-
 // StateFunc returns a process's state as a value that can be encoded in JSON. It is
 // called for each dump.
 type StateFunc func(ctx context.Context) (any, error)
@@ -81,19 +51,3 @@
 	}
 	return app, nil
 }
-
-// Serve serves handler on listener until ctx ends. It then accepts no more
-// connections and waits at most drainTimeout for running requests to end.
-func Serve(ctx context.Context, listener net.Listener, handler http.Handler, drainTimeout time.Duration) error {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	ended := make(chan error, 1)
-	go func() { ended <- server.Serve(listener) }()
-	select {
-	case err := <-ended:
-		return err
-	case <-ctx.Done():
-	}
-	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
-	defer cancel()
-	return server.Shutdown(drainCtx)
-}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -69,6 +70,8 @@
 	// pipelined is set once bytes were read ahead.
 	pipelined bool
 	readAhead readAhead
+	// aborting is set by Abort.
+	aborting atomic.Bool
 }
 
 func newConn(inner net.Conn, l *Listener) *conn {
@@ -208,7 +211,7 @@
 	c.mu.Lock()
 	bodyUnread := c.phase == opaque || c.phase == serving && c.bodyLeft > 0
 	mayHaveUnread := c.pipelined || bodyUnread || c.buffer.len() > 0 || c.listener.options.Draining()
-	linger := mayHaveUnread && c.ended == nil && !c.reading // a read in progress must end now
+	linger := !c.aborting.Load() && mayHaveUnread && c.ended == nil && !c.reading // a read in progress must end now
 	c.end(net.ErrClosed, "the connection is closed")
 	c.mu.Unlock()
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && closer.CloseWrite() == nil {
@@ -218,6 +221,9 @@
 	return c.Conn.Close()
 }
 
+// Abort lets Close drop what the caller has not read. It takes no lock.
+func (c *conn) Abort() { c.aborting.Store(true) }
+
 // discardAndClose discards what the caller still sends and closes the connection.
 func (c *conn) discardAndClose() {
 	if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
--- a/internal/settings/process.go
+++ b/internal/settings/process.go
@@ -29,10 +29,14 @@
 // MemoryBytes returns the memory in bytes.
 func (p Process) MemoryBytes() int64 { return int64(p.MemoryMB) * bytesPerMB }
 
+// WithDefaults returns the limits with the defaults of those that are not set.
+func (p Process) WithDefaults() Process {
+	return Process{MemoryMB: cmp.Or(p.MemoryMB, DefaultMemoryMB), MaxDescriptors: cmp.Or(p.MaxDescriptors, DefaultMaxDescriptors)}
+}
+
 // Check sets the defaults and adds a problem for each value that is too small.
 func (p *Process) Check(document *tomlfile.Document) {
-	p.MemoryMB = cmp.Or(p.MemoryMB, DefaultMemoryMB)
-	p.MaxDescriptors = cmp.Or(p.MaxDescriptors, DefaultMaxDescriptors)
+	*p = p.WithDefaults()
 	if p.MemoryMB < minMemoryMB {
 		document.Addf([]string{"memory_mb"}, "must be at least %d", minMemoryMB)
 	}
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lovagescale/internal/instancelist"
-	"lovagescale/internal/operator"
+	"lovagescale/internal/listener"
 	"lovagescale/internal/settings"
 	"lovagescale/internal/tomlfile"
 	"lovagescale/internal/unit"
@@ -83,7 +83,7 @@
 	return server
 }
 
-// Run serves until ctx ends. It returns an *operator.ListenError when an
+// Run serves until ctx ends. It returns an *listener.ListenError when an
 // address is in use.
 func (s *Server) Run(ctx context.Context) error {
 	tasks, ctx := errgroup.WithContext(ctx)
@@ -105,13 +105,13 @@
 }
 
 func (s *Server) serve(ctx context.Context, tasks *errgroup.Group, address string, handler http.Handler, connState func(net.Conn, http.ConnState)) error {
-	listener, err := operator.Listen(address)
+	opened, err := listener.Listen(address)
 	if err != nil {
 		return err
 	}
 	server := &http.Server{Handler: handler, ConnState: connState, ReadHeaderTimeout: stopTimeout}
 	tasks.Go(func() error {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
+		if err := server.Serve(opened); err != http.ErrServerClosed {
 			return err
 		}
 		return nil
