Bound and pay for heads while they are read

Cause: the HTTP library parses a head as it arrives, and a field of six bytes takes some 200 in its map. A head was checked once it was parsed; until then 256 KB were read, at the other listeners 1 MB, and nobody counted what the fields take. Heads that were read ahead were parsed a second time, and kept.

Now the connection measures a head as its bytes come (size without separators, as the check of the parsed head does) and refuses it with 431 as soon as it is above the limit, at each HTTP listener. What a head takes besides 8 kB, 256 bytes a field and three times its text, is reserved before the server gets the bytes, within a quarter of the memory for clients; a larger head that is being read gives way to a smaller one, with 503 that says not-run. The connection writes the refusal itself: the server writes nothing while it reads a head. Requests are parsed early only with memory for them, and trailers are dropped. Behind a request whose end is unknown, all that the server reads between two requests counts.

Why it works: the memory is reserved before the parser sees the bytes, at a price above what it takes. An ordinary head needs no lock.

--- a/internal/bodymemory/memory.go
+++ b/internal/bodymemory/memory.go
@@ -37,14 +37,17 @@
 	ReadAhead
 	// Connections are their goroutines and the buffers of the HTTP library.
 	Connections
+	// Heads are those of many fields and of many bytes.
+	Heads
 	// Buffers are those of the kernel for connections with large bodies or responses.
 	Buffers
 	kindCount
 )
 
-var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead", "connections", "buffers"}
+var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead", "connections", "heads", "buffers"}
 
-// AccountLimit returns the largest part of the limit for what can wait or be done without: requests that were read ahead and larger buffers.
+// AccountLimit returns the largest part of the limit for what can wait or be done without: large
+// heads, requests that were read ahead and larger buffers.
 func (m *Memory) AccountLimit() int64 { return m.limit / accountDivisor }
 
 // accountDivisor is the divisor of the limit for AccountLimit.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -32,6 +33,7 @@
 	"lovagescale/internal/membership"
 	"lovagescale/internal/operator"
 	"lovagescale/internal/pipeline"
+	"lovagescale/internal/refusal"
 	"lovagescale/internal/routing"
 	"lovagescale/internal/shift"
 	"lovagescale/internal/store"
@@ -223,7 +225,7 @@
 func (e *Entry) serveCallers(ctx context.Context, opened net.Listener) error {
 	limited := listener.Limit(opened, e.intake.Listener("callers", listener.PartCallers))
 	pipelines := pipeline.NewListener(limited, pipeline.Options{Draining: e.drain.isLeaving, Registry: e.registry, Log: e.log,
-		Memory: e.intake.ReadAhead})
+		Memory: e.intake.ReadAhead, Heads: e.intake.Heads(e.maxHeadBytes, e.writeHeadRefusal)})
 	e.pipelines.Store(pipelines)
 	conns := callerconn.NewListener(pipelines)
 	conns.EnlargeWithin(e.intake.Buffers)
@@ -251,6 +253,16 @@
 	return e.drainCallers(context.WithoutCancel(ctx), server)
 }
 
+// maxHeadBytes returns the size of headers above which a request is refused while they are read. Up
+// to that size the gateway refuses it, which knows what is known of an action.
+func (e *Entry) maxHeadBytes() int { return serverHeaderLimitFactor * e.settings.MaxHeaderBytes }
+
+// writeHeadRefusal writes the refusal of a request whose head is not read to its end.
+func (e *Entry) writeHeadRefusal(w http.ResponseWriter, refused *refusal.Refusal) {
+	w.Header().Set(refusal.HeaderRequestID, uuid.NewString())
+	refused.Write(w)
+}
+
 // changeNotifier wakes the lookup streams that wait for a new state.
 type changeNotifier struct {
 	mu      sync.Mutex
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,13 +1,14 @@
 // Package intake bounds what clients can make a process hold, over all of its listeners: their
-// connections, bodies, requests that were read ahead, answers that are not taken and
+// connections, heads, bodies, requests that were read ahead, answers that are not taken and
 // the kernel's buffers. One Intake owns the memory and the descriptors of a process; each
 // listener gets its limits from it.
 //
-// Failure modes: see packages listener and bodymemory for who is refused first.
+// Failure modes: see packages listener, pipeline and bodymemory for who is refused first.
 package intake
 
 import (
 	"context"
+	"net/http"
 	"runtime/debug"
 	"sync"
 	"time"
@@ -19,9 +20,14 @@
 	"lovagescale/internal/link"
 	"lovagescale/internal/listener"
 	"lovagescale/internal/operator"
+	"lovagescale/internal/pipeline"
+	"lovagescale/internal/refusal"
 	"lovagescale/internal/settings"
 )
 
+// defaultMaxHeadBytes is the limit of heads of listeners that have no other one.
+const defaultMaxHeadBytes = 64 << 10
+
 // Intake owns what clients can make a process hold. It is safe for concurrent use.
 type Intake struct {
 	// Memory is that for all kinds of what is held in the process.
@@ -31,7 +37,7 @@
 	ReadAhead, Buffers *bodymemory.Account
 
 	// connections are those of callers, auxiliary those of all other listeners.
-	connections, auxiliary *bodymemory.Account
+	connections, auxiliary, heads *bodymemory.Account
 
 	process  settings.Process
 	plan     listener.Plan
@@ -54,6 +60,7 @@
 		Buffers:     memory.NewAccount(bodymemory.Buffers, memory.AccountLimit()),
 		connections: memory.NewAccount(bodymemory.Connections, memory.Limit()),
 		auxiliary:   memory.NewGrantedAccount(bodymemory.Connections),
+		heads:       memory.NewAccount(bodymemory.Heads, memory.AccountLimit()),
 		process:     process, plan: listener.NewPlan(process.MemoryBytes(), process.MaxDescriptors),
 		registry: registry, prefix: prefix, log: log, parts: parts,
 	}
@@ -78,9 +85,35 @@
 	i.listeners = append(i.listeners, l)
 }
 
+// Heads returns the limits of heads. maxBytes returns the largest size without separators, and
+// refuse writes a refusal; nil stands for the defaults.
+func (i *Intake) Heads(maxBytes func() int, refuse func(http.ResponseWriter, *refusal.Refusal)) *pipeline.HeadLimits {
+	if maxBytes == nil {
+		maxBytes = func() int { return defaultMaxHeadBytes }
+	}
+	if refuse == nil {
+		refuse = func(w http.ResponseWriter, r *refusal.Refusal) { r.Write(w) }
+	}
+	return &pipeline.HeadLimits{MaxBytes: maxBytes, Memory: i.heads, Refusal: func(tooLarge bool) []byte {
+		return pipeline.RawResponse(func(w http.ResponseWriter) { refuse(w, headRefusal(tooLarge)) })
+	}}
+}
+
+// noMemoryRetryAfter is the time after which a caller may retry for whose head no memory was left.
+const noMemoryRetryAfter = time.Second
+
+// headRefusal returns the refusal of a request whose head is not read to its end.
+func headRefusal(tooLarge bool) *refusal.Refusal {
+	if tooLarge {
+		return refusal.New(http.StatusRequestHeaderFieldsTooLarge, refusal.HeadersTooLarge, refusal.NotRun, "headers are above the limit")
+	}
+	return refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun, "no memory for the headers").
+		WithRetryAfter(noMemoryRetryAfter)
+}
+
 // Server returns the limits of a server whose requests are short.
 func (i *Intake) Server(name string, part listener.Part) operator.Limits {
-	return operator.Limits{Listener: i.Listener(name, part), ReadAhead: i.ReadAhead}
+	return operator.Limits{Listener: i.Listener(name, part), Heads: i.Heads(nil, nil), ReadAhead: i.ReadAhead}
 }
 
 // Link returns the limits of the server of a link.
--- a/internal/operator/serve.go
+++ b/internal/operator/serve.go
@@ -10,6 +10,7 @@
 	"lovagescale/internal/callerconn"
 	"lovagescale/internal/listener"
 	"lovagescale/internal/pipeline"
+	"lovagescale/internal/refusal"
 	"lovagescale/internal/unreadbody"
 )
 
@@ -27,6 +28,8 @@
 )
 
 const (
+	// defaultMaxHeadBytes is the limit of heads if Limits sets none.
+	defaultMaxHeadBytes = 64 << 10
 	// maxReadHeadBytes is the size of a head with separators above which the HTTP library
 	// rejects the request.
 	maxReadHeadBytes = 256 << 10
@@ -37,9 +40,11 @@
 )
 
 // Limits bound what the clients of a server can make it hold. The zero value has no limits but
-// those of times.
+// those of heads and times.
 type Limits struct {
 	Listener listener.Options
+	// Heads limits the heads of requests. Nil stands for limits without memory.
+	Heads *pipeline.HeadLimits
 	// ReadAhead is the memory for what is read behind a request. Nil stands for no limit.
 	ReadAhead pipeline.Memory
 }
@@ -49,7 +54,11 @@
 // the one that has lasted longest loses its connection when no connection waits for a request.
 func Serve(ctx context.Context, opened net.Listener, handler http.Handler, limits Limits, drainTimeout time.Duration) error {
 	limited := listener.Limit(opened, limits.Listener)
-	ahead := pipeline.NewListener(limited, pipeline.Options{MaxBytes: maxAheadBytes, Memory: limits.ReadAhead,
+	heads := limits.Heads
+	if heads == nil {
+		heads = &pipeline.HeadLimits{MaxBytes: func() int { return defaultMaxHeadBytes }, Refusal: headRefusal}
+	}
+	ahead := pipeline.NewListener(limited, pipeline.Options{MaxBytes: maxAheadBytes, Memory: limits.ReadAhead, Heads: heads,
 		Registry: limits.Listener.Registry, Prefix: limits.Listener.Prefix + cmp.Or(limits.Listener.Name, "operators") + ".", Log: limits.Listener.Log})
 	conns := callerconn.NewListener(ahead)
 	limited.OnFull(func() bool {
@@ -83,3 +92,12 @@
 		unreadbody.Answer(w, r, func() { next.ServeHTTP(w, r) })
 	})
 }
+
+// headRefusal returns the refusal of a request whose head is not read to its end.
+func headRefusal(tooLarge bool) []byte {
+	refused := refusal.New(http.StatusServiceUnavailable, refusal.NoCapacity, refusal.NotRun, "no memory for the headers").WithRetryAfter(time.Second)
+	if tooLarge {
+		refused = refusal.New(http.StatusRequestHeaderFieldsTooLarge, refusal.HeadersTooLarge, refusal.NotRun, "headers are above the limit")
+	}
+	return pipeline.RawResponse(refused.Write)
+}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -70,8 +70,16 @@
 	// pipelined is set once bytes were read ahead.
 	pipelined bool
 	readAhead readAhead
+
+	// headReserved is the memory reserved for the head of the request that is read or handled.
+	headReserved int64
+	// headRefused is set once a head was refused. headGivesWay is set if the one that is being
+	// read must be refused in favor of others.
+	headRefused, headGivesWay bool
 	// aborting is set by Abort.
 	aborting atomic.Bool
+	// betweenOpaque is set while the phase is opaque and the server is not handling a request.
+	betweenOpaque bool
 }
 
 func newConn(inner net.Conn, l *Listener) *conn {
@@ -90,10 +98,13 @@
 		return 0, c.ended
 	}
 	if data := c.buffer.bytes(); len(data) > 0 {
+		defer c.mu.Unlock()
 		n := c.deliver(data[:min(len(data), len(p))])
+		if err := c.checkHead(); err != nil {
+			return 0, err
+		}
 		copy(p, data[:n])
 		c.buffer.discard(n)
-		c.mu.Unlock()
 		return n, nil
 	}
 	c.reading = true
@@ -105,7 +116,13 @@
 	if c.ended != nil {
 		return 0, c.ended
 	}
+	if c.headGivesWay {
+		return 0, c.refuseHead(false)
+	}
 	delivered := c.deliver(p[:n])
+	if err := c.checkHead(); err != nil {
+		return 0, err
+	}
 	if delivered < n {
 		c.buffer.append(p[delivered:n])
 		return delivered, nil // the next read returns the error
@@ -113,6 +130,14 @@
 	return n, err
 }
 
+// checkHead limits the head that is being read. The caller must hold mu.
+func (c *conn) checkHead() error {
+	if c.phase == readingHead || c.phase == headRead || c.betweenOpaque {
+		return c.limitHead()
+	}
+	return nil
+}
+
 // inBackground reports whether the server reads one byte only to notice a disconnect
 // while the handler runs. All other reads of one byte are in a head.
 func (c *conn) inBackground() bool {
@@ -129,12 +154,13 @@
 		c.becomeOpaque()
 	case c.phase == serving && c.bodyLeft == 0:
 		c.phase, c.scanner, c.readAhead.current = readingHead, headScanner{}, nil
+		c.releaseHead()
 	}
 }
 
 // becomeOpaque gives up reading ahead. The caller must hold mu.
 func (c *conn) becomeOpaque() {
-	c.phase = opaque
+	c.phase, c.betweenOpaque = opaque, false
 	c.cancelEarly("the ends of its requests are unknown")
 }
 
@@ -151,6 +177,13 @@
 	case serving:
 		n = int(min(int64(n), c.bodyLeft))
 		c.bodyLeft -= int64(n)
+	case opaque:
+		if c.betweenOpaque {
+			for at := 0; at < n; { // the end of a head is unknown, so all lines count
+				scanned, _ := c.scanner.scan(data[at:])
+				at += scanned
+			}
+		}
 	}
 	c.delivered += int64(n)
 	return n
@@ -184,6 +217,8 @@
 	}
 	c.cancelEarly(reason)
 	c.buffer.drop()
+	c.dropParsed()
+	c.releaseHead()
 	c.notify()
 }
 
@@ -211,7 +246,7 @@
 	c.mu.Lock()
 	bodyUnread := c.phase == opaque || c.phase == serving && c.bodyLeft > 0
 	mayHaveUnread := c.pipelined || bodyUnread || c.buffer.len() > 0 || c.listener.options.Draining()
-	linger := !c.aborting.Load() && mayHaveUnread && c.ended == nil && !c.reading // a read in progress must end now
+	linger := !c.aborting.Load() && (c.headRefused || mayHaveUnread && c.ended == nil && !c.reading) // a read in progress must end now
 	c.end(net.ErrClosed, "the connection is closed")
 	c.mu.Unlock()
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok && linger && closer.CloseWrite() == nil {
@@ -238,7 +273,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != headRead {
-		c.becomeOpaque()
+		c.becomeOpaque() // what the head has reserved is released before the next one
 		return nil
 	}
 	a := &c.readAhead
@@ -254,7 +289,8 @@
 		c.becomeOpaque()
 		return nil
 	default:
-		a.current, a.blocked, a.next, a.parser = r, false, c.delivered+c.bodyLeft, parser{}
+		c.dropParsed()
+		a.current, a.blocked, a.next = r, false, c.delivered+c.bodyLeft
 	}
 	a.last = a.last || r.Close || !r.ProtoAtLeast(1, 1)
 	c.startEarly()
@@ -268,6 +304,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readAhead.finished = true
+	if c.phase == opaque {
+		c.betweenOpaque, c.scanner = true, headScanner{}
+		c.releaseHead()
+	}
 }
 
 // frameBody determines the size of the body of r, of which the server has got nothing. ok
--- a/internal/pipeline/framing.go
+++ b/internal/pipeline/framing.go
@@ -24,6 +24,8 @@
 	startsWithCR bool
 	// begun is set after the first line that is not empty.
 	begun bool
+	// measured is the size of all complete lines.
+	measured measured
 }
 
 // scan consumes bytes until the end of the head. It returns their number and whether the
@@ -38,6 +40,7 @@
 		s.extendLine(data[n : n+length])
 		n += length + 1
 		isEmpty := s.lineLength == 0 || s.lineLength == 1 && s.startsWithCR
+		s.measured.addLine(s.lineLength)
 		s.lineLength, s.startsWithCR = 0, false
 		if isEmpty && s.begun {
 			return n, true
@@ -75,11 +78,14 @@
 	// headBytes and totalBytes are the sizes of the head and of the whole request, once
 	// request is set.
 	headBytes, totalBytes int
+	// reserved is the memory reserved for the parsed request.
+	reserved int64
 }
 
 // parse parses the request at the start of data, which must begin with the data of earlier
-// calls. maxBytes is the size above which a request is unsuitable.
-func (p *parser) parse(data []byte, maxBytes int) verdict {
+// calls. maxBytes is the size above which a request is unsuitable. reserve reserves memory before
+// the request is parsed, and before its body is copied; without it the request is unsuitable.
+func (p *parser) parse(data []byte, maxBytes int, reserve func(int64) bool) verdict {
 	if p.request == nil {
 		n, ended := p.scanner.scan(data[p.scanned:])
 		p.scanned += n
@@ -89,6 +95,9 @@
 		if !ended {
 			return incomplete
 		}
+		if !p.reserve(earlyBytes+headMemory(p.scanned, p.scanner.measured.lines), reserve) {
+			return unsuitable
+		}
 		request, ok := parseHead(data[:p.scanned])
 		if !ok || request.ContentLength > int64(maxBytes) {
 			return unsuitable
@@ -102,11 +111,23 @@
 		return incomplete
 	}
 	if p.totalBytes > p.headBytes {
+		if !p.reserve(int64(p.totalBytes-p.headBytes), reserve) {
+			return unsuitable
+		}
 		p.request.Body = io.NopCloser(bytes.NewReader(bytes.Clone(data[p.headBytes:p.totalBytes])))
 	}
 	return startable
 }
 
+// reserve reserves more memory for the request.
+func (p *parser) reserve(bytes int64, reserve func(int64) bool) bool {
+	if !reserve(bytes) {
+		return false
+	}
+	p.reserved += bytes
+	return true
+}
+
 // parseHead parses a complete head. ok is false if the server could reject the request, or
 // if its framing or its handling is more than a head and a body of stated length.
 func parseHead(head []byte) (request *http.Request, ok bool) {
--- a/internal/pipeline/fuzz_test.go
+++ b/internal/pipeline/fuzz_test.go
@@ -112,7 +112,9 @@
 func serveStream(t *testing.T, s *testServer, pipelined bool, parts []string) (started []string, received string) {
 	synctest.Test(t, func(t *testing.T) {
 		memory := &testMemory{limit: 8000} // less than the large response
-		s.start(t, pipelined, Options{Memory: memory})
+		const headMemory = 1 << 20         // more than all pieces need
+		heads := newSharedMemory(headMemory)
+		s.start(t, pipelined, Options{Memory: memory, Heads: &HeadLimits{MaxBytes: func() int { return headMemory }, Memory: heads}})
 		written := make(chan struct{})
 		go func() {
 			defer close(written)
@@ -128,7 +130,7 @@
 		received = dateLine.ReplaceAllString(received, "")
 		_ = s.caller.Close()
 		synctest.Wait()
-		if held := memory.held.Load(); held != 0 || s.listener != nil && s.listener.Depth() != 0 {
+		if held := memory.held.Load() + headMemory - heads.left(); held != 0 || s.listener != nil && s.listener.Depth() != 0 {
 			t.Errorf("%d bytes are held, or requests remain, after the connection has ended: %q", held, parts)
 		}
 	})
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -30,6 +30,9 @@
 	}
 	e := c.serve(h, r)
 	defer c.finish()
+	if r.ContentLength < 0 {
+		r.Body = &bodyWithoutTrailer{r.Body, r}
+	}
 	if e == nil && c.isOpaque() {
 		ctx, stop := c.watchPeer(r.Context())
 		defer stop()
@@ -44,6 +47,22 @@
 	e.response.deliver(r.Context(), w, e.cancel, func(header http.Header) { c.setConnection(header) })
 }
 
+// bodyWithoutTrailer drops the trailer of a request, which nobody uses and nobody pays for: it may
+// consist of many short fields.
+type bodyWithoutTrailer struct {
+	io.ReadCloser
+	request *http.Request
+}
+
+// Read implements io.Reader.
+func (b *bodyWithoutTrailer) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.request.Trailer = nil
+	}
+	return n, err
+}
+
 // setConnection sets the Connection header of an early response while the process is
 // stopping: only the last response closes the connection.
 func (c *conn) setConnection(header http.Header) {
--- a/internal/pipeline/pipeline.go
+++ b/internal/pipeline/pipeline.go
@@ -51,6 +51,8 @@
 	// nothing more is read ahead, and an early response waits for its turn before it
 	// continues to write.
 	Memory Memory
+	// Heads limits the heads of requests; nil stands for no limit.
+	Heads *HeadLimits
 	// Draining reports whether the process is stopping. Then nothing more is read ahead,
 	// and the last of the requests that were read closes its connection. Nil stands for
 	// never.
@@ -67,13 +69,17 @@
 	net.Listener
 	options Options
 
-	begun, used, cancelled, stalls metrics.Counter
+	begun, used, cancelled, stalls, refusedHeads metrics.Counter
 	// depth is the number of requests that were started early and whose turn has not come.
 	depth atomic.Int64
 
 	mu sync.Mutex
 	// ahead are the connections with requests that were started early.
 	ahead map[*conn]struct{}
+
+	headsMu sync.Mutex
+	// heads are the connections that have reserved memory for a head.
+	heads map[*conn]int64
 }
 
 // NewListener returns a listener that wraps the connections of another one.
@@ -90,8 +96,9 @@
 		return metrics.GetOrRegisterCounter(options.Prefix+"pipeline."+name, options.Registry)
 	}
 	l := &Listener{
-		Listener: listener, options: options, ahead: make(map[*conn]struct{}),
-		begun: counter("begun"), used: counter("used"), cancelled: counter("cancelled"), stalls: counter("stalls"),
+		Listener: listener, options: options, ahead: make(map[*conn]struct{}), heads: make(map[*conn]int64),
+		refusedHeads: counter("refused_heads"),
+		begun:        counter("begun"), used: counter("used"), cancelled: counter("cancelled"), stalls: counter("stalls"),
 	}
 	_ = options.Registry.Register(options.Prefix+"pipeline.depth", metrics.NewFunctionalGauge(l.depth.Load)) // fails for a second listener, whose depth is not shown
 	return l
--- a/internal/pipeline/readahead.go
+++ b/internal/pipeline/readahead.go
@@ -176,21 +176,46 @@
 			a.blocked = true
 			return
 		}
-		switch a.parser.parse(data, c.listener.options.MaxBytes) {
+		switch a.parser.parse(data, c.listener.options.MaxBytes, c.listener.reserveEarly) {
 		case incomplete:
 			return
 		case unsuitable:
-			a.blocked = true
+			c.block()
 			return
 		}
 		if !a.handler.mayBegin(a.parser.request) {
-			a.blocked = true
+			c.block()
 			return
 		}
 		c.start()
 	}
 }
 
+// block leaves the request at next to the server. The caller must hold mu.
+func (c *conn) block() {
+	c.readAhead.blocked = true
+	c.dropParsed()
+}
+
+// dropParsed drops what was parsed of the request at next. The caller must hold mu.
+func (c *conn) dropParsed() {
+	c.listener.releaseEarly(c.readAhead.parser.reserved)
+	c.readAhead.parser = parser{}
+}
+
+// reserveEarly reserves memory for a request that was read ahead.
+func (l *Listener) reserveEarly(bytes int64) bool {
+	limits := l.options.Heads
+	return limits == nil || limits.Memory == nil || limits.Memory.Reserve(bytes) == nil
+}
+
+// releaseEarly releases what reserveEarly has reserved.
+func (l *Listener) releaseEarly(bytes int64) {
+	if limits := l.options.Heads; bytes > 0 && limits != nil && limits.Memory != nil {
+		limits.Memory.Release(bytes)
+	}
+}
+
 // ahead returns the bytes at the offset next. The caller must hold mu.
 func (c *conn) ahead() []byte {
 	skip := c.readAhead.next - c.delivered
@@ -211,10 +236,15 @@
 		startedAt: time.Now(), cancel: cancel, response: newResponse(ctx, c.listener.options.Memory),
 	}
 	a.early = append(a.early, e)
+	reserved := a.parser.reserved
 	a.next, a.parser, a.last = e.end, parser{}, request.Close
 	c.listener.begun.Inc(1)
 	c.listener.record(c, 1, len(a.early))
-	go e.response.run(a.handler.next, request)
+	next := a.handler.next
+	go func() {
+		e.response.run(next, request)
+		c.listener.releaseEarly(reserved)
+	}()
 }
 
 // takeEarly returns the early request that the server has begun to handle as r, or nil.
