Receive bodies as they arrive, by their deadline, and let unfinished ones give way

Callers that state bodies of 1 MiB and send little of them kept all other bodies out of lovage-edge as long as they liked: an ordinary request with 100 kB got 503 for as long as the crowd stayed. At lovage-entry 200 bodies of 1 MiB took 271 to 393 MB where 120 are allowed. And the smallest instance refused a single body of 64 MiB, which is legal, also in calm.

Cause: lovage-edge reserved the stated length before the first byte, had no time for a body to arrive, and refused who came last. lovage-entry counted nothing. A third of 184 MB is less than the largest body.

It must arrive by the deadline of its request; else 408, which promises that it has not run. Reading ahead and larger buffers are done without instead. lovage-entry uses the same memory for bodies and answers, and answers refused requests without waiting for their bodies.

Why it works: who holds memory must have sent bytes for it, and what stops gives way to whoever comes.

--- a/internal/bodymemory/account.go
+++ b/internal/bodymemory/account.go
@@ -11,7 +11,7 @@
 
 // NewAccount returns an empty account of a kind that takes at most limit bytes.
 func (m *Memory) NewAccount(kind Kind, limit int64) *Account {
-	r := &Reservation{memory: m, kind: kind, optional: kind == ReadAhead || kind == Buffers}
+	r := &Reservation{memory: m, kind: kind, shared: true, optional: kind == ReadAhead || kind == Buffers}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r.startedAt = m.now()
--- a/internal/bodymemory/deliver.go
+++ b/internal/bodymemory/deliver.go
@@ -8,10 +8,18 @@
 
 type connKey struct{}
 
-// enlargeBytes is the size of a response for which a connection gets larger buffers of the
+// enlargeBytes is the size of a body or response for which a connection gets larger buffers of the
 // kernel, so that it takes few round trips.
 const enlargeBytes = 16 << 10
 
+// ReceiveLarge gives the caller's connection larger buffers if the stated length of a body, or an
+// unknown one, calls for them.
+func ReceiveLarge(ctx context.Context, length int64) {
+	if conn, ok := ctx.Value(connKey{}).(Conn); ok && (length < 0 || length > enlargeBytes) {
+		conn.Enlarge()
+	}
+}
+
 // ConnContext returns a context from which Deliver finds the caller's connection, if that is
 // a Conn or wraps one and returns it from a method NetConn. It can be used as the ConnContext
 // of an http.Server.
@@ -28,6 +36,14 @@
 	}
 }
 
+// StopReading returns a function that stops reads from the caller's connection, or nil without one.
+func StopReading(ctx context.Context) func() {
+	if conn, ok := ctx.Value(connKey{}).(Conn); ok {
+		return conn.StopReading
+	}
+	return nil
+}
+
 // ResponseHolder is implemented by an http.ResponseWriter that keeps a response until its
 // caller can take it, such as that of a request that was begun early. HoldResponse takes over
 // the body, which is not copied and must not be changed, and its reservation. The holder
--- a/internal/bodymemory/memory.go
+++ b/internal/bodymemory/memory.go
@@ -1,10 +1,12 @@
-// Package bodymemory limits the memory that an instance holds for callers: request bodies,
-// responses and requests that were read ahead, under a single limit that follows from the
-// memory of the instance.
+// Package bodymemory limits the memory that an instance holds for callers: their connections,
+// large heads, request bodies, responses and requests that were read ahead, under a single limit
+// that follows from the memory of the instance.
 //
 // Failure modes: without memory a reservation fails with a *NoMemoryError, and the request is
-// refused before it is sent. Before that, the callers that read their responses most slowly
-// are disconnected if that frees enough. Large reservations leave a part of the limit to
+// refused before it is sent. Before that, bodies that are still being received give way if that
+// frees enough: those that make no progress, then those that hold more than what is asked for.
+// Their requests are refused, since they have not run. After them the callers that read their
+// responses most slowly are disconnected. Large reservations leave a part of the limit to
 // small ones, so that a few callers with large responses do not stop all others.
 package bodymemory
 
@@ -15,8 +17,9 @@
 )
 
 // limitPercent is the part of a process's memory for its Memory. The rest is for the process itself,
-// for garbage that is not collected yet and for the kernel.
-const limitPercent = 33
+// for garbage that is not collected yet and for the kernel. The smallest instances have room for the
+// largest body that the users allow while it is copied to the last of its buffers.
+const limitPercent = 45
 
 // Reservations above largeBytes use at most 1-1/smallShareDivisor of the limit.
 const (
@@ -125,8 +128,8 @@
 	return r, nil
 }
 
-// resize sets the size of a reservation. If it grows beyond the limit, the slowest readers
-// are disconnected first. The caller must hold mu and report what was disconnected.
+// resize sets the size of a reservation. If it grows beyond the limit, bodies that are being
+// received give way first, and then the slowest readers are disconnected. The caller must hold mu and report what was disconnected.
 func (m *Memory) resize(r *Reservation, size int64) ([]Disconnection, error) {
 	n := size - r.size
 	excess := n - (m.limitFor(size) - m.used) // a sum could overflow: callers state lengths up to 2^63-1
@@ -137,7 +140,14 @@
 	if r.optional {
 		return nil, &NoMemoryError{Kind: r.kind, Bytes: n, Limit: m.limit}
 	}
-	disconnected := m.disconnectSlowest(excess)
+	asked := size
+	if r.shared {
+		asked = n
+	}
+	disconnected := m.stopReceivers(r, asked, excess)
+	if excess = n - (m.limitFor(size) - m.used); excess > 0 {
+		disconnected = append(disconnected, m.disconnectSlowest(excess)...)
+	}
 	if n > m.limitFor(size)-m.used {
 		return disconnected, &NoMemoryError{Kind: r.kind, Bytes: n, Limit: m.limit}
 	}
--- a/internal/bodymemory/memory_test.go
+++ b/internal/bodymemory/memory_test.go
@@ -14,13 +14,14 @@
 
 // fakeConn is a caller's connection whose progress the test sets.
 type fakeConn struct {
-	written, read int64
-	disconnected  bool
+	written, read         int64
+	disconnected, stopped bool
 }
 
 func (c *fakeConn) BytesWritten() int64 { return c.written }
 func (c *fakeConn) BytesRead() int64    { return c.read }
 func (c *fakeConn) Disconnect()         { c.disconnected = true }
+func (c *fakeConn) StopReading()        { c.stopped = true }
 func (c *fakeConn) Enlarge()            {}
 
 // newTestMemory returns a Memory with a clock that the test advances.
--- a/internal/bodymemory/reader.go
+++ b/internal/bodymemory/reader.go
@@ -11,6 +11,8 @@
 	// Disconnect aborts reads and writes, so that the server closes the connection and the
 	// caller finds its response truncated. It must not block.
 	Disconnect()
+	// StopReading lets reads fail until a new read deadline is set. It must not block.
+	StopReading()
 	// Enlarge gives the connection larger buffers of the kernel if there is memory for them.
 	Enlarge()
 }
@@ -59,7 +61,7 @@
 	}
 }
 
-// Disconnection describes a caller that was disconnected.
+// Disconnection describes a caller that was disconnected, or whose body is not received further.
 type Disconnection struct {
 	Reason    Reason
 	Owner     Owner
@@ -79,6 +81,9 @@
 	Slowest Reason = "slowest"
 	// Stalled is a caller that read nothing for stallTimeout.
 	Stalled Reason = "stalled"
+	// GaveWay is a caller whose request is refused while its body is being received, because
+	// another request or connection needs what it holds.
+	GaveWay Reason = "gave_way"
 )
 
 // readers returns the reservations whose responses are being written, and the state of their
--- a/internal/bodymemory/reservation.go
+++ b/internal/bodymemory/reservation.go
@@ -16,8 +16,9 @@
 type Reservation struct {
 	memory *Memory
 	kind   Kind
-	// optional is set for a reservation that others do not give way to.
-	optional bool
+	// shared is set for the reservation of an Account. optional is set for one that others do
+	// not give way to.
+	shared, optional bool
 
 	// memory.mu guards what follows.
 	size           int64
@@ -25,6 +26,7 @@
 	released       bool
 	owner          Owner
 	reader         Reader
+	receiver       *receiver
 	next, previous *Reservation
 }
 
@@ -106,4 +108,5 @@
 	m.add(r, -r.size)
 	m.unlink(r)
 	r.reader.conn = nil
+	r.receiver = nil
 }
--- a/internal/callerconn/progress.go
+++ b/internal/callerconn/progress.go
@@ -84,3 +84,9 @@
 	}
 	return c.Conn.Close()
 }
+
+// StopReading implements bodymemory.Conn. It does not use the connections in between, whose locks
+// the caller of this function may wait for.
+func (c *Conn) StopReading() {
+	_ = c.innermost().SetReadDeadline(pastDeadline) // fails only if closed
+}
--- a/internal/edge/body.go
+++ b/internal/edge/body.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 
 	"github.com/pkg/errors"
 
@@ -23,7 +24,7 @@
 	if limit > 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body, err := e.holdBody(r, q)
+	body, err := e.holdBody(w, r, q)
 	var tooLarge *http.MaxBytesError
 	var noMemory *bodymemory.NoMemoryError
 	switch {
@@ -33,6 +34,8 @@
 		return nil, bodyTooLarge(limit)
 	case errors.As(err, &noMemory):
 		return nil, noBodyMemory()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, refusal.New(http.StatusRequestTimeout, refusal.BodyLate, refusal.NotRun, "body did not arrive in time")
 	}
 	return nil, refusal.New(http.StatusBadRequest, refusal.BodyIncomplete, refusal.NotRun, "body was cut short")
 }
--- a/internal/edge/body_memory.go
+++ b/internal/edge/body_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -19,15 +20,23 @@
 	e.responseSizes = bodymemory.NewSizes(memory.Limit())
 }
 
-// holdBody reads the body of a request into memory that is reserved until the request ends.
-func (e *Edge) holdBody(r *http.Request, q *request) ([]byte, error) {
+// holdBody reads the body of a request into memory that is reserved until the request ends. The body
+// must arrive as long as the answer to the request can still be of use.
+func (e *Edge) holdBody(w http.ResponseWriter, r *http.Request, q *request) ([]byte, error) {
 	held, err := e.memory.Reserve(bodymemory.RequestBody, 0)
 	if err != nil {
 		return nil, err
 	}
 	q.bodyHeld = held
 	held.SetOwner(q.owner())
-	return held.ReadBody(r.Body, r.ContentLength)
+	bodymemory.ReceiveLarge(r.Context(), r.ContentLength)
+	controller := http.NewResponseController(w)
+	limited := controller.SetReadDeadline(q.answersUntil()) == nil // a request that was read ahead has its body
+	body, err := held.ReceiveBody(r.Body, r.ContentLength, q.catalog.Limits.MaxBodyBytes, bodymemory.StopReading(r.Context()))
+	if limited && err == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
 }
 
 // reserveResponse reserves the memory that the response is expected to need, or refuses the
@@ -96,12 +105,13 @@
 	return refusal.New(http.StatusBadGateway, refusal.UpstreamFailed, refusal.Unknown, "no memory for the endpoint's answer")
 }
 
-// recordDisconnection counts and logs a caller that was disconnected.
+// recordDisconnection counts and logs a caller that was disconnected, or refused while it sent its
+// body.
 func (e *Edge) recordDisconnection(d bodymemory.Disconnection) {
 	metrics.GetOrRegisterCounter("edge.callers.disconnected."+string(d.Reason), e.registry).Inc(1)
 	e.log.Warn().Str("request", d.Owner.Request).Str("workspace", d.Owner.Workspace).Str("route", d.Owner.Route).
 		Str("caller", d.Owner.Caller).Str("reason", string(d.Reason)).Int64("held", d.Held).Int64("read", d.BytesRead).
-		Dur("age", d.Age).Dur("quiet", d.Quiet).Msg("caller was disconnected because it read its response too slowly")
+		Dur("age", d.Age).Dur("quiet", d.Quiet).Msg("caller was disconnected or refused in favor of others")
 }
 
 // setMemoryGauges sets the gauges of the memory for bodies.
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -29,7 +29,7 @@
 	conns := callerconn.NewListener(e.pipelined(limited))
 	conns.EnlargeWithin(e.intake.Buffers)
 	limited.OnFull(func() bool {
-		return conns.MakeRoom(time.Now()) || conns.Tracked() < limited.Open()
+		return conns.MakeRoom(time.Now()) || e.memory.StopQuietest() || conns.Tracked() < limited.Open()
 	})
 	server := &http.Server{
 		Handler:        pipeline.Handler(e, e.mayBegin),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,6 +124,7 @@
 			MaxHeaderBytes: s.MaxHeaderBytes,
 			Isolation:      s.Isolation.Std(),
 			RefusalOutcome: e.actions.RefusalOutcome,
+			Memory:         e.intake.Memory,
 		})
 	e.spread = newSpreadController(e)
 	return e, nil
@@ -230,7 +231,7 @@
 	conns := callerconn.NewListener(pipelines)
 	conns.EnlargeWithin(e.intake.Buffers)
 	limited.OnFull(func() bool {
-		return conns.MakeRoom(time.Now()) || conns.Tracked() < limited.Open()
+		return conns.MakeRoom(time.Now()) || e.intake.Memory.StopQuietest() || conns.Tracked() < limited.Open()
 	})
 	watchCtx, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatch()
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/call"
 	"lovagescale/internal/header"
 	"lovagescale/internal/refusal"
@@ -12,7 +14,7 @@
 
 // writeResult writes the answer of a call with the headers that say where it came from.
 // The Content-Length that the upstream gave to a HEAD request is kept.
-func writeResult(w http.ResponseWriter, result *call.Result, isHead bool) {
+func writeResult(ctx context.Context, w http.ResponseWriter, result *call.Result, isHead bool, held *bodymemory.Reservation) {
 	outgoing := w.Header()
 	requestID := outgoing.Get(refusal.HeaderRequestID)
 	for name, values := range result.Answer.Header {
@@ -32,5 +34,5 @@
 		outgoing.Set(HeaderReplayed, "true")
 	}
 	w.WriteHeader(result.Answer.Status)
-	_, _ = w.Write(result.Answer.Body) // fails if the caller has disconnected
+	bodymemory.Deliver(ctx, w, result.Answer.Body, held)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,10 +18,12 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"lovagescale/internal/bodymemory"
 	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/control"
 	"lovagescale/internal/refusal"
+	"lovagescale/internal/unreadbody"
 )
 
 // Headers of callers' requests.
@@ -54,6 +56,8 @@
 	// RefusalOutcome returns the outcome to report for refused actions. If it is nil,
 	// refusals keep their own outcome.
 	RefusalOutcome RefusalOutcome
+	// Memory accounts for bodies and answers. Nil stands for no limit.
+	Memory *bodymemory.Memory
 }
 
 // Defaults of Options.
@@ -74,6 +78,7 @@
 	answers         metrics.Meter
 	refusedCounters metrics.Registry
 	latency         metrics.Timer
+	memory          *bodymemory.Memory
 	isolation
 	// authenticate returns the workspace of each request; tests replace it.
 	authenticate authenticator
@@ -88,6 +93,7 @@
 		maxBodyBytes:    options.MaxBodyBytes,
 		maxHeaderBytes:  options.MaxHeaderBytes,
 		refusalOutcome:  options.RefusalOutcome,
+		memory:          options.Memory,
 		answers:         metrics.GetOrRegisterMeter("gateway.answers", registry),
 		refusedCounters: metrics.NewPrefixedChildRegistry(registry, "gateway.refused."),
 		latency:         metrics.GetOrRegisterTimer("gateway.latency", registry),
@@ -108,9 +114,11 @@
 	started := g.now()
 	requestID := uuid.NewString()
 	w.Header().Set(refusal.HeaderRequestID, requestID)
-	c, refused := g.parseRequest(w, r, requestID)
+	held := &heldMemory{}
+	defer held.release()
+	c, refused := g.parseRequest(w, r, requestID, held)
 	if refused != nil {
-		g.refuse(w, g.correctOutcome(r, refused))
+		unreadbody.Answer(w, r, func() { g.refuse(w, g.correctOutcome(r, refused)) })
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.Deadline)
@@ -122,7 +130,8 @@
 		return
 	}
 	g.answers.Mark(1)
-	writeResult(w, result, r.Method == http.MethodHead)
+	held.body.Release()
+	writeResult(r.Context(), w, result, r.Method == http.MethodHead, held.takeResponse(result.Answer.Body))
 }
 
 // IsIdempotent reports whether the route of a request is idempotent. It reads only the
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -10,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"lovagescale/internal/call"
 	"lovagescale/internal/configuration"
 	"lovagescale/internal/header"
@@ -21,7 +18,7 @@
 )
 
 // parseRequest converts a request to a call, or returns a refusal.
-func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request, requestID string) (*call.Call, *refusal.Refusal) {
+func (g *Gateway) parseRequest(w http.ResponseWriter, r *http.Request, requestID string, held *heldMemory) (*call.Call, *refusal.Refusal) {
 	current := g.configuration.Load()
 	if current == nil {
 		return nil, refusal.New(http.StatusServiceUnavailable, refusal.NotConfigured, refusal.NotRun,
@@ -50,10 +47,14 @@
 	if refused != nil {
 		return nil, refused
 	}
-	body, refused := g.readBody(w, r)
+	deadline := g.now().Add(timeout)
+	body, refused := g.readBody(w, r, timeout, held)
 	if refused != nil {
 		return nil, refused
 	}
+	if refused := g.reserveResponse(held); refused != nil {
+		return nil, refused
+	}
 	return &call.Call{
 		ID:             requestID,
 		Workspace:      workspace,
@@ -61,13 +62,15 @@
 		Route:          route.Name,
 		Kind:           route.Kind,
 		IdempotencyKey: idempotencyKey,
-		Deadline:       g.now().Add(timeout),
+		Deadline:       deadline,
 		Request: upstream.Request{
 			ID:     requestID,
 			Method: r.Method,
 			Target: requestTarget(path, r.URL.RawQuery),
 			Header: upstreamHeader(r.Header, workspace),
 			Body:   body,
+
+			ResponseMemory: held.response,
 		},
 	}, nil
 }
@@ -154,19 +157,6 @@
 	return values[0], nil
 }
 
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *refusal.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, refusal.New(http.StatusRequestEntityTooLarge, refusal.BodyTooLarge, refusal.NotRun,
-			fmt.Sprintf("body is above the limit of %d bytes", g.maxBodyBytes))
-	}
-	if err != nil {
-		return nil, refusal.New(http.StatusBadRequest, refusal.BodyIncomplete, refusal.NotRun, "body was cut short")
-	}
-	return body, nil
-}
-
 func requestTarget(path, query string) string {
 	if query == "" {
 		return path
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -62,8 +62,10 @@
 	StoreUnavailable    Kind = "store-unavailable"
 	BodyTooLarge        Kind = "body-too-large"
 	BodyIncomplete      Kind = "body-cut"
-	HeadersTooLarge     Kind = "headers-too-large"
-	RateExceeded        Kind = "rate-exceeded"
+	// BodyLate: the body did not arrive by the deadline of the request.
+	BodyLate        Kind = "body-late"
+	HeadersTooLarge Kind = "headers-too-large"
+	RateExceeded    Kind = "rate-exceeded"
 	// QuotaUndecided: it was not decided in time whether the workspace is within its rate.
 	QuotaUndecided      Kind = "quota-undecided"
 	NoCapacity          Kind = "no-capacity"
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -140,7 +140,7 @@
 	// Fresh asks for a new connection instead of an idle one.
 	Fresh bool
 	// ResponseMemory accounts for the body of the answer. It may be nil.
-	ResponseMemory *bodymemory.Reservation
+	ResponseMemory *bodymemory.Reservation `msgpack:"-"`
 }
 
 // Answer is one complete answer.
