Pay for messages on links as they arrive and before they are decoded

Cause: a link held whatever arrived for up to 30 s, up to 1,024 requests of each connection at once, and decoded an element of one byte to a record of 40 to 200 bytes.

Now memory for a message is reserved as its buffer grows, and before it is decoded for its elements (wire.DecodedBytes, 256 bytes for each array, map or nil, 16 for others), within a quarter of the memory for clients. While there is none, a connection waits for its own requests, the largest message that is on its way gives way, and a message that still finds none after 2 s ends its connection. Packed messages are bounded by what they decode to. Truncated frames end the connection as before.

Why it works: nothing is read or decoded that was not reserved.

--- a/internal/bodymemory/memory.go
+++ b/internal/bodymemory/memory.go
@@ -44,13 +44,15 @@
 	Heads
 	// Buffers are those of the kernel for connections with large bodies or responses.
 	Buffers
+	// LinkMessages are messages of other processes of the system.
+	LinkMessages
 	kindCount
 )
 
-var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead", "connections", "heads", "buffers"}
+var kindNames = [kindCount]string{"request_bodies", "responses", "read_ahead", "connections", "heads", "buffers", "link_messages"}
 
 // AccountLimit returns the largest part of the limit for what can wait or be done without: large
-// heads, requests that were read ahead and larger buffers.
+// heads, requests that were read ahead, larger buffers and messages of other processes.
 func (m *Memory) AccountLimit() int64 { return m.limit / accountDivisor }
 
 // accountDivisor is the divisor of the limit for AccountLimit.
--- a/internal/fleet/packing.go
+++ b/internal/fleet/packing.go
@@ -13,6 +13,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lovagescale/internal/mirror"
+	"lovagescale/internal/wire"
 )
 
 // Digests are the largest part of the traffic between instances. They are packed: the
@@ -23,6 +24,18 @@
 // maxUnpackedBytes bounds the size of an unpacked message.
 const maxUnpackedBytes = 32 << 20
 
+// maxDecodedBytes bounds the memory of what is decoded from an unpacked message: its elements may be
+// much smaller packed than decoded.
+const maxDecodedBytes = 64 << 20
+
+// DecodedSizeError reports a packed message that takes too much memory once it is decoded.
+type DecodedSizeError struct{ Bytes int64 }
+
+// Error implements the error interface.
+func (e *DecodedSizeError) Error() string {
+	return fmt.Sprintf("message takes %d bytes decoded, above the limit of %d", e.Bytes, maxDecodedBytes)
+}
+
 // maxEndpointLists is the number of lists of endpoints that are kept. A reply may refer to
 // a list that has changed since the report.
 const maxEndpointLists = 4
@@ -309,5 +322,8 @@
 	if err != nil {
 		return err
 	}
+	if size := wire.DecodedBytes(data); size > maxDecodedBytes {
+		return &DecodedSizeError{Bytes: size}
+	}
 	return msgpack.Unmarshal(data, value)
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,6 +1,6 @@
 // Package intake bounds what clients can make a process hold, over all of its listeners: their
-// connections, heads, bodies, requests that were read ahead, answers that are not taken and
-// the kernel's buffers. One Intake owns the memory and the descriptors of a process; each
+// connections, heads, bodies, requests that were read ahead, answers that are not taken, messages
+// and the kernel's buffers. One Intake owns the memory and the descriptors of a process; each
 // listener gets its limits from it.
 //
 // Failure modes: see packages listener, pipeline and bodymemory for who is refused first.
@@ -37,7 +37,7 @@
 	ReadAhead, Buffers *bodymemory.Account
 
 	// connections are those of callers, auxiliary those of all other listeners.
-	connections, auxiliary, heads *bodymemory.Account
+	connections, auxiliary, heads, linkMessages *bodymemory.Account
 
 	process  settings.Process
 	plan     listener.Plan
@@ -55,13 +55,14 @@
 func New(process settings.Process, parts []listener.Part, registry metrics.Registry, prefix string, log zerolog.Logger) *Intake {
 	memory := bodymemory.New(bodymemory.LimitOf(process.MemoryBytes()))
 	return &Intake{
-		Memory:      memory,
-		ReadAhead:   memory.NewAccount(bodymemory.ReadAhead, memory.AccountLimit()),
-		Buffers:     memory.NewAccount(bodymemory.Buffers, memory.AccountLimit()),
-		connections: memory.NewAccount(bodymemory.Connections, memory.Limit()),
-		auxiliary:   memory.NewGrantedAccount(bodymemory.Connections),
-		heads:       memory.NewAccount(bodymemory.Heads, memory.AccountLimit()),
-		process:     process, plan: listener.NewPlan(process.MemoryBytes(), process.MaxDescriptors),
+		Memory:       memory,
+		ReadAhead:    memory.NewAccount(bodymemory.ReadAhead, memory.AccountLimit()),
+		Buffers:      memory.NewAccount(bodymemory.Buffers, memory.AccountLimit()),
+		connections:  memory.NewAccount(bodymemory.Connections, memory.Limit()),
+		auxiliary:    memory.NewGrantedAccount(bodymemory.Connections),
+		heads:        memory.NewAccount(bodymemory.Heads, memory.AccountLimit()),
+		linkMessages: memory.NewAccount(bodymemory.LinkMessages, memory.AccountLimit()),
+		process:      process, plan: listener.NewPlan(process.MemoryBytes(), process.MaxDescriptors),
 		registry: registry, prefix: prefix, log: log, parts: parts,
 	}
 }
@@ -118,7 +119,7 @@
 
 // Link returns the limits of the server of a link.
 func (i *Intake) Link() link.Limits {
-	return link.Limits{Listener: i.Listener("link", listener.PartLink), Buffers: i.Buffers}
+	return link.Limits{Listener: i.Listener("link", listener.PartLink), Messages: i.linkMessages, Buffers: i.Buffers}
 }
 
 // watchInterval is the interval of the checks for callers that read nothing and for memory that can
--- a/internal/link/holding.go
+++ b/internal/link/holding.go
@@ -1,17 +1,36 @@
 package link
 
 import (
+	"context"
+	"fmt"
 	"net"
 	"time"
 )
 
 const (
+	// requestBytes is the memory of a request that is handled, besides its message.
+	requestBytes = 16 << 10
+	// receivingTime is how long a message may be on its way before its connection gives way to
+	// a larger one.
+	receivingTime = time.Second
+	// holdTimeout is longer than replies wait to be taken.
+	holdTimeout = 2 * writeTimeout
+	// holdRetryInterval is the interval of the attempts to reserve memory for a message.
+	holdRetryInterval = 20 * time.Millisecond
 	// proofBufferBytes is the size of the kernel's buffers of a connection that has carried a
 	// request, so that large replies and bodies need few round trips. The kernel doubles it.
 	proofBufferBytes = 64 << 10
 	buffersPerConn   = 4
 )
 
+// NoMemoryError reports a message for which no memory is left.
+type NoMemoryError struct{ Bytes int64 }
+
+// Error implements the error interface.
+func (e *NoMemoryError) Error() string {
+	return fmt.Sprintf("no memory for a message that needs %d bytes", e.Bytes)
+}
+
 // connection is an open connection of a server. Server.mu guards its fields.
 type connection struct {
 	net.Conn
@@ -19,8 +38,11 @@
 	receivedAt time.Time
 	// served is set once a request was handled.
 	served bool
-	// buffers is the memory for larger buffers of the kernel.
-	buffers int64
+	// receiving is the memory held for the message that is being received, buffers that for
+	// larger buffers of the kernel.
+	receiving, buffers int64
+	// startedAt is when the message that is being received began to hold memory.
+	startedAt time.Time
 	// pending is the number of requests that are handled.
 	pending int
 	closed  bool
@@ -40,25 +62,101 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.connections, c)
+	s.release(c.receiving)
 	if c.buffers > 0 {
 		s.limits.Buffers.Release(c.buffers)
 	}
-	c.buffers, c.closed = 0, true
+	c.receiving, c.buffers, c.closed = 0, 0, true
+}
+
+// release returns memory for messages.
+func (s *Server) release(bytes int64) {
+	if s.limits.Messages != nil && bytes > 0 {
+		s.limits.Messages.Release(bytes)
+	}
+}
+
+// hold reserves the memory that a message needs so far. Without memory it closes another connection,
+// or waits for the requests that are handled. It returns a *NoMemoryError after holdTimeout if none of
+// them is one of the connection.
+func (s *Server) hold(ctx context.Context, c *connection, bytes int64) error {
+	bytes += requestBytes
+	startedAt := time.Now()
+	for {
+		s.mu.Lock()
+		held := s.tryHold(c, bytes)
+		waits := held || !c.closed && (s.closeReceiver(c, bytes) || c.pending > 0 || time.Since(startedAt) < holdTimeout)
+		s.mu.Unlock()
+		if held {
+			return nil
+		}
+		if !waits {
+			return &NoMemoryError{Bytes: bytes}
+		}
+		sleep(ctx, holdRetryInterval)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// tryHold reserves memory for a message. The caller must hold mu.
+func (s *Server) tryHold(c *connection, bytes int64) bool {
+	more := bytes - c.receiving
+	if c.closed { // what it held is released
+		return false
+	}
+	if s.limits.Messages == nil || more <= 0 {
+		return true
+	}
+	if s.limits.Messages.Reserve(more) != nil {
+		return false
+	}
+	if c.receiving == 0 {
+		c.startedAt = time.Now()
+	}
+	c.receiving += more
+	return true
+}
+
+// closeReceiver closes the connection that holds most for a message that is on its way, if that is
+// more than size or on its way for receivingTime. It reports whether there was one. The caller must
+// hold mu.
+func (s *Server) closeReceiver(requester *connection, size int64) bool {
+	var largest *connection
+	for c := range s.connections {
+		if c == requester || c.closed || c.receiving == 0 || c.receiving <= size && time.Since(c.startedAt) < receivingTime {
+			continue
+		}
+		if largest == nil || c.receiving > largest.receiving {
+			largest = c
+		}
+	}
+	if largest == nil {
+		return false
+	}
+	s.release(largest.receiving)
+	largest.receiving, largest.closed = 0, true
+	_ = largest.Close() // its goroutine ends with the error of its read
+	return true
 }
 
-// received records a complete message.
-func (s *Server) received(c *connection) {
+// received records a complete message and returns the memory that its handling holds.
+func (s *Server) received(c *connection) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c.receivedAt = time.Now()
+	held := c.receiving
+	c.receiving, c.receivedAt = 0, time.Now()
 	c.pending++
+	return held
 }
 
-// finished records that a message was handled.
-func (s *Server) finished(c *connection) {
+// finished records that a message was handled, and releases its memory.
+func (s *Server) finished(c *connection, held int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.pending--
+	s.release(held)
 	if !c.served && !c.closed {
 		c.served = true
 		s.enlargeBuffers(c)
@@ -107,6 +205,8 @@
 		return false
 	}
 	chosen.closed = true
+	s.release(chosen.receiving)
+	chosen.receiving = 0
 	_ = chosen.Close() // its goroutine ends with the error of its read
 	return true
 }
--- a/internal/link/holding_test.go
+++ b/internal/link/holding_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"net"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,6 +18,34 @@
 	"lovagescale/internal/wire"
 )
 
+// boundedMemory grants a number of bytes in total.
+type boundedMemory struct {
+	mu         sync.Mutex
+	limit, now int64
+}
+
+func (m *boundedMemory) Reserve(n int64) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.now+n > m.limit {
+		return errors.New("no memory")
+	}
+	m.now += n
+	return nil
+}
+
+func (m *boundedMemory) Release(n int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now -= n
+}
+
+func (m *boundedMemory) held() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.now
+}
+
 // serveWithin runs a server with limits until the test ends.
 func serveWithin(t *testing.T, limits Limits) (server *Server, address string) {
 	server = NewServer(zerolog.Nop(), metrics.NewRegistry())
@@ -59,6 +90,25 @@
 	return client.Call(ctx, "echo", text, &reply)
 }
 
+// Guards against strangers whose large messages stop short of their end and who keep the memory from
+// the other processes, and against memory that stays held after a message.
+func TestMessagesThatStopGiveWayToOthers(t *testing.T) {
+	g := NewWithT(t)
+	memory := &boundedMemory{limit: 1 << 20}
+	_, address := serveWithin(t, Limits{Messages: memory})
+	stranger := startFrame(t, address, 8<<20, 300<<10)
+	g.Eventually(memory.held).Should(BeNumerically(">", 300<<10))
+	g.Expect(call(address, strings.Repeat("x", 100<<10))).To(Succeed())
+	g.Expect(call(address, strings.Repeat("x", 200<<10))).To(Succeed())
+	g.Expect(stranger.SetReadDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	_, err := stranger.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred(), "it held most")
+	g.Eventually(memory.held).Should(BeZero())
+	g.Expect(call(address, strings.Repeat("x", 2<<20))).NotTo(Succeed(), "one message above all memory")
+	g.Expect(call(address, "x")).To(Succeed())
+	g.Eventually(memory.held).Should(BeZero())
+}
+
 // Guards against strangers who take all connections of a link from the other processes.
 func TestStrangersLeaveConnectionsToOthers(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -22,8 +22,9 @@
 // Limits bound what strangers can make a server hold.
 type Limits struct {
 	Listener listener.Options
-	// Buffers is the memory for larger buffers of the kernel. Nil stands for none.
-	Buffers listener.Memory
+	// Messages is the memory for messages that are received or handled, Buffers that for larger
+	// buffers of the kernel. Nil stands for no limit.
+	Messages, Buffers listener.Memory
 }
 
 // Handler answers one request with a reply or an error. If the error is a
@@ -45,6 +46,7 @@
 	handlers        map[string]Handler
 	streams         map[string]StreamHandler
 	malformedFrames metrics.Counter
+	refusedMessages metrics.Counter
 	acceptFailures  metrics.Counter
 	limits          Limits
 
@@ -60,6 +62,7 @@
 		handlers:        make(map[string]Handler),
 		streams:         make(map[string]StreamHandler),
 		malformedFrames: metrics.GetOrRegisterCounter("link.malformed_frames", registry),
+		refusedMessages: metrics.GetOrRegisterCounter("link.refused_messages", registry),
 		acceptFailures:  metrics.GetOrRegisterCounter("link.accept_failures", registry),
 		limits:          Limits{Listener: listener.Options{Name: "link", Limits: listener.Limits{MaxConns: maxConnections}, Registry: registry, Log: log}},
 		connections:     make(map[*connection]struct{}),
@@ -139,22 +142,22 @@
 	pendingTokens := make(chan struct{}, MaxPending)
 	running := newRunningRequests()
 	for {
-		envelope, err := conn.Receive(time.Now().Add(idleTimeout))
+		envelope, err := conn.ReceiveHeld(time.Now().Add(idleTimeout), func(bytes int64) error { return s.hold(ctx, c, bytes) })
 		if err != nil {
 			s.recordMalformedFrame(ctx, conn, err)
 			return
 		}
-		s.received(c)
+		held := s.received(c)
 		if envelope.Type == typeCancel {
 			running.cancel(envelope.ID)
-			s.finished(c)
+			s.finished(c, held)
 			continue
 		}
 		pendingTokens <- struct{}{}
 		requestCtx := running.add(ctx, envelope.ID)
 		requests.Go(func() {
 			defer func() { <-pendingTokens }()
-			defer s.finished(c)
+			defer s.finished(c, held)
 			defer running.cancel(envelope.ID)
 			if !s.serveRequest(requestCtx, conn, envelope) {
 				cancel()
@@ -201,6 +204,12 @@
 	if ctx.Err() != nil || errors.Is(err, io.EOF) || errors.As(err, &netErr) {
 		return
 	}
+	var noMemory *NoMemoryError
+	if errors.As(err, &noMemory) {
+		s.refusedMessages.Inc(1)
+		s.log.Warn().Err(err).Str("peer", conn.RemoteAddress()).Msg("closing link connection whose message finds no memory")
+		return
+	}
 	s.malformedFrames.Inc(1)
 	s.log.Warn().Err(err).Str("peer", conn.RemoteAddress()).Msg("closing link connection after a malformed frame")
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -6,8 +6,8 @@
 package wire
 
 import (
-	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -29,6 +29,9 @@
 // envelope has arrived.
 const initialBufferBytes = 16 << 10
 
+// growthFactor is the factor by which the buffer for an envelope grows.
+const growthFactor = 4
+
 // headerBytes is the size of the length field and the version byte.
 const headerBytes = 5
 
@@ -140,15 +143,26 @@
 }
 
 // Receive reads one envelope by the deadline.
-func (c *Conn) Receive(deadline time.Time) (Envelope, error) {
+func (c *Conn) Receive(deadline time.Time) (Envelope, error) { return c.ReceiveHeld(deadline, nil) }
+
+// Hold is called with the memory that a message needs so far, before it is used. If it returns an
+// error, the message is not read further.
+type Hold func(bytes int64) error
+
+// ReceiveHeld reads one envelope by the deadline. hold may be nil.
+func (c *Conn) ReceiveHeld(deadline time.Time, hold Hold) (Envelope, error) {
 	if err := c.conn.SetReadDeadline(deadline); err != nil {
 		return Envelope{}, err
 	}
-	return ReadEnvelope(c.conn, c.maxFrame)
+	return readEnvelope(c.conn, c.maxFrame, hold)
 }
 
 // ReadEnvelope reads one frame whose envelope has at most maxFrame bytes.
 func ReadEnvelope(r io.Reader, maxFrame uint32) (Envelope, error) {
+	return readEnvelope(r, maxFrame, nil)
+}
+
+func readEnvelope(r io.Reader, maxFrame uint32, hold Hold) (Envelope, error) {
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return Envelope{}, err
@@ -160,16 +174,41 @@
 	if version := header[headerBytes-1]; version != Version {
 		return Envelope{}, &VersionError{Found: version}
 	}
-	// The buffer grows with the bytes that arrive and is not allocated by the size
-	// that the header states, so that a false size cannot exhaust memory.
-	var body bytes.Buffer
-	body.Grow(int(min(size, initialBufferBytes)))
-	if _, err := io.CopyN(&body, r, int64(size)); err != nil {
+	if hold == nil {
+		hold = func(int64) error { return nil }
+	}
+	body, err := readBody(r, int(size), hold)
+	if err != nil {
+		return Envelope{}, err
+	}
+	if err := hold(DecodedBytes(body)); err != nil {
 		return Envelope{}, err
 	}
 	var envelope Envelope
-	if err := msgpack.Unmarshal(body.Bytes(), &envelope); err != nil {
+	if err := msgpack.Unmarshal(body, &envelope); err != nil {
 		return Envelope{}, &MalformedError{Type: "envelope", Cause: err}
 	}
 	return envelope, nil
 }
+
+// readBody reads size bytes. The buffer grows with the bytes that arrive and is not allocated by
+// the size that the header states, so that a false size cannot exhaust memory.
+func readBody(r io.Reader, size int, hold Hold) ([]byte, error) {
+	var body []byte
+	for len(body) < size {
+		room := min(max(growthFactor*cap(body), initialBufferBytes), size)
+		if err := hold(int64(len(body) + room)); err != nil {
+			return nil, err
+		}
+		larger := make([]byte, room)
+		read := copy(larger, body)
+		body = nil
+		if _, err := io.ReadFull(r, larger[read:]); errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, io.EOF
+		} else if err != nil {
+			return nil, err
+		}
+		body = larger
+	}
+	return body, nil
+}
