--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -111,6 +111,14 @@
 // Error implements the error interface.
 func (e *NotFinalError) Error() string { return "upstream sent interim answers and no final one" }
 
+// InvalidStatusError reports an answer whose status is none of the protocol, such as 000.
+type InvalidStatusError struct{ Status string }
+
+// Error implements the error interface.
+func (e *InvalidStatusError) Error() string {
+	return fmt.Sprintf("answer has the status %q, which the protocol does not have", e.Status)
+}
+
 // UndelimitedError reports an answer whose body ends where its connection ends, so
 // that a truncated body would look complete.
 type UndelimitedError struct{ Status int }
@@ -272,6 +280,9 @@
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
+		if response.StatusCode < http.StatusContinue {
+			return nil, &InvalidStatusError{Status: response.Status}
+		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
 			break
 		}
--- a/internal/upstream/exchange_test.go
+++ b/internal/upstream/exchange_test.go
@@ -100,6 +100,10 @@
 		Entry("not HTTP", "gibberish\r\n\r\n", upstream.PhaseRead),
 		Entry("switching to another protocol", "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", upstream.PhaseRead),
 		Entry("empty", "", upstream.PhaseRead),
+		Entry("with status 000", "HTTP/1.1 000 \r\nContent-Length: 0\r\n\r\n", upstream.PhaseRead),
+		Entry("with status 000 and a body that looks like an answer",
+			"HTTP/1.1 000 \r\nLovage-Request-Id: r1\r\nContent-Length: 77\r\n\r\n"+completeAnswer, upstream.PhaseRead),
+		Entry("with a status of fewer than three digits", "HTTP/1.1 099 Unknown\r\n\r\n"+completeAnswer, upstream.PhaseRead),
 	)
 
 	It("reuses a connection after a complete answer, but not for a request that asks for a new one", func() {
