--- a/internal/callerconn/timeouts.go
+++ b/internal/callerconn/timeouts.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -33,6 +34,33 @@
 	return timeouts
 }
 
+// timeoutCheckInterval is the interval of the timeout checks of callers' connections.
+const timeoutCheckInterval = 250 * time.Millisecond
+
+// EnforceTimeouts expires connections that exceed their timeouts, until ctx ends. onExpired is called
+// with their number. Timers of the HTTP server for each request would cost more.
+func (c *Listener) EnforceTimeouts(ctx context.Context, timeouts func() Timeouts, onExpired func(count int)) {
+	ticker := time.NewTicker(timeoutCheckInterval)
+	defer ticker.Stop()
+	lastCheckAt := time.Now()
+	resumedAt := lastCheckAt
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if now.Sub(lastCheckAt) > 2*timeoutCheckInterval {
+			resumedAt = now // bytes that arrived during the pause are not read yet
+		}
+		lastCheckAt = now
+		if expired := c.ExpireTimedOut(now, resumedAt, timeouts()); expired > 0 {
+			onExpired(expired)
+		}
+	}
+}
+
 // ExpireTimedOut stops reads from the connections that exceed the timeout for a request
 // or for the rest of its headers, and returns their number. Time before resumedAt, which
 // is the end of the process's last pause, does not count.
--- a/internal/edge/shutdown.go
+++ b/internal/edge/shutdown.go
@@ -39,7 +39,7 @@
 	}
 	timeoutCtx, stopTimeouts := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTimeouts()
-	go e.enforceConnTimeouts(timeoutCtx, conns)
+	go conns.EnforceTimeouts(timeoutCtx, func() callerconn.Timeouts { return callerconn.TimeoutsOf(e.catalog.Load()) }, e.recordTimedOut)
 	go e.intake.Watch(timeoutCtx)
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(conns) }()
@@ -64,6 +64,12 @@
 	return server.Close()
 }
 
+// recordTimedOut counts and logs connections that exceeded their timeouts.
+func (e *Edge) recordTimedOut(count int) {
+	e.counters.timedOutConns.Inc(int64(count))
+	e.log.Info().Int("connections", count).Msg("callers' connections were quiet for too long")
+}
+
 // drainPollInterval is the interval of the checks of the connections during a drain.
 const drainPollInterval = 50 * time.Millisecond
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,12 +47,6 @@
 // with a problem document.
 const serverHeaderLimitFactor = 8
 
-// readHeaderTimeout limits the time in which a caller must send a request's headers.
-const readHeaderTimeout = 5 * time.Second
-
-// idleTimeout is longer than callers keep idle connections, so that the caller closes first.
-const idleTimeout = 2 * time.Minute
-
 // Entry is one entry process.
 type Entry struct {
 	settings     Settings
@@ -236,13 +230,14 @@
 	watchCtx, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWatch()
 	go e.intake.Watch(watchCtx)
+	go conns.EnforceTimeouts(watchCtx, func() callerconn.Timeouts { return callerconn.TimeoutsOf(nil) }, func(count int) {
+		e.log.Info().Int("connections", count).Msg("callers' connections were quiet for too long")
+	})
 	server := &http.Server{
-		Handler:           pipeline.Handler(e.drain.handler(e.gateway, e.gateway.Refuse), e.gateway.IsIdempotent),
-		ConnContext:       callerconn.ConnContext,
-		ConnState:         conns.Track,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    serverHeaderLimitFactor * e.settings.MaxHeaderBytes,
+		Handler:        pipeline.Handler(e.drain.handler(e.gateway, e.gateway.Refuse), e.gateway.IsIdempotent),
+		ConnContext:    callerconn.ConnContext,
+		ConnState:      conns.Track,
+		MaxHeaderBytes: serverHeaderLimitFactor * e.settings.MaxHeaderBytes,
 	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(conns) }()
