Refuse a head that gives way with the next read, the largest first; prove links by requests only

Read in the diff: a head that had to give way between two reads of its connection was refused with the read after what lay in the buffer, which could be within the body of its request; any larger head gave way, not the largest; and a cancellation, which carries nothing, proved a connection of a link.

Now the first read refuses it, the largest comes first, and only requests prove a connection. TestHeadGivesWayBeforeWhatWasReadWithIt fails without the check at the start of a read.

--- a/internal/link/holding.go
+++ b/internal/link/holding.go
@@ -151,13 +151,14 @@
 	return held
 }
 
-// finished records that a message was handled, and releases its memory.
-func (s *Server) finished(c *connection, held int64) {
+// finished records that a message was handled, and releases its memory. Others than requests prove
+// nothing of the connection.
+func (s *Server) finished(c *connection, held int64, isRequest bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c.pending--
 	s.release(held)
-	if !c.served && !c.closed {
+	if isRequest && !c.served && !c.closed {
 		c.served = true
 		s.enlargeBuffers(c)
 	}
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -150,14 +150,14 @@
 		held := s.received(c)
 		if envelope.Type == typeCancel {
 			running.cancel(envelope.ID)
-			s.finished(c, held)
+			s.finished(c, held, false)
 			continue
 		}
 		pendingTokens <- struct{}{}
 		requestCtx := running.add(ctx, envelope.ID)
 		requests.Go(func() {
 			defer func() { <-pendingTokens }()
-			defer s.finished(c, held)
+			defer s.finished(c, held, true)
 			defer running.cancel(envelope.ID)
 			if !s.serveRequest(requestCtx, conn, envelope) {
 				cancel()
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -97,6 +97,10 @@
 		c.mu.Unlock()
 		return 0, c.ended
 	}
+	if c.headGivesWay {
+		defer c.mu.Unlock()
+		return 0, c.refuseHead(false)
+	}
 	if data := c.buffer.bytes(); len(data) > 0 {
 		defer c.mu.Unlock()
 		n := c.deliver(data[:min(len(data), len(p))])
--- a/internal/pipeline/heads.go
+++ b/internal/pipeline/heads.go
@@ -1,7 +1,9 @@
 package pipeline
 
 import (
+	"cmp"
 	"net"
+	"slices"
 	"time"
 )
 
@@ -129,8 +131,8 @@
 	return errHeadRefused
 }
 
-// giveWay makes the connection refuse the head that it is reading, and releases its memory. It
-// reports false if it reads none.
+// giveWay makes the connection refuse the head that it is reading with its next read, and releases
+// its memory. It reports false if it reads none.
 func (c *conn) giveWay() bool {
 	if !c.mu.TryLock() {
 		return false // it makes progress
@@ -158,18 +160,18 @@
 // refuseLargestHead refuses the head of another connection that has reserved most, if that is more
 // than size, and reports whether there was one.
 func (l *Listener) refuseLargestHead(requester *conn, size int64) bool {
+	type head struct {
+		conn     *conn
+		reserved int64
+	}
+	var larger []head
 	l.headsMu.Lock()
-	var largest []*conn
 	for c, reserved := range l.heads {
 		if c != requester && reserved > size {
-			largest = append(largest, c)
+			larger = append(larger, head{c, reserved})
 		}
 	}
 	l.headsMu.Unlock()
-	for _, c := range largest {
-		if c.giveWay() {
-			return true
-		}
-	}
-	return false
+	slices.SortFunc(larger, func(a, b head) int { return cmp.Compare(b.reserved, a.reserved) })
+	return slices.ContainsFunc(larger, func(h head) bool { return h.conn.giveWay() })
 }
--- a/internal/pipeline/heads_test.go
+++ b/internal/pipeline/heads_test.go
@@ -189,3 +189,26 @@
 	g.Expect(string(received)).To(HavePrefix("HTTP/1.1 200 OK"))
 	g.Expect(request.Trailer).To(BeEmpty())
 }
+
+// Guards against a head that must give way between two reads, and is refused within the body of its
+// request instead, behind what lay in the buffer.
+func TestHeadGivesWayBeforeWhatWasReadWithIt(t *testing.T) {
+	g := NewWithT(t)
+	serverSide, callerSide := net.Pipe()
+	defer callerSide.Close()
+	c := newConn(serverSide, NewListener(&pipeListener{}, Options{Heads: headLimits(newSharedMemory(1 << 20))}))
+	c.buffer.append([]byte("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"))
+	g.Expect(c.reserveHead(headStepBytes)).To(BeTrue())
+	g.Expect(c.giveWay()).To(BeTrue())
+	received := make(chan string, 1)
+	go func() {
+		refusal := make([]byte, 100)
+		n, _ := callerSide.Read(refusal)
+		received <- string(refusal[:n])
+	}()
+	n, err := c.Read(make([]byte, 100))
+	g.Expect(n).To(BeZero())
+	g.Expect(err).To(MatchError(errHeadRefused))
+	g.Expect(<-received).To(HavePrefix("HTTP/1.1 503 refused"))
+	g.Expect(c.giveWay()).To(BeFalse())
+}
