--- a/cmd/lovage-soak/main.go
+++ b/cmd/lovage-soak/main.go
@@ -29,6 +29,7 @@
 	EndpointCuts bool          `help:"Cut instances off from all endpoints; lovage-edge must be built with -tags faults."`
 	Limits       bool          `help:"Let endpoints name limits of the requests that they take."`
 	Drills       bool          `help:"Let the store come back from a copy."`
+	Crowds       bool          `help:"Add callers that do not behave."`
 	Duration     time.Duration `default:"8s" help:"Time during which faults are injected."`
 	Recovery     time.Duration `default:"10s" help:"Time within which the fleet must serve again after the faults."`
 }
@@ -50,7 +51,7 @@
 		}
 		report, err := soak.Run(context.Background(), soak.Options{
 			Program: args.Program, Previous: args.Previous, Folder: folder, Seed: seed, Instances: args.Instances, Endpoints: args.Endpoints,
-			Callers: args.Callers, Cuts: args.Cuts, EndpointCuts: args.EndpointCuts, Limits: args.Limits, Drills: args.Drills,
+			Callers: args.Callers, Cuts: args.Cuts, EndpointCuts: args.EndpointCuts, Limits: args.Limits, Drills: args.Drills, Crowds: args.Crowds,
 			Duration: args.Duration, Recovery: args.Recovery,
 		})
 		if err != nil {
--- a/internal/bodymemory/trim.go
+++ b/internal/bodymemory/trim.go
@@ -54,7 +54,7 @@
 
 // heapPercent is the part of the memory of a process that its heap, stacks and garbage may take. The
 // rest is for the pages of the program and for the kernel.
-const heapPercent = 65
+const heapPercent = 62
 
 // HeapLimit returns what the heap, stacks and garbage of a process with the given memory may take.
 func HeapLimit(memoryBytes int64) int64 { return memoryBytes * heapPercent / 100 }
--- a/internal/listener/listen.go
+++ b/internal/listener/listen.go
@@ -40,7 +40,7 @@
 // returns a *ListenError.
 func ListenWithin(address string, limits Limits) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(descriptor uintptr) { setBuffers(int(descriptor), limits.BufferBytes) })
+		return raw.Control(func(descriptor uintptr) { setBuffers(int(descriptor), limits) })
 	}}
 	opened, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
@@ -50,12 +50,13 @@
 	return opened, nil
 }
 
-// setBuffers sets the sizes that accepted connections inherit. The kernel doubles them for its own
-// bookkeeping. A size that it does not accept stays as it was.
-func setBuffers(descriptor, bytes int) {
-	if bytes > 0 {
-		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, bytes)
-		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
+// setBuffers sets the sizes that accepted connections inherit. A size that it does not accept stays as it was.
+func setBuffers(descriptor int, limits Limits) {
+	if limits.ReceiveBytes > 0 {
+		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, limits.ReceiveBytes)
+	}
+	if limits.SendBytes > 0 {
+		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_SNDBUF, limits.SendBytes)
 	}
 }
 
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -15,10 +15,11 @@
 		g := NewWithT(t)
 		plan := NewPlan(machine.memoryMB*megabyte, int(machine.descriptors))
 		g.Expect(plan.Limits(PartCallers).MaxConns).To(BeNumerically(">=", 2000))
+		g.Expect(plan.Limits(PartCallers).QueueLength).To(BeNumerically(">=", 2000), "all may come at once")
 		total := 0
 		for _, part := range []Part{PartCallers, PartLookups, PartLink, PartReadiness, PartOperator} {
 			total += plan.Limits(part).MaxConns
-			g.Expect(plan.Limits(part).BufferBytes).To(BeNumerically(">=", minBufferBytes))
+			g.Expect(plan.Limits(part).SendBytes).To(BeNumerically(">=", minBufferBytes))
 		}
 		g.Expect(int(machine.descriptors)-fileDescriptors-total).To(BeNumerically(">=", 1000), "endpoints, store and peers")
 	}
@@ -30,7 +31,7 @@
 	for _, descriptors := range []int{0, 200, 300, 100_000} {
 		limits := NewPlan(10_000_000, descriptors).Limits(PartOperator)
 		g.Expect(limits.MaxConns).To(BeNumerically(">=", minConns))
-		g.Expect(limits.BufferBytes).To(And(BeNumerically(">=", minBufferBytes), BeNumerically("<=", maxBufferBytes)))
+		g.Expect(limits.SendBytes).To(And(BeNumerically(">=", minBufferBytes), BeNumerically("<=", maxBufferBytes)))
 	}
 }
 
@@ -47,7 +48,7 @@
 // connection that takes the place of one which makes progress.
 func TestFullListenerAcceptsInPlaceOfAQuietConnection(t *testing.T) {
 	g := NewWithT(t)
-	opened, err := ListenWithin("127.0.0.1:0", Limits{BufferBytes: 8 << 10, QueueLength: 4})
+	opened, err := ListenWithin("127.0.0.1:0", Limits{ReceiveBytes: 8 << 10, SendBytes: 8 << 10, QueueLength: 4})
 	g.Expect(err).NotTo(HaveOccurred())
 	l := Limit(opened, Options{Name: "test", Limits: Limits{MaxConns: 2}})
 	defer l.Close()
--- a/internal/listener/plan.go
+++ b/internal/listener/plan.go
@@ -4,8 +4,9 @@
 type Limits struct {
 	// MaxConns is the number of connections that may be open.
 	MaxConns int
-	// BufferBytes is the size of the kernel's receive and send buffers of a connection.
-	BufferBytes int
+	// ReceiveBytes and SendBytes are the sizes of the kernel's buffers of a connection. The kernel
+	// doubles them.
+	ReceiveBytes, SendBytes int
 	// QueueLength is the number of connections that may wait to be accepted.
 	QueueLength int
 }
@@ -30,49 +31,62 @@
 	fileDescriptors = 200
 	// minConns is the number of connections that every listener may have.
 	minConns = 8
-	// minBufferBytes and maxBufferBytes bound Limits.BufferBytes.
+	// minBufferBytes and maxBufferBytes bound Limits.SendBytes.
 	minBufferBytes = 4 << 10
 	maxBufferBytes = 64 << 10
-	// buffersPerConn is what a connection may hold in the kernel, in units of
-	// Limits.BufferBytes: two buffers, each of which the kernel doubles.
-	buffersPerConn = 4
-	// bufferMemoryPercent is the part of the memory of a process for the kernel's buffers of
-	// all connections.
-	bufferMemoryPercent = 26
-	// maxQueueLength and auxiliaryQueueLength bound the connections that wait to be accepted.
-	maxQueueLength       = 512
-	auxiliaryQueueLength = 64
+	// kernelPercent is the part of the memory of a process for the kernel's buffers of all
+	// connections, also of those that wait to be accepted.
+	kernelPercent = 32
 )
 
+// queueLengths are the connections that may wait to be accepted: as many callers as an instance
+// serves may come at once, and all other processes after all have started.
+var queueLengths = map[Part]int{PartCallers: 2048, PartLookups: 512, PartLink: 256, PartReadiness: 64, PartOperator: 64}
+
+// receiveBytes returns the size of a receive buffer beside a send buffer: requests are smaller than
+// answers.
+func receiveBytes(sendBytes int) int { return sendBytes * 3 / 4 }
+
 // Plan divides the descriptors and the memory of a process among its listeners.
-type Plan struct {
-	sockets, bufferBytes int
-}
+type Plan struct{ sockets, sendBytes int }
 
 // NewPlan returns the plan for a process with the given memory in bytes and number of descriptors.
 func NewPlan(memoryBytes int64, descriptors int) Plan {
-	sockets := max(descriptors-fileDescriptors, 0)
-	bufferMemory := memoryBytes * bufferMemoryPercent / 100
-	conns := sockets * int(partsOfAll) / wholeParts
-	if most := int(bufferMemory / (buffersPerConn * minBufferBytes)); conns > most {
-		conns = most
-		sockets = conns * wholeParts / int(partsOfAll)
+	queued := 0
+	for _, length := range queueLengths {
+		queued += length
+	}
+	kernelBytes := int(memoryBytes * kernelPercent / 100)
+	p := Plan{sockets: max(descriptors-fileDescriptors, 0), sendBytes: minBufferBytes}
+	smallest := Limits{ReceiveBytes: receiveBytes(minBufferBytes), SendBytes: minBufferBytes}
+	most := max(kernelBytes-queued*smallest.queuedBytes(), 0) / smallest.connBytes()
+	if most < p.conns() {
+		p.sockets = most * wholeParts / int(partsOfAll)
 	}
-	each := int(bufferMemory) / max(conns, 1) / buffersPerConn
-	return Plan{sockets: sockets, bufferBytes: min(max(each, minBufferBytes), maxBufferBytes)}
+	whole := Limits{MaxConns: p.conns(), ReceiveBytes: receiveBytes(maxBufferBytes), SendBytes: maxBufferBytes, QueueLength: queued}
+	p.sendBytes = max(int(int64(maxBufferBytes)*int64(kernelBytes)/whole.KernelBytes()), minBufferBytes)
+	p.sendBytes = min(p.sendBytes, maxBufferBytes)
+	return p
 }
 
+// conns returns the number of connections of all listeners of a process that has all of them.
+func (p Plan) conns() int { return p.sockets * int(partsOfAll) / wholeParts }
+
 // Limits returns the limits of a listener that has a part of the descriptors.
 func (p Plan) Limits(part Part) Limits {
-	l := Limits{MaxConns: max(p.sockets*int(part)/wholeParts, minConns), BufferBytes: p.bufferBytes, QueueLength: auxiliaryQueueLength}
-	if part == PartCallers {
-		l.QueueLength = maxQueueLength
-	}
-	return l
+	return Limits{MaxConns: max(p.sockets*int(part)/wholeParts, minConns), QueueLength: queueLengths[part],
+		ReceiveBytes: receiveBytes(p.sendBytes), SendBytes: p.sendBytes}
 }
 
-// KernelBytes returns the most that the kernel can hold for the connections of a listener, also
-// for those that wait to be accepted, which are only received from.
+// doubled is the factor by which the kernel enlarges buffers for its own bookkeeping.
+const doubled = 2
+
+// connBytes returns the most that the kernel can hold for a connection, queuedBytes that for one that
+// waits to be accepted.
+func (l Limits) connBytes() int   { return doubled * (l.ReceiveBytes + l.SendBytes) }
+func (l Limits) queuedBytes() int { return doubled * l.ReceiveBytes }
+
+// KernelBytes returns the most that the kernel can hold for the connections of a listener.
 func (l Limits) KernelBytes() int64 {
-	return int64(l.BufferBytes) * (int64(l.MaxConns)*buffersPerConn + int64(l.QueueLength)*buffersPerConn/2)
+	return int64(l.MaxConns)*int64(l.connBytes()) + int64(l.QueueLength)*int64(l.queuedBytes())
 }
