--- a/internal/bodymemory/memory.go
+++ b/internal/bodymemory/memory.go
@@ -131,7 +131,8 @@
 }
 
 // resize sets the size of a reservation. If it grows beyond the limit, bodies that are being
-// received give way first, and then the slowest readers are disconnected. The caller must hold mu and report what was disconnected.
+// received give way first, and then the slowest readers are disconnected. The caller must hold
+// mu and report what was disconnected.
 func (m *Memory) resize(r *Reservation, size int64) ([]Disconnection, error) {
 	n := size - r.size
 	excess := n - (m.limitFor(size) - m.used) // a sum could overflow: callers state lengths up to 2^63-1
--- a/internal/link/holding.go
+++ b/internal/link/holding.go
@@ -17,10 +17,10 @@
 	holdTimeout = 2 * writeTimeout
 	// holdRetryInterval is the interval of the attempts to reserve memory for a message.
 	holdRetryInterval = 20 * time.Millisecond
-	// proofBufferBytes is the size of the kernel's buffers of a connection that has carried a
+	// enlargedBytes is the size of the kernel's buffers of a connection that has carried a
 	// request, so that large replies and bodies need few round trips. The kernel doubles it.
-	proofBufferBytes = 64 << 10
-	buffersPerConn   = 4
+	enlargedBytes  = 64 << 10
+	buffersPerConn = 4
 )
 
 // NoMemoryError reports a message for which no memory is left.
@@ -151,8 +151,8 @@
 	return held
 }
 
-// finished records that a message was handled, and releases its memory. Others than requests prove
-// nothing of the connection.
+// finished records that a message was handled, and releases its memory. A
+// message that is no request does not count as use of the connection.
 func (s *Server) finished(c *connection, held int64, isRequest bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,12 +168,12 @@
 // them. The caller must hold mu.
 func (s *Server) enlargeBuffers(c *connection) {
 	conn, ok := innermost(c.Conn).(*net.TCPConn)
-	if !ok || s.limits.Buffers == nil || s.limits.Buffers.Reserve(buffersPerConn*proofBufferBytes) != nil {
+	if !ok || s.limits.Buffers == nil || s.limits.Buffers.Reserve(buffersPerConn*enlargedBytes) != nil {
 		return
 	}
-	c.buffers = buffersPerConn * proofBufferBytes
-	_ = conn.SetReadBuffer(proofBufferBytes) // the smaller buffers stay if it fails
-	_ = conn.SetWriteBuffer(proofBufferBytes)
+	c.buffers = buffersPerConn * enlargedBytes
+	_ = conn.SetReadBuffer(enlargedBytes) // the smaller buffers stay if it fails
+	_ = conn.SetWriteBuffer(enlargedBytes)
 }
 
 // innermost returns the connection of the network below all wrappers.
--- a/internal/listener/listen.go
+++ b/internal/listener/listen.go
@@ -50,7 +50,8 @@
 	return opened, nil
 }
 
-// setBuffers sets the sizes that accepted connections inherit. A size that it does not accept stays as it was.
+// setBuffers sets the sizes that accepted connections inherit. A size that the kernel does not
+// accept stays as it was.
 func setBuffers(descriptor int, limits Limits) {
 	if limits.ReceiveBytes > 0 {
 		_ = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_RCVBUF, limits.ReceiveBytes)
