--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -8,7 +8,7 @@
 )
 
 // Guards against limits that callers inside the pages' limits meet: 2,000 of them at one instance.
-// The largest answers to the question how much is held at once are in intake_test.go.
+// Package intake tests that all terms together fit into the memory.
 func TestPlanHasRoomForCallersAndForOwnConnections(t *testing.T) {
 	const megabyte = 1_000_000
 	for _, machine := range []struct{ memoryMB, descriptors int64 }{{184, 4100}, {284, 4100}, {536, 8192}, {424, 10250}, {451, 10933}} {
--- a/internal/pipeline/handler.go
+++ b/internal/pipeline/handler.go
@@ -47,8 +47,8 @@
 	e.response.deliver(r.Context(), w, e.cancel, func(header http.Header) { c.setConnection(header) })
 }
 
-// bodyWithoutTrailer drops the trailer of a request, which nobody uses and nobody pays for: it may
-// consist of many short fields.
+// bodyWithoutTrailer drops the trailer of a request. Nobody uses it, and no memory is reserved for
+// it although it may consist of many short fields.
 type bodyWithoutTrailer struct {
 	io.ReadCloser
 	request *http.Request
--- a/internal/pipeline/heads_test.go
+++ b/internal/pipeline/heads_test.go
@@ -147,8 +147,8 @@
 	})
 }
 
-// Guards against a head that was read ahead and parsed, and that nobody pays for while its body does
-// not arrive.
+// Guards against a head that was read ahead and parsed, and whose memory is not reserved while its
+// body does not arrive.
 func TestParsedHeadsAreCountedWhileTheirBodiesAreMissing(t *testing.T) {
 	memory := newSharedMemory(1 << 20)
 	head := "GET /i/2 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n" + strings.Repeat("a:\r\n", 800) + "\r\n"
